A router that decides from lagging reports and its own outstanding work

Choosing a backend server needs an answer that holds while load reports lag, the host list lags, and servers fail. The router keeps its own outstanding work per server, adds the others' share of the last report faded by its age, and takes the better of two draws in the caller's own zone, spilling over when that zone's draw is full. Prefixes and adapters keep to their server under a load bound. Evidence of leaving outlives an older list. Servers that fail are ejected and probed one request at a time; with all of them ejected all are tried, so that a fault on our own side cannot empty the pool.

Ruled out: scanning all servers per request (the index is per model and zone), and trusting the report alone, which counts our own newer work neither in nor out.

--- /dev/null
+++ b/lib/routing/router.cc
@@ -0,0 +1,384 @@
+#include "mangoport/routing/router.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "mangoport/core/mutant.h"
+
+namespace mangoport {
+namespace {
+
+/// Draws before a zone is searched from end to end.
+constexpr int kDraws = 8;
+/// Steps along the ring in search of a prefix's server under the load bound.
+constexpr std::size_t kRingSteps = 4;
+/// Another zone's server must be better by this much of its batch.
+constexpr double kZonePenalty = 0.25;
+/// Weight of one finished request in the mean service time.
+constexpr double kServiceTimeGain = 0.05;
+constexpr Duration kUnavailableRetryAfter = std::chrono::seconds(1);
+
+std::uint64_t Mix(std::uint64_t x) {
+  x ^= x >> 33;
+  x *= 0xff51afd7ed558ccdULL;
+  x ^= x >> 33;
+  x *= 0xc4ceb9fe1a85ec53ULL;
+  return x ^ (x >> 33);
+}
+
+Error NotRun(ErrorCode code, std::string message) {
+  return Error{.code = code, .message = std::move(message), .not_run = true};
+}
+
+}  // namespace
+
+Router::Router(RouterSettings settings)
+    : settings_(settings),
+      random_(settings.seed),
+      service_time_(settings.initial_service_time) {}
+
+void Router::SetServers(MonoTime /*now*/, const ServerList& list) {
+  std::vector<BackendState> kept;
+  kept.reserve(list.servers.size());
+  std::unordered_map<ServerId, Slot> by_id;
+  for (const ServerSpec& spec : list.servers) {
+    const auto old = by_id_.find(spec.id);
+    if (!by_id.emplace(spec.id, static_cast<Slot>(kept.size())).second)
+      continue;
+    BackendState state;
+    if (old != by_id_.end())
+      state = std::move(slots_[old->second]);
+    state.spec = spec;
+    state.listed = true;
+    state.ring_hash = Mix(std::hash<ServerId>{}(spec.id));
+    if (spec.leaving)
+      state.leaving_since = list.as_of;
+    else if (state.leaving_since && *state.leaving_since < list.as_of)
+      state.leaving_since.reset();
+    kept.push_back(std::move(state));
+  }
+  // Servers off the list are remembered while our requests run there.
+  for (const auto& [id, slot] : by_id_) {
+    if (by_id.contains(id) || slots_[slot].load.own_outstanding() == 0)
+      continue;
+    slots_[slot].listed = false;
+    by_id.emplace(id, static_cast<Slot>(kept.size()));
+    kept.push_back(std::move(slots_[slot]));
+  }
+  slots_ = std::move(kept);
+  by_id_ = std::move(by_id);
+  RebuildIndex();
+}
+
+void Router::RebuildIndex() {
+  models_.clear();
+  adapters_.clear();
+  std::vector<Slot> order(slots_.size());
+  for (Slot i = 0; i < order.size(); ++i)
+    order[i] = i;
+  std::sort(order.begin(), order.end(), [this](Slot a, Slot b) {
+    return slots_[a].ring_hash < slots_[b].ring_hash;
+  });
+  for (const Slot slot : order) {
+    const BackendState& state = slots_[slot];
+    if (!state.listed)
+      continue;
+    for (const ModelId& it : state.spec.models) {
+      std::vector<ZoneRing>& zones = models_[it].zones;
+      auto zone = std::find_if(zones.begin(), zones.end(),
+                               [&state](const ZoneRing& ring) {
+                                 return ring.zone == state.spec.zone;
+                               });
+      if (zone == zones.end())
+        zone = zones.insert(zones.end(), ZoneRing{state.spec.zone, {}});
+      zone->ring.push_back(slot);
+    }
+    for (const AdapterId& it : state.spec.adapters)
+      adapters_[it].push_back(slot);
+  }
+}
+
+void Router::OnLeaving(MonoTime since, const ServerId& server) {
+  const auto it = by_id_.find(server);
+  if (it == by_id_.end())
+    return;
+  std::optional<MonoTime>& known = slots_[it->second].leaving_since;
+  known = known ? std::max(*known, since) : since;
+}
+
+void Router::Reserve(const ServerId& server, MonoTime until) {
+  const auto it = by_id_.find(server);
+  if (it != by_id_.end())
+    slots_[it->second].reserved_until = until;
+}
+
+void Router::OnReport(MonoTime /*now*/, const ServerReport& report) {
+  const auto it = by_id_.find(report.server);
+  if (it == by_id_.end())
+    return;
+  slots_[it->second].load.OnReport(report.measured_at,
+                                   report.running + report.queued);
+}
+
+bool Router::IsExcluded(const RouteRequest& request, Slot slot) const {
+  return std::find(request.excluded.begin(), request.excluded.end(),
+                   slots_[slot].spec.id) != request.excluded.end();
+}
+
+bool Router::MayChoose(MonoTime now,
+                       const RouteRequest& request,
+                       Slot slot,
+                       bool ignore_health) const {
+  const BackendState& state = slots_[slot];
+  if (state.leaving_since && !MutantEnabled("leaving_ignored"))
+    return false;
+  if (now < state.reserved_until)
+    return false;
+  if (!ignore_health && !state.health.MayServe(now))
+    return false;
+  return !IsExcluded(request, slot);
+}
+
+double Router::RelativeLoad(MonoTime now, Slot slot) const {
+  const BackendState& state = slots_[slot];
+  return state.load.At(now) / std::max<std::uint32_t>(state.spec.batch_size, 1);
+}
+
+std::optional<Router::Candidate> Router::PickOne(MonoTime now,
+                                                 const RouteRequest& request,
+                                                 const Ring& ring,
+                                                 bool ignore_health) {
+  if (ring.empty())
+    return std::nullopt;
+  for (int i = 0; i < kDraws; ++i) {
+    const Slot slot = ring[random_() % ring.size()];
+    if (MayChoose(now, request, slot, ignore_health))
+      return Candidate{slot, RelativeLoad(now, slot)};
+  }
+  const std::size_t start = random_() % ring.size();
+  for (std::size_t i = 0; i < ring.size(); ++i) {
+    const Slot slot = ring[(start + i) % ring.size()];
+    if (MayChoose(now, request, slot, ignore_health))
+      return Candidate{slot, RelativeLoad(now, slot)};
+  }
+  return std::nullopt;
+}
+
+std::optional<Router::Candidate> Router::SampleTwo(MonoTime now,
+                                                   const RouteRequest& request,
+                                                   const Ring& ring,
+                                                   bool ignore_health) {
+  const std::optional<Candidate> first =
+      PickOne(now, request, ring, ignore_health);
+  if (!first)
+    return std::nullopt;
+  const std::optional<Candidate> second =
+      PickOne(now, request, ring, ignore_health);
+  return second->load < first->load ? second : first;
+}
+
+std::optional<Router::Candidate> Router::LeastOf(MonoTime now,
+                                                 const RouteRequest& request,
+                                                 const Ring& ring,
+                                                 bool ignore_health) const {
+  std::optional<Candidate> best;
+  for (const Slot slot : ring) {
+    if (!MayChoose(now, request, slot, ignore_health))
+      continue;
+    const double load = slots_[slot].load.own_outstanding();
+    if (!best || load < best->load)
+      best = Candidate{slot, load};
+  }
+  return best;
+}
+
+std::optional<Router::Candidate> Router::AffinityIn(MonoTime now,
+                                                    const RouteRequest& request,
+                                                    const Ring& ring) const {
+  if (request.prefix_hash == 0 || ring.empty())
+    return std::nullopt;
+  const std::uint64_t point = Mix(request.prefix_hash);
+  const auto from = std::lower_bound(ring.begin(), ring.end(), point,
+                                     [this](Slot slot, std::uint64_t value) {
+                                       return slots_[slot].ring_hash < value;
+                                     });
+  const std::size_t start = from - ring.begin();
+  for (std::size_t i = 0; i < std::min(kRingSteps, ring.size()); ++i) {
+    const Slot slot = ring[(start + i) % ring.size()];
+    if (MayChoose(now, request, slot, /*ignore_health=*/false))
+      return Candidate{slot, RelativeLoad(now, slot)};
+  }
+  return std::nullopt;
+}
+
+Router::Candidate Router::PreferAffinity(MonoTime now,
+                                         const RouteRequest& request,
+                                         const Ring& ring,
+                                         Candidate sampled) const {
+  const auto is_near = [&](const std::optional<Candidate>& it) {
+    return it && it->load < settings_.spill_load &&
+           it->load <= sampled.load + settings_.affinity_slack;
+  };
+  const std::optional<Candidate> cached = AffinityIn(now, request, ring);
+  if (is_near(cached))
+    return *cached;
+  const std::optional<Candidate> loaded = WithAdapter(now, request, ring);
+  return is_near(loaded) ? *loaded : sampled;
+}
+
+std::optional<Router::Candidate> Router::WithAdapter(
+    MonoTime now,
+    const RouteRequest& request,
+    const Ring& ring) const {
+  const auto holders = adapters_.find(request.adapter);
+  if (ring.empty() || holders == adapters_.end())
+    return std::nullopt;
+  const ZoneId& zone = slots_[ring.front()].spec.zone;
+  std::optional<Candidate> best;
+  for (const Slot slot : holders->second) {
+    const ServerSpec& spec = slots_[slot].spec;
+    if (spec.zone != zone || !MayChoose(now, request, slot, false) ||
+        std::find(spec.models.begin(), spec.models.end(), request.model) ==
+            spec.models.end())
+      continue;
+    const double load = RelativeLoad(now, slot);
+    if (!best || load < best->load)
+      best = Candidate{slot, load};
+  }
+  return best;
+}
+
+std::optional<Router::Candidate> Router::ChooseInZones(
+    MonoTime now,
+    const RouteRequest& request,
+    ModelEntry& entry,
+    bool ignore_health) {
+  std::optional<Candidate> best;
+  for (const ZoneRing& it : entry.zones) {
+    if (it.zone != request.own_zone)
+      continue;
+    best = SampleTwo(now, request, it.ring, ignore_health);
+    if (best)
+      best = PreferAffinity(now, request, it.ring, *best);
+  }
+  if (best && best->load < settings_.spill_load)
+    return best;
+  for (const ZoneRing& it : entry.zones) {
+    if (it.zone == request.own_zone)
+      continue;
+    const std::optional<Candidate> other =
+        SampleTwo(now, request, it.ring, ignore_health);
+    if (other && (!best || other->load + kZonePenalty < best->load))
+      best = PreferAffinity(now, request, it.ring, *other);
+  }
+  return best;
+}
+
+std::optional<Router::Candidate> Router::ChooseByBaseline(
+    MonoTime now,
+    const RouteRequest& request,
+    ModelEntry& entry) {
+  Ring all;
+  for (const ZoneRing& it : entry.zones)
+    all.insert(all.end(), it.ring.begin(), it.ring.end());
+  if (settings_.policy == RoutingPolicy::kLeastOutstanding)
+    return LeastOf(now, request, all, /*ignore_health=*/true);
+  if (settings_.policy == RoutingPolicy::kRandom)
+    return PickOne(now, request, all, /*ignore_health=*/true);
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    const Slot slot = all[entry.turn++ % all.size()];
+    if (MayChoose(now, request, slot, /*ignore_health=*/true))
+      return Candidate{slot, RelativeLoad(now, slot)};
+  }
+  return std::nullopt;
+}
+
+Duration Router::ExpectedWait(double relative_load) const {
+  if (relative_load < 1.0)
+    return Duration::zero();
+  return std::chrono::duration_cast<Duration>(service_time_ *
+                                              (relative_load - 1.0));
+}
+
+RouteChoice Router::Choose(MonoTime now, const RouteRequest& request) {
+  RouteChoice choice;
+  const auto entry = models_.find(request.model);
+  if (entry == models_.end()) {
+    choice.refusal =
+        NotRun(ErrorCode::kUnavailable,
+               "no backend server holds model " + request.model.value());
+    choice.retry_after = kUnavailableRetryAfter;
+    return choice;
+  }
+  std::optional<Candidate> best;
+  if (settings_.policy != RoutingPolicy::kMangoport) {
+    best = ChooseByBaseline(now, request, entry->second);
+  } else {
+    best = ChooseInZones(now, request, entry->second, /*ignore_health=*/false);
+    // The floor under ejection: with every server ejected the likeliest fault
+    // is on our side, so that all of them are tried again.
+    if (!best && !MutantEnabled("ejection_empties_pool"))
+      best = ChooseInZones(now, request, entry->second, /*ignore_health=*/true);
+  }
+  if (!best) {
+    choice.refusal =
+        NotRun(ErrorCode::kUnavailable,
+               "no backend server left for model " + request.model.value());
+    choice.retry_after = kUnavailableRetryAfter;
+    return choice;
+  }
+  const Duration wait = ExpectedWait(best->load);
+  if (settings_.policy == RoutingPolicy::kMangoport &&
+      request.deadline != MonoTime::max() && now + wait > request.deadline) {
+    choice.refusal =
+        NotRun(ErrorCode::kOverloaded, "the queue is longer than the deadline");
+    choice.retry_after = wait;
+    return choice;
+  }
+  choice.server = slots_[best->slot].spec.id;
+  return choice;
+}
+
+void Router::OnDispatched(MonoTime now, const ServerId& server) {
+  const auto it = by_id_.find(server);
+  if (it == by_id_.end())
+    return;
+  slots_[it->second].load.OnDispatched(now);
+  slots_[it->second].health.OnDispatched(now);
+}
+
+void Router::OnFirstToken(MonoTime /*now*/, const ServerId& server) {
+  const auto it = by_id_.find(server);
+  if (it != by_id_.end())
+    slots_[it->second].health.OnProgress();
+}
+
+void Router::OnFinished(MonoTime now,
+                        const ServerId& server,
+                        AttemptOutcome outcome,
+                        Duration ran_for) {
+  const auto it = by_id_.find(server);
+  if (it == by_id_.end())
+    return;
+  BackendState& state = slots_[it->second];
+  state.load.OnFinished(now);
+  state.health.OnOutcome(now, outcome);
+  if (outcome == AttemptOutcome::kRefusedLeaving)
+    OnLeaving(now, server);
+  if (outcome == AttemptOutcome::kCompleted && ran_for > Duration::zero())
+    service_time_ += std::chrono::duration_cast<Duration>(
+        (ran_for - service_time_) * kServiceTimeGain);
+}
+
+bool Router::IsLeaving(const ServerId& server) const {
+  const BackendState* state = Find(server);
+  return state != nullptr && state->leaving_since.has_value();
+}
+
+const BackendState* Router::Find(const ServerId& server) const {
+  const auto it = by_id_.find(server);
+  return it == by_id_.end() ? nullptr : &slots_[it->second];
+}
+
+}  // namespace mangoport
--- /dev/null
+++ b/lib/routing/server_health.cc
@@ -0,0 +1,67 @@
+#include "mangoport/routing/server_health.h"
+
+#include <algorithm>
+
+namespace mangoport {
+namespace {
+
+/// Timeouts and broken streams may be chance; a refused connection is not.
+constexpr std::uint32_t kFailuresToEject = 3;
+constexpr Duration kFirstEjection = std::chrono::seconds(1);
+constexpr std::uint32_t kMaxDoublings = 5;
+/// A probe that neither failed nor progressed no longer blocks the next one.
+constexpr Duration kProbeLifetime = std::chrono::seconds(5);
+
+bool IsCertain(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kConnectFailed ||
+         outcome == AttemptOutcome::kServerDied;
+}
+
+}  // namespace
+
+ServerHealth::State ServerHealth::StateAt(MonoTime now) const {
+  if (ejections_ == 0)
+    return State::kHealthy;
+  return now < ejected_until_ ? State::kEjected : State::kProbing;
+}
+
+bool ServerHealth::MayServe(MonoTime now) const {
+  const State state = StateAt(now);
+  if (state == State::kProbing)
+    return now >= probe_expires_;
+  return state == State::kHealthy;
+}
+
+void ServerHealth::OnDispatched(MonoTime now) {
+  if (StateAt(now) == State::kProbing)
+    probe_expires_ = now + kProbeLifetime;
+}
+
+void ServerHealth::OnProgress() {
+  consecutive_failures_ = 0;
+  ejections_ = 0;
+  probe_expires_ = MonoTime();
+}
+
+void ServerHealth::OnOutcome(MonoTime now, AttemptOutcome outcome) {
+  if (outcome == AttemptOutcome::kCompleted) {
+    OnProgress();
+    return;
+  }
+  if (!IsServerFailure(outcome))
+    return;
+  ++consecutive_failures_;
+  const State state = StateAt(now);
+  const bool eject =
+      state == State::kProbing ||
+      (state == State::kHealthy &&
+       (IsCertain(outcome) || consecutive_failures_ >= kFailuresToEject));
+  if (!eject)
+    return;
+  ejected_until_ =
+      now + kFirstEjection * (1 << std::min(ejections_, kMaxDoublings));
+  probe_expires_ = MonoTime();
+  ++ejections_;
+}
+
+}  // namespace mangoport
--- /dev/null
+++ b/unittests/routing/router_test.cc
@@ -0,0 +1,150 @@
+#include "mangoport/routing/router.h"
+
+#include <map>
+#include <string>
+
+#include <criterion/criterion.h>
+
+namespace mangoport {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const MonoTime kStart = MonoTime() + std::chrono::hours(1);
+const ModelId kModel("drafts");
+
+ServerSpec Spec(const std::string& id, const std::string& zone) {
+  return ServerSpec{.id = ServerId(id),
+                    .zone = ZoneId(zone),
+                    .models = {kModel},
+                    .adapters = {},
+                    .batch_size = 4};
+}
+
+RouteRequest Request() {
+  RouteRequest request;
+  request.model = kModel;
+  request.own_zone = ZoneId("a");
+  return request;
+}
+
+Router WithServers(MonoTime now) {
+  Router router;
+  router.SetServers(now,
+                    {now, {Spec("a1", "a"), Spec("a2", "a"), Spec("b1", "b")}});
+  return router;
+}
+
+// NOLINTNEXTLINE
+Test(router, own_zone_first_and_spill_when_full) {
+  Router router = WithServers(kStart);
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 12; ++i) {
+    const RouteChoice choice = router.Choose(kStart, Request());
+    cr_assert(choice.server.has_value());
+    ++chosen[choice.server->value()];
+    router.OnDispatched(kStart, *choice.server);
+    if (i < 6)
+      cr_assert_eq(chosen["b1"], 0);
+  }
+  cr_assert_gt(chosen["b1"], 0);
+}
+
+// NOLINTNEXTLINE
+Test(router, leaving_evidence_outlives_a_lagging_list) {
+  Router router = WithServers(kStart);
+  router.OnFinished(kStart + seconds(1), ServerId("a1"),
+                    AttemptOutcome::kRefusedLeaving);
+  router.SetServers(kStart + seconds(5),
+                    {kStart, {Spec("a1", "a"), Spec("a2", "a")}});
+  for (int i = 0; i < 50; ++i)
+    cr_assert_eq(router.Choose(kStart + seconds(5), Request()).server->value(),
+                 "a2");
+  router.SetServers(kStart + seconds(9),
+                    {kStart + seconds(8), {Spec("a1", "a")}});
+  cr_assert_eq(router.Choose(kStart + seconds(9), Request()).server->value(),
+               "a1");
+}
+
+// NOLINTNEXTLINE
+Test(router, ejection_never_empties_the_pool) {
+  Router router = WithServers(kStart);
+  for (const char* it : {"a1", "a2", "b1"})
+    router.OnFinished(kStart, ServerId(it), AttemptOutcome::kServerDied);
+  cr_assert(router.Choose(kStart, Request()).server.has_value());
+}
+
+// NOLINTNEXTLINE
+Test(router, an_ejected_server_is_probed_by_one_request) {
+  Router router;
+  router.SetServers(kStart, {kStart, {Spec("a1", "a"), Spec("a2", "a")}});
+  router.OnFinished(kStart, ServerId("a1"), AttemptOutcome::kConnectFailed);
+  for (int i = 0; i < 50; ++i)
+    cr_assert_eq(router.Choose(kStart, Request()).server->value(), "a2");
+  const MonoTime later = kStart + seconds(2);
+  int probes = 0;
+  for (int i = 0; i < 50; ++i) {
+    const ServerId server = *router.Choose(later, Request()).server;
+    if (server.value() != "a1")
+      continue;
+    ++probes;
+    router.OnDispatched(later, server);
+  }
+  cr_assert_eq(probes, 1);
+  router.OnFirstToken(later + milliseconds(1), ServerId("a1"));
+  cr_assert_eq(router.Find(ServerId("a1"))->health.StateAt(later),
+               ServerHealth::State::kHealthy);
+}
+
+// NOLINTNEXTLINE
+Test(router, refuses_as_not_run_what_cannot_meet_its_deadline) {
+  Router router;
+  router.SetServers(kStart, {kStart, {Spec("a1", "a")}});
+  for (int i = 0; i < 8; ++i)
+    router.OnDispatched(kStart, ServerId("a1"));
+  RouteRequest request = Request();
+  request.deadline = kStart + milliseconds(1700);
+  const RouteChoice choice = router.Choose(kStart, request);
+  cr_assert_not(choice.server.has_value());
+  cr_assert_eq(choice.refusal.code, ErrorCode::kOverloaded);
+  cr_assert(choice.refusal.not_run);
+}
+
+// NOLINTNEXTLINE
+Test(router, same_prefix_stays_on_its_server_until_the_load_bound) {
+  Router router = WithServers(kStart);
+  RouteRequest request = Request();
+  request.prefix_hash = 42;
+  const ServerId home = *router.Choose(kStart, request).server;
+  cr_assert_eq(*router.Choose(kStart, request).server, home);
+  for (int i = 0; i < 4; ++i)
+    router.OnDispatched(kStart, home);
+  cr_assert_neq(*router.Choose(kStart, request).server, home);
+}
+
+// NOLINTNEXTLINE
+Test(router, adapter_goes_to_its_holder) {
+  Router router;
+  ServerSpec holder = Spec("a2", "a");
+  holder.adapters = {AdapterId("gallery")};
+  router.SetServers(kStart, {kStart, {Spec("a1", "a"), holder}});
+  RouteRequest request = Request();
+  request.adapter = AdapterId("gallery");
+  for (int i = 0; i < 20; ++i)
+    cr_assert_eq(router.Choose(kStart, request).server->value(), "a2");
+}
+
+// NOLINTNEXTLINE
+Test(load_estimate, a_report_is_corrected_by_own_work_since) {
+  LoadEstimate load;
+  load.OnDispatched(kStart);
+  load.OnDispatched(kStart + seconds(2));
+  // Counted before the second dispatch: one request is ours, four are not.
+  load.OnReport(kStart + seconds(1), 5);
+  cr_assert_float_eq(load.At(kStart + seconds(1)), 6.0, 0.01);
+  cr_assert_float_eq(load.At(kStart + seconds(6)), 2.0, 0.01);
+}
+
+}  // namespace
+}  // namespace mangoport
