--- a/include/mangoport/core/finding.h
+++ b/include/mangoport/core/finding.h
@@ -31,6 +31,9 @@
 /// add to it and go on, so that one run reports all of them.
 using Findings = std::vector<Finding>;
 
+/// Puts findings in the order of their places.
+void SortFindings(Findings& findings);
+
 /// "file:line:column: error: message; did you mean 'suggestion'?"
 std::string FormatFinding(const Finding& finding);
 
--- a/include/mangoport/ledger/envelope.h
+++ b/include/mangoport/ledger/envelope.h
@@ -14,6 +14,12 @@
 
 namespace mangoport {
 
+/// One entry of the log, as it was read.
+struct EntryView {
+  std::uint64_t offset = 0;
+  std::string_view payload;
+};
+
 /// Numbers and encodes the records of one writer.
 class RecordWriter {
  public:
--- a/lib/core/finding.cc
+++ b/lib/core/finding.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <numeric>
+#include <tuple>
 
 namespace mangoport {
 namespace {
@@ -24,6 +25,14 @@
 
 }  // namespace
 
+void SortFindings(Findings& findings) {
+  std::stable_sort(findings.begin(), findings.end(),
+                   [](const Finding& a, const Finding& b) {
+                     return std::tie(a.place.line, a.place.column) <
+                            std::tie(b.place.line, b.place.column);
+                   });
+}
+
 std::string FormatFinding(const Finding& finding) {
   std::string text = finding.place.file + ":";
   if (finding.place.line != 0) {
