--- /dev/null
+++ b/include/mangoport/entryhost/config_service.h
@@ -0,0 +1,82 @@
+#ifndef MANGOPORT_ENTRYHOST_CONFIG_SERVICE_H_
+#define MANGOPORT_ENTRYHOST_CONFIG_SERVICE_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include "mangoport/core/ids.h"
+#include "mangoport/core/time.h"
+#include "mangoport/entryhost/log_appender.h"
+#include "mangoport/entryhost/log_follower.h"
+#include "mangoport/ledger/config_fold.h"
+
+namespace mangoport {
+
+/// The stream on which operators publish configuration.
+extern const StreamId kConfigStream;
+
+/// Keeps the configuration in force on this host up to date.
+class ConfigService {
+ public:
+  using OnChange = std::function<void(const ConfigView&)>;
+  using OnVerdict = std::function<void(const ChangeVerdict&)>;
+
+  /// `on_change` runs after each new view is in force, `on_verdict` for each
+  /// published change; both on the follower's thread.
+  ConfigService(LogService& log,
+                WriterId writer,
+                OnChange on_change,
+                OnVerdict on_verdict);
+  ~ConfigService();
+
+  ConfigService(const ConfigService&) = delete;
+  ConfigService& operator=(const ConfigService&) = delete;
+
+  std::shared_ptr<const ConfigView> view() const {
+    return view_.load(std::memory_order_acquire);
+  }
+
+  /// Time of the newest evidence that the view was current: the start of the
+  /// last read of the log that left nothing unread, or what a peer proved.
+  MonoTime evidence_time() const {
+    return MonoTime(Duration(evidence_.load()));
+  }
+
+  /// True once any configuration has been read, from log or peer.
+  bool ready() const { return ready_.load(); }
+
+  /// Takes a snapshot that a peer sent, with the time at which its evidence
+  /// was fresh. False if this host already is as far or further.
+  bool LoadPeerSnapshot(MonoTime evidence,
+                        const wire::ConfigSnapshot& snapshot);
+
+  /// A peer proved that nothing beyond `next_offset` existed at `evidence`.
+  void NotePeerEvidence(MonoTime evidence, std::uint64_t next_offset);
+
+  wire::ConfigSnapshot MakeSnapshot() const;
+
+ private:
+  void OnPage(MonoTime asked_at, const LogPage& page);
+  void RaiseEvidence(MonoTime evidence);
+  void PublishLocked();
+  void MaybeWriteSnapshotLocked(MonoTime now);
+
+  OnChange on_change_;
+  OnVerdict on_verdict_;
+  mutable std::mutex mutex_;
+  ConfigFold fold_;
+  std::optional<MonoTime> snapshot_due_;
+  std::atomic<std::shared_ptr<const ConfigView>> view_;
+  std::atomic<std::int64_t> evidence_{0};
+  std::atomic<bool> ready_{false};
+  LogAppender appender_;
+  LogFollower follower_;
+};
+
+}  // namespace mangoport
+
+#endif  // MANGOPORT_ENTRYHOST_CONFIG_SERVICE_H_
--- a/lib/adapters/http_backends.cc
+++ b/lib/adapters/http_backends.cc
@@ -4,7 +4,10 @@
 #include <string>
 #include <utility>
 
+#include <nlohmann/json.hpp>
+
 #include "http_client.h"
+#include "mangoport/adapters/json.h"
 
 namespace mangoport {
 namespace {
@@ -30,7 +33,8 @@
       constexpr std::string_view kData = "data: ";
       if (!line.starts_with(kData))
         continue;
-      if (!take(std::string_view(line).substr(kData.size())))
+      const std::string_view event = line;
+      if (!take(event.substr(kData.size())))
         return false;
     }
     return pending_.size() <= kMaxEventBytes;
--- a/lib/adapters/http_client.h
+++ b/lib/adapters/http_client.h
@@ -3,8 +3,6 @@
 
 #include <httplib.h>
 
-#include <nlohmann/json.hpp>
-
 #include "mangoport/core/time.h"
 #include "mangoport/settings/host_settings.h"
 
@@ -30,9 +28,6 @@
          error == httplib::Error::BindIPAddress;
 }
 
-/// Parses an answer of at most `kMaxJsonDepth` levels; discarded if malformed.
-nlohmann::json ParseJson(std::string_view text);
-
 }  // namespace mangoport
 
 #endif  // MANGOPORT_LIB_ADAPTERS_HTTP_CLIENT_H_
--- a/lib/adapters/http_platform.cc
+++ b/lib/adapters/http_platform.cc
@@ -5,7 +5,10 @@
 #include <chrono>
 #include <string>
 
+#include <nlohmann/json.hpp>
+
 #include "http_client.h"
+#include "mangoport/adapters/json.h"
 
 namespace mangoport {
 namespace {
--- a/lib/adapters/json.cc
+++ b/lib/adapters/json.cc
@@ -1,4 +1,6 @@
-#include "http_client.h"
+#include "mangoport/adapters/json.h"
+
+#include <nlohmann/json.hpp>
 
 namespace mangoport {
 namespace {
--- /dev/null
+++ b/lib/entryhost/caller_response.h
@@ -0,0 +1,52 @@
+#ifndef MANGOPORT_LIB_ENTRYHOST_CALLER_RESPONSE_H_
+#define MANGOPORT_LIB_ENTRYHOST_CALLER_RESPONSE_H_
+
+#include <httplib.h>
+
+#include <cstdint>
+#include <string>
+
+#include "mangoport/core/error.h"
+#include "mangoport/core/ids.h"
+#include "mangoport/core/time.h"
+#include "mangoport/entryhost/caller_request.h"
+
+namespace mangoport {
+
+/// The HTTP status that goes with an error code.
+int HttpStatusFor(ErrorCode code);
+
+/// The one JSON shape of all errors.
+std::string ErrorBody(const RequestId& request, const Error& error);
+
+/// Answers with an error; a `retry_after` above zero becomes a header.
+void SetError(httplib::Response& response,
+              const RequestId& request,
+              const Error& error,
+              Duration retry_after);
+
+/// One server-sent event with a piece of an answer.
+std::string StreamChunk(CompletionShape shape,
+                        const RequestId& request,
+                        const ModelId& model,
+                        const std::string& text);
+
+/// The events that end a whole stream.
+std::string StreamEnd(CompletionShape shape,
+                      const RequestId& request,
+                      const ModelId& model,
+                      std::uint64_t completion_tokens);
+
+/// The event that ends a stream which could not be finished.
+std::string StreamError(const RequestId& request, const Error& error);
+
+/// The body of a whole answer.
+std::string AnswerBody(CompletionShape shape,
+                       const RequestId& request,
+                       const ModelId& model,
+                       const std::string& text,
+                       std::uint64_t completion_tokens);
+
+}  // namespace mangoport
+
+#endif  // MANGOPORT_LIB_ENTRYHOST_CALLER_RESPONSE_H_
--- /dev/null
+++ b/lib/entryhost/config_service.cc
@@ -0,0 +1,128 @@
+#include "mangoport/entryhost/config_service.h"
+
+#include <chrono>
+#include <random>
+#include <utility>
+
+namespace mangoport {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A snapshot is written back once this many changes have been read since the
+/// last one. It must stay well below what the log keeps.
+constexpr std::uint64_t kChangesPerSnapshot = 256;
+
+/// Every host may write the snapshot, since all of them would write the same.
+/// Each waits a random part of this first, and leaves it if another was there
+/// before.
+constexpr Duration kSnapshotJitter = milliseconds(2000);
+
+Duration RandomPart(Duration whole) {
+  thread_local std::minstd_rand random(std::random_device{}());
+  return Duration(static_cast<std::int64_t>(
+      random() % static_cast<std::uint64_t>(whole.count())));
+}
+
+}  // namespace
+
+const StreamId kConfigStream("config");
+
+ConfigService::ConfigService(LogService& log,
+                             WriterId writer,
+                             OnChange on_change,
+                             OnVerdict on_verdict)
+    : on_change_(std::move(on_change)),
+      on_verdict_(std::move(on_verdict)),
+      view_(fold_.view()),
+      appender_(log, kConfigStream, std::move(writer)),
+      follower_(
+          log,
+          kConfigStream,
+          [this] {
+            const std::lock_guard lock(mutex_);
+            return fold_.read_from();
+          },
+          [this](MonoTime asked_at, const LogPage& page) {
+            OnPage(asked_at, page);
+          }) {}
+
+ConfigService::~ConfigService() = default;
+
+bool ConfigService::LoadPeerSnapshot(MonoTime evidence,
+                                     const wire::ConfigSnapshot& snapshot) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (!fold_.LoadSnapshot(snapshot))
+      return false;
+    PublishLocked();
+  }
+  RaiseEvidence(evidence);
+  on_change_(*view());
+  return true;
+}
+
+void ConfigService::NotePeerEvidence(MonoTime evidence,
+                                     std::uint64_t next_offset) {
+  if (view()->next_offset() >= next_offset)
+    RaiseEvidence(evidence);
+}
+
+wire::ConfigSnapshot ConfigService::MakeSnapshot() const {
+  const std::lock_guard lock(mutex_);
+  return fold_.MakeSnapshot();
+}
+
+void ConfigService::OnPage(MonoTime asked_at, const LogPage& page) {
+  std::vector<EntryView> entries;
+  for (const LogEntry& it : page.entries)
+    entries.push_back({it.offset, it.payload});
+  std::vector<ChangeVerdict> verdicts;
+  FoldStatus status = FoldStatus::kCurrent;
+  bool changed = false;
+  {
+    const std::lock_guard lock(mutex_);
+    status = fold_.ReadEntries(page.first_retained, entries);
+    verdicts = fold_.TakeVerdicts();
+    changed = fold_.view() != view();
+    PublishLocked();
+    MaybeWriteSnapshotLocked(std::chrono::steady_clock::now());
+  }
+  if (status == FoldStatus::kCurrent && page.entries.size() < kMaxPageEntries)
+    RaiseEvidence(asked_at);
+  if (status == FoldStatus::kCurrent)
+    ready_.store(true);
+  if (changed)
+    on_change_(*view());
+  for (const ChangeVerdict& it : verdicts)
+    on_verdict_(it);
+}
+
+void ConfigService::RaiseEvidence(MonoTime evidence) {
+  const std::int64_t value = evidence.time_since_epoch().count();
+  std::int64_t seen = evidence_.load();
+  while (seen < value && !evidence_.compare_exchange_weak(seen, value)) {
+  }
+}
+
+void ConfigService::PublishLocked() {
+  view_.store(fold_.view(), std::memory_order_release);
+  if (fold_.next_offset() != 0)
+    ready_.store(true);
+}
+
+void ConfigService::MaybeWriteSnapshotLocked(MonoTime now) {
+  if (fold_.changes_since_snapshot() < kChangesPerSnapshot) {
+    snapshot_due_.reset();
+    return;
+  }
+  if (!snapshot_due_)
+    snapshot_due_ = now + RandomPart(kSnapshotJitter);
+  if (now < *snapshot_due_)
+    return;
+  snapshot_due_ = now + kSnapshotJitter;
+  appender_.Append(wire::RECORD_KIND_CONFIG_SNAPSHOT,
+                   fold_.MakeSnapshot().SerializeAsString(), nullptr);
+}
+
+}  // namespace mangoport
