--- a/include/mangoport/ports/peer.h
+++ b/include/mangoport/ports/peer.h
@@ -16,6 +16,8 @@
   std::string ip;
   std::uint16_t port = 0;
 
+  // The check misreads the zero of a defaulted comparison.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const PeerAddress&, const PeerAddress&) = default;
 };
 
