--- a/lib/entryhost/caller_api.cc
+++ b/lib/entryhost/caller_api.cc
@@ -181,13 +181,13 @@
              {ErrorCode::kInternal, "the request could not be handled", false},
              Duration::zero());
   });
-  server.set_error_handler([](const httplib::Request& /*request*/,
-                              httplib::Response& response) {
+  server.set_error_handler([this](const httplib::Request& /*request*/,
+                                  httplib::Response& response) {
     if (!response.body.empty())
       return;
     const bool large = response.status == 413;
     const int status = response.status;
-    SetError(response, RequestId(),
+    SetError(response, names.Next(),
              {large ? ErrorCode::kPayloadTooLarge : ErrorCode::kInvalidRequest,
               large ? "the body is too large"
                     : "the request is not valid HTTP for this path",
