--- a/tools/standin/engine.cc
+++ b/tools/standin/engine.cc
@@ -173,7 +173,7 @@
 /// The engine's HTTP surface.
 class Engine {
  public:
-  explicit Engine(EngineOptions options)
+  explicit Engine(const EngineOptions& options)
       : cache_(static_cast<std::size_t>(options.cache_blocks),
                options.event_lag),
         batcher_(options.batch, &cache_),
