Soak the configuration's fold: races, retention, replaced and cut-off hosts

'repeat_folded' is not in this soak's list: comparing with what a change rests on already keeps a repeated change harmless here, and ledger_soak catches it. Conclusion: what the soak's log is allowed: one connected host reads to the end within a quarter of what is retained, which is what operators are told.

--- a/include/mangoport/ledger/config_fold.h
+++ b/include/mangoport/ledger/config_fold.h
@@ -2,6 +2,7 @@
 #define MANGOPORT_LEDGER_CONFIG_FOLD_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -67,10 +68,9 @@
   /// while entries wait for a snapshot.
   std::uint64_t read_from() const;
 
-  /// Entries of changes read since the newest snapshot that the log holds.
-  std::uint64_t changes_since_snapshot() const {
-    return changes_since_snapshot_;
-  }
+  /// Changes read that the furthest snapshot in the log does not cover. A
+  /// snapshot that a lagging host wrote late covers less than its place says.
+  std::uint64_t changes_since_snapshot() const { return uncovered_.size(); }
 
   /// Hands over the verdicts since the last call.
   std::vector<ChangeVerdict> TakeVerdicts() {
@@ -84,6 +84,7 @@
   void OnChange(const LogPosition& position, const wire::Envelope& record);
   std::string FindRefusal(const LogPosition& position,
                           const wire::ConfigChange& change) const;
+  void OnSnapshot(const wire::Envelope& record);
   void DropOldRemovals(std::uint64_t offset);
   void Publish();
 
@@ -92,7 +93,8 @@
   std::map<ItemKey, std::uint64_t> removed_at_;
   RecordReader reader_;
   std::uint64_t next_offset_ = 0;
-  std::uint64_t changes_since_snapshot_ = 0;
+  /// Offsets of the changes that no snapshot in the log covers.
+  std::deque<std::uint64_t> uncovered_;
   /// Entries after a gap, kept until a snapshot covers it.
   std::map<std::uint64_t, std::string> held_;
   std::vector<ChangeVerdict> verdicts_;
--- a/lib/ledger/config_fold.cc
+++ b/lib/ledger/config_fold.cc
@@ -71,7 +71,7 @@
     removed_at_[{it.name().kind(), it.name().name()}] = it.removed_at();
   next_offset_ = snapshot.as_of();
   reader_.StartFrom(next_offset_);
-  changes_since_snapshot_ = 0;
+  uncovered_.clear();
   // Entries that were waiting for this snapshot follow on it, as far as they
   // join up.
   held_.erase(held_.begin(), held_.lower_bound(next_offset_));
@@ -123,12 +123,23 @@
   if (record.kind() == wire::RECORD_KIND_CONFIG_CHANGE)
     OnChange(position, record);
   if (record.kind() == wire::RECORD_KIND_CONFIG_SNAPSHOT)
-    changes_since_snapshot_ = 0;
+    OnSnapshot(record);
+}
+
+void ConfigFold::OnSnapshot(const wire::Envelope& record) {
+  wire::ConfigSnapshot snapshot;
+  if (!snapshot.ParseFromString(record.body()))
+    return;
+  const std::uint64_t covered = MutantEnabled("late_snapshot_trusted")
+                                    ? next_offset_ + 1
+                                    : snapshot.as_of();
+  while (!uncovered_.empty() && uncovered_.front() < covered)
+    uncovered_.pop_front();
 }
 
 void ConfigFold::OnChange(const LogPosition& position,
                           const wire::Envelope& record) {
-  ++changes_since_snapshot_;
+  uncovered_.push_back(position.offset);
   ChangeVerdict verdict;
   verdict.position = position;
   verdict.writer = record.writer();
--- a/lib/ledger/config_rules.cc
+++ b/lib/ledger/config_rules.cc
@@ -80,9 +80,19 @@
     problems.push_back(ToString(key) + " belongs to another client account");
 }
 
-ItemMap::mapped_type Stored(const wire::ConfigItem& item,
-                            std::uint64_t offset,
-                            const ItemMap& items) {
+/// A withdrawal can't lose a race, so one that was appended again must change
+/// nothing: a host that started between the two copies has seen only one.
+bool RepeatsWithdrawal(const ItemMap& items, const wire::ConfigItem& item) {
+  if (!item.has_key() || !item.key().withdrawn())
+    return false;
+  const auto it = items.find(KeyOf(item));
+  return it != items.end() && it->second.item.key().withdrawn() &&
+         !MutantEnabled("withdrawal_repeated");
+}
+
+StoredItem Stored(const wire::ConfigItem& item,
+                  std::uint64_t offset,
+                  const ItemMap& items) {
   StoredItem stored{item, offset};
   if (!item.has_key() || !item.key().withdrawn())
     return stored;
@@ -134,6 +144,8 @@
     const ItemKey key{it.kind(), it.name()};
     if (!items.contains(key))
       problems.push_back(ToString(key) + " does not exist");
+    if (key.kind == wire::ITEM_KIND_KEY)
+      problems.push_back(ToString(key) + " can be withdrawn, not removed");
   }
   if (!problems.empty() || OnlyWithdrawsKeys(change))
     return problems;
@@ -147,8 +159,10 @@
 void ApplyChange(const wire::ConfigChange& change,
                  std::uint64_t offset,
                  ItemMap& items) {
-  for (const wire::ConfigItem& it : change.puts())
-    items[KeyOf(it)] = Stored(it, offset, items);
+  for (const wire::ConfigItem& it : change.puts()) {
+    if (!RepeatsWithdrawal(items, it))
+      items[KeyOf(it)] = Stored(it, offset, items);
+  }
   for (const wire::ItemName& it : change.removals())
     items.erase(ItemKey{it.kind(), it.name()});
 }
--- /dev/null
+++ b/unittests/ledger/config_soak.cc
@@ -0,0 +1,291 @@
+// Drives the configuration's fold on several hosts over one fake log: racing
+// operators, repeated appends, retention, hosts that are cut off, replaced
+// with no state, or started from a peer's snapshot.
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "mangoport/ledger/config_fold.h"
+#include "mangoport/ledger/config_rules.h"
+#include "unittests/support/soak_main.h"
+
+namespace mangoport {
+namespace {
+
+constexpr std::size_t kHosts = 5;
+constexpr std::size_t kOperators = 3;
+constexpr std::uint64_t kRetainedEntries = 60;
+constexpr std::uint64_t kChangesPerSnapshot = 15;
+constexpr int kAccounts = 6;
+constexpr int kKeys = 8;
+
+/// One host's fold, and whether it reaches the log.
+struct SoakHost {
+  std::unique_ptr<ConfigFold> fold = std::make_unique<ConfigFold>();
+  std::unique_ptr<RecordWriter> writer;
+  bool cut_off = false;
+  std::uint64_t highest_offset = 0;
+};
+
+/// One operator, whose reading of the log is as old as it may be.
+struct SoakOperator {
+  std::unique_ptr<RecordWriter> writer;
+  std::uint64_t based_on = 0;
+};
+
+class ConfigSoak {
+ public:
+  ConfigSoak(std::uint64_t seed, SoakProgress& progress)
+      : random_(seed), progress_(progress) {
+    for (std::size_t i = 0; i < kHosts; ++i)
+      Replace(i);
+    for (std::size_t i = 0; i < kOperators; ++i) {
+      operators_[i].writer = std::make_unique<RecordWriter>(
+          WriterId("operator-" + std::to_string(i)));
+    }
+    PublishTemplate();
+  }
+
+  void Step() {
+    const std::uint64_t kind = random_() % 20;
+    const std::size_t host = random_() % kHosts;
+    if (kind < 6)
+      Publish(operators_[random_() % kOperators]);
+    if (kind >= 6 && kind < 15)
+      Read(host, 1 + random_() % 8);
+    if (kind == 15)
+      CutOrHeal(host);
+    if (kind == 16)
+      Replace(host);
+    if (kind >= 17)
+      LoadFromPeer(host, random_() % kHosts);
+    MaybeAppendSnapshot(host);
+    Check(host);
+    CatchUpOne();
+  }
+
+  /// Every host that reaches the log comes to the newest state.
+  void Finish() {
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      hosts_[i].cut_off = false;
+      for (int round = 0; round < 40; ++round)
+        Read(i, 64);
+      Check(i);
+      CheckInvariant(hosts_[i].fold->next_offset() == log_.size(),
+                     "an accepted configuration is in force everywhere", [&] {
+                       return "host " + std::to_string(i) + " stays at " +
+                              std::to_string(hosts_[i].fold->next_offset()) +
+                              " of " + std::to_string(log_.size());
+                     });
+    }
+  }
+
+ private:
+  /// All hosts but one may be cut off from the log at once.
+  void CutOrHeal(std::size_t i) {
+    std::size_t connected = 0;
+    for (const SoakHost& it : hosts_)
+      connected += it.cut_off ? 0 : 1;
+    if (hosts_[i].cut_off || connected > 1)
+      hosts_[i].cut_off = !hosts_[i].cut_off;
+  }
+
+  /// The log keeps its entries long enough for a connected host to read to
+  /// its end and write a snapshot, which is what the product asks of it.
+  void CatchUpOne() {
+    if (log_.size() < caught_up_at_ + kRetainedEntries / 4)
+      return;
+    caught_up_at_ = log_.size();
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      if (hosts_[i].cut_off)
+        continue;
+      Read(i, kRetainedEntries);
+      MaybeAppendSnapshot(i);
+      Check(i);
+      return;
+    }
+  }
+
+  void Append(const std::string& payload) {
+    log_.push_back(payload);
+    if (log_.size() > kRetainedEntries)
+      first_retained_ = log_.size() - kRetainedEntries;
+    reference_.ReadEntries(0, {{log_.size() - 1, log_.back()}});
+    states_[reference_.next_offset()] =
+        reference_.MakeSnapshot().SerializeAsString();
+    for (const ChangeVerdict& it : reference_.TakeVerdicts())
+      CheckVerdict(it);
+  }
+
+  /// Judges the fold's verdict by a record of its own.
+  void CheckVerdict(const ChangeVerdict& verdict) {
+    const wire::ConfigChange& change =
+        published_[verdict.writer + std::to_string(verdict.sequence)];
+    if (!verdict.accepted)
+      return;
+    const bool withdrawal = OnlyWithdrawsKeys(change);
+    for (const ItemKey& it : verdict.touched) {
+      const auto last = last_change_.find(it);
+      CheckInvariant(
+          withdrawal || last == last_change_.end() ||
+              last->second < change.based_on(),
+          "the loser of a race is refused",
+          [&] { return ToString(it) + " at " + ToString(verdict.position); });
+      last_change_[it] = verdict.position.offset;
+    }
+    for (const wire::ConfigItem& it : change.puts()) {
+      if (!it.has_key())
+        continue;
+      if (it.key().withdrawn())
+        withdrawn_at_.emplace(it.key().id(), verdict.position.offset);
+    }
+  }
+
+  void PublishTemplate() {
+    wire::ConfigChange change;
+    wire::TemplateConfig* item = change.add_puts()->mutable_template_item();
+    item->set_name("standard");
+    item->set_weight(1);
+    for (int i = 0; i < kAccounts; ++i) {
+      wire::AccountConfig* account = change.add_puts()->mutable_account();
+      account->set_name("account-" + std::to_string(i));
+      account->set_template_name("standard");
+    }
+    AppendChange(operators_[0], change);
+  }
+
+  void AppendChange(SoakOperator& author, const wire::ConfigChange& change) {
+    const wire::Envelope record = author.writer->Wrap(
+        wire::RECORD_KIND_CONFIG_CHANGE, change.SerializeAsString());
+    published_[record.writer() + std::to_string(record.sequence())] = change;
+    const std::string payload = EncodeBatch({record});
+    // An append whose answer was lost is sent again.
+    const std::uint64_t times = random_() % 4 == 0 ? 2 : 1;
+    for (std::uint64_t i = 0; i < times; ++i)
+      Append(payload);
+  }
+
+  void Publish(SoakOperator& author) {
+    wire::ConfigChange change;
+    change.set_based_on(author.based_on);
+    if (random_() % 3 == 0) {
+      wire::KeyConfig* key = change.add_puts()->mutable_key();
+      key->set_id("key-" + std::to_string(random_() % kKeys));
+      key->set_account("account-0");
+      key->set_withdrawn(random_() % 3 == 0);
+    } else if (random_() % 8 == 0) {
+      wire::ItemName* removal = change.add_removals();
+      removal->set_kind(wire::ITEM_KIND_ACCOUNT);
+      removal->set_name("account-" +
+                        std::to_string(1 + random_() % (kAccounts - 1)));
+    } else {
+      wire::AccountConfig* account = change.add_puts()->mutable_account();
+      account->set_name("account-" + std::to_string(random_() % kAccounts));
+      account->set_template_name("standard");
+      account->set_rate(static_cast<double>(random_() % 1000));
+    }
+    progress_.Note("publish based on " + std::to_string(author.based_on) +
+                   " at " + std::to_string(log_.size()));
+    AppendChange(author, change);
+    // The operator reads again, or goes on with an old reading.
+    if (random_() % 3 != 0)
+      author.based_on = log_.size();
+  }
+
+  void Read(std::size_t i, std::size_t max_entries) {
+    SoakHost& host = hosts_[i];
+    if (host.cut_off)
+      return;
+    std::uint64_t from = std::max(host.fold->read_from(), first_retained_);
+    std::vector<EntryView> entries;
+    for (; from < log_.size() && entries.size() < max_entries; ++from)
+      entries.push_back({from, log_[from]});
+    host.fold->ReadEntries(first_retained_, entries);
+    progress_.Note("host " + std::to_string(i) + " reads up to " +
+                   std::to_string(from) + ", is at " +
+                   std::to_string(host.fold->next_offset()));
+  }
+
+  void Replace(std::size_t i) {
+    hosts_[i] = SoakHost();
+    hosts_[i].writer = std::make_unique<RecordWriter>(
+        WriterId("host-" + std::to_string(++replacements_)));
+  }
+
+  void LoadFromPeer(std::size_t to, std::size_t from) {
+    progress_.Note("host " + std::to_string(to) + " asks host " +
+                   std::to_string(from));
+    hosts_[to].fold->LoadSnapshot(hosts_[from].fold->MakeSnapshot());
+  }
+
+  void MaybeAppendSnapshot(std::size_t i) {
+    SoakHost& host = hosts_[i];
+    if (host.cut_off ||
+        host.fold->changes_since_snapshot() < kChangesPerSnapshot)
+      return;
+    progress_.Note("host " + std::to_string(i) + " appends a snapshot");
+    Append(EncodeBatch(
+        {host.writer->Wrap(wire::RECORD_KIND_CONFIG_SNAPSHOT,
+                           host.fold->MakeSnapshot().SerializeAsString())}));
+  }
+
+  void Check(std::size_t i) {
+    SoakHost& host = hosts_[i];
+    const std::uint64_t offset = host.fold->next_offset();
+    CheckInvariant(offset >= host.highest_offset,
+                   "an accepted configuration stays", [&] {
+                     return std::to_string(offset) + " after " +
+                            std::to_string(host.highest_offset);
+                   });
+    host.highest_offset = offset;
+    if (offset == 0)
+      return;
+    CheckInvariant(
+        host.fold->MakeSnapshot().SerializeAsString() == states_[offset],
+        "hosts at one offset hold one configuration", [&] {
+          return "host " + std::to_string(i) + " at " + std::to_string(offset);
+        });
+    for (const auto& [id, withdrawn_at] : withdrawn_at_) {
+      const wire::KeyConfig* key = host.fold->view()->FindKey(KeyId(id));
+      CheckInvariant(offset <= withdrawn_at || !key || key->withdrawn(),
+                     "a withdrawn key stays withdrawn", [&id] { return id; });
+    }
+  }
+
+  std::mt19937_64 random_;
+  SoakProgress& progress_;
+  std::vector<std::string> log_;
+  std::uint64_t first_retained_ = 0;
+  ConfigFold reference_;
+  std::map<std::uint64_t, std::string> states_;
+  std::map<std::string, wire::ConfigChange> published_;
+  std::map<ItemKey, std::uint64_t> last_change_;
+  std::map<std::string, std::uint64_t> withdrawn_at_;
+  SoakHost hosts_[kHosts];
+  SoakOperator operators_[kOperators];
+  std::uint64_t replacements_ = 0;
+  std::uint64_t caught_up_at_ = 0;
+};
+
+void Run(const SoakOptions& options, SoakProgress& progress) {
+  ConfigSoak soak(options.seed, progress);
+  for (progress.step = 0; progress.step < options.steps; ++progress.step)
+    soak.Step();
+  soak.Finish();
+}
+
+}  // namespace
+}  // namespace mangoport
+
+int main(int argc, char** argv) {
+  return mangoport::SoakMain(
+      argc, argv,
+      {"conflict_ignored", "snapshot_reverts", "gap_ignored",
+       "late_snapshot_trusted", "withdrawal_repeated", "withdrawn_key_returns"},
+      mangoport::Run);
+}
