Fold a change in the cost of what it touches, sharing the rest

Cause: each change copied every item twice and rebuilt every account's policy. Ruled out: a persistent tree of our own; shared pointers in a std::map cost one pointer copy an item and no code. Found on the way: references are checked for what a change touches, and for the rest only when something is removed; an account that moves off a template in the change that removes it was refused at first (config_rules_test, failing before the mend).

--- a/include/mangoport/ledger/config_view.h
+++ b/include/mangoport/ledger/config_view.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,19 +15,27 @@
 namespace mangoport {
 
 /// What a client account may do: its own parameters over its template's.
-struct AccountPolicy {
-  AccountId id;
-  std::vector<std::string> models;
-  std::vector<std::string> adapters;
-  std::vector<std::string> routes;
-  /// Tokens a second and tokens.
-  double rate = 0;
-  double burst = 0;
-  double weight = 1;
+/// Points into a `ConfigView` and is good as long as that is held.
+class AccountPolicy {
+ public:
+  AccountPolicy(const wire::AccountConfig* account,
+                const wire::TemplateConfig* base);
+
+  AccountId id() const { return AccountId(account_->name()); }
+
+  /// Tokens a second.
+  double rate() const;
+  /// Tokens.
+  double burst() const;
+  double weight() const;
 
   bool AllowsModel(std::string_view name) const;
   bool AllowsAdapter(std::string_view name) const;
   bool AllowsRoute(std::string_view path) const;
+
+ private:
+  const wire::AccountConfig* account_;
+  const wire::TemplateConfig* base_;
 };
 
 /// Names one item: items of different kinds may share a name.
@@ -48,7 +58,9 @@
   std::uint64_t changed_at = 0;
 };
 
-using ItemMap = std::map<ItemKey, StoredItem>;
+/// Items by kind and name. The items themselves are shared between the states
+/// that hold them, so that a new state costs a pointer an item.
+using ItemMap = std::map<ItemKey, std::shared_ptr<const StoredItem>>;
 
 /// The configuration at one offset. It never changes once it is made, so that
 /// a request sees one configuration from its start on.
@@ -57,6 +69,9 @@
   ConfigView() = default;
   ConfigView(std::uint64_t next_offset, ItemMap items);
 
+  ConfigView(const ConfigView&) = delete;
+  ConfigView& operator=(const ConfigView&) = delete;
+
   /// The first offset that is not part of this view.
   std::uint64_t next_offset() const { return next_offset_; }
   const ItemMap& items() const { return items_; }
@@ -64,35 +79,22 @@
   const wire::ModelConfig* FindModel(std::string_view name) const;
   const wire::AdapterConfig* FindAdapter(std::string_view name) const;
   const wire::KeyConfig* FindKey(const KeyId& id) const;
-  const AccountPolicy* FindAccount(const AccountId& id) const;
+  std::optional<AccountPolicy> FindAccount(const AccountId& id) const;
 
   /// The route with the longest path that `path` starts with.
   const wire::RouteConfig* FindRoute(std::string_view path) const;
 
-  const std::vector<const wire::ServerConfig*>& servers() const {
-    return servers_;
-  }
-  const std::vector<const wire::ModelConfig*>& models() const {
-    return models_;
-  }
-  const std::map<AccountId, AccountPolicy>& accounts() const {
-    return accounts_;
-  }
-
-  ConfigView(const ConfigView&) = delete;
-  ConfigView& operator=(const ConfigView&) = delete;
+  std::vector<const wire::ServerConfig*> Servers() const;
+  std::vector<const wire::ModelConfig*> Models() const;
+  std::vector<AccountPolicy> Accounts() const;
 
  private:
   const wire::ConfigItem* Find(wire::ItemKind kind,
                                std::string_view name) const;
-  void AddPolicy(const wire::AccountConfig& account);
+  AccountPolicy PolicyOf(const wire::AccountConfig& account) const;
 
   std::uint64_t next_offset_ = 0;
   ItemMap items_;
-  std::vector<const wire::ServerConfig*> servers_;
-  std::vector<const wire::ModelConfig*> models_;
-  std::vector<const wire::RouteConfig*> routes_;
-  std::map<AccountId, AccountPolicy> accounts_;
 };
 
 }  // namespace mangoport
--- a/lib/cli/config_commands.cc
+++ b/lib/cli/config_commands.cc
@@ -157,7 +157,7 @@
   for (const wire::ConfigItem& it : change.puts()) {
     const auto stored = items.find(KeyOf(it));
     if (stored == items.end() ||
-        stored->second.item.SerializeAsString() != it.SerializeAsString())
+        stored->second->item.SerializeAsString() != it.SerializeAsString())
       *kept.add_puts() = it;
   }
   change = std::move(kept);
--- a/lib/entryhost/backend_directory.cc
+++ b/lib/entryhost/backend_directory.cc
@@ -58,7 +58,7 @@
 void BackendDirectory::SetConfig(MonoTime now, const ConfigView& view) {
   const std::lock_guard lock(mutex_);
   std::unordered_map<ServerId, Server> next;
-  for (const wire::ServerConfig* it : view.servers()) {
+  for (const wire::ServerConfig* it : view.Servers()) {
     const ServerId id(it->name());
     const auto known = servers_.find(id);
     Server server;
--- a/lib/entryhost/caller_api.cc
+++ b/lib/entryhost/caller_api.cc
@@ -305,7 +305,8 @@
     return Refuse(exchange, *error, Duration::zero(), response);
   auto completion = std::get<CallerCompletion>(std::move(parsed));
   const std::shared_ptr<const ConfigView> view = services.config->view();
-  const AccountPolicy* policy = view->FindAccount(exchange.identity.account);
+  const std::optional<AccountPolicy> policy =
+      view->FindAccount(exchange.identity.account);
   if (!policy) {
     return Refuse(exchange,
                   {ErrorCode::kForbidden, "the client account is closed", true},
@@ -402,9 +403,10 @@
   if (!Identify(request, exchange, response))
     return;
   const std::shared_ptr<const ConfigView> view = services.config->view();
-  const AccountPolicy* policy = view->FindAccount(exchange.identity.account);
+  const std::optional<AccountPolicy> policy =
+      view->FindAccount(exchange.identity.account);
   nlohmann::json data = nlohmann::json::array();
-  for (const wire::ModelConfig* it : view->models()) {
+  for (const wire::ModelConfig* it : view->Models()) {
     if (policy && policy->AllowsModel(it->name()))
       data.push_back({{"id", it->name()}, {"object", "model"}});
   }
@@ -430,7 +432,8 @@
   if (!route->open()) {
     if (!Identify(request, exchange, response))
       return;
-    const AccountPolicy* policy = view->FindAccount(exchange.identity.account);
+    const std::optional<AccountPolicy> policy =
+        view->FindAccount(exchange.identity.account);
     if (!policy || !policy->AllowsRoute(route->path())) {
       return Refuse(exchange,
                     {ErrorCode::kForbidden,
--- a/lib/entryhost/operator_api.cc
+++ b/lib/entryhost/operator_api.cc
@@ -103,8 +103,8 @@
       {"active_requests", services.tracker->active()},
       {"config_next_offset", view->next_offset()},
       {"config_evidence_age_ms", duration_cast<milliseconds>(age).count()},
-      {"client_accounts", view->accounts().size()},
-      {"models", view->models().size()},
+      {"client_accounts", view->Accounts().size()},
+      {"models", view->Models().size()},
       {"servers", servers}};
   for (const StatusSection& it : services.sections)
     status[it.name] = ParseJson(it.json());
--- a/lib/ledger/config_fold.cc
+++ b/lib/ledger/config_fold.cc
@@ -66,7 +66,8 @@
   items_.clear();
   removed_at_.clear();
   for (const wire::SnapshotItem& it : snapshot.items())
-    items_[KeyOf(it.item())] = StoredItem{it.item(), it.changed_at()};
+    items_[KeyOf(it.item())] = std::make_shared<const StoredItem>(
+        StoredItem{it.item(), it.changed_at()});
   for (const wire::RemovedItem& it : snapshot.removed())
     removed_at_[{it.name().kind(), it.name().name()}] = it.removed_at();
   next_offset_ = snapshot.as_of();
@@ -89,8 +90,8 @@
   snapshot.set_as_of(next_offset_);
   for (const auto& [key, stored] : items_) {
     wire::SnapshotItem* it = snapshot.add_items();
-    *it->mutable_item() = stored.item;
-    it->set_changed_at(stored.changed_at);
+    *it->mutable_item() = stored->item;
+    it->set_changed_at(stored->changed_at);
   }
   for (const auto& [key, offset] : removed_at_) {
     wire::RemovedItem* it = snapshot.add_removed();
@@ -171,9 +172,9 @@
     for (const ItemKey& it : TouchedItems(change)) {
       const auto stored = items_.find(it);
       if (stored != items_.end() &&
-          stored->second.changed_at >= change.based_on())
+          stored->second->changed_at >= change.based_on())
         return ToString(it) + " was changed by offset " +
-               std::to_string(stored->second.changed_at) +
+               std::to_string(stored->second->changed_at) +
                " after this change was prepared";
       const auto removed = removed_at_.find(it);
       if (removed != removed_at_.end() && removed->second >= change.based_on())
--- a/lib/ledger/config_rules.cc
+++ b/lib/ledger/config_rules.cc
@@ -1,6 +1,8 @@
 #include "mangoport/ledger/config_rules.h"
 
 #include <cstdint>
+#include <memory>
+#include <set>
 
 #include "mangoport/core/mutant.h"
 
@@ -9,37 +11,62 @@
 
 using Problems = std::vector<std::string>;
 
-void RequireItem(const ItemMap& items,
+/// A configuration as it would be after a change, without copying it.
+class Prospect {
+ public:
+  Prospect(const ItemMap& items, const wire::ConfigChange& change)
+      : items_(items) {
+    for (const wire::ConfigItem& it : change.puts())
+      put_.insert(KeyOf(it));
+    for (const wire::ItemName& it : change.removals())
+      removed_.insert({it.kind(), it.name()});
+  }
+
+  /// Whether the change itself says what the item will be.
+  bool IsPut(const ItemKey& key) const { return put_.contains(key); }
+
+  bool Contains(const ItemKey& key) const {
+    return !removed_.contains(key) &&
+           (put_.contains(key) || items_.contains(key));
+  }
+
+ private:
+  const ItemMap& items_;
+  std::set<ItemKey> put_;
+  std::set<ItemKey> removed_;
+};
+
+void RequireItem(const Prospect& after,
                  const ItemKey& user,
                  const ItemKey& needed,
                  Problems& problems) {
-  if (items.contains(needed))
+  if (after.Contains(needed))
     return;
   problems.push_back(ToString(user) + " names " + ToString(needed) +
                      ", which does not exist");
 }
 
 /// Checks that everything an item refers to is there.
-void CheckReferences(const ItemMap& items,
+void CheckReferences(const Prospect& after,
                      const ItemKey& key,
                      const wire::ConfigItem& item,
                      Problems& problems) {
   if (item.has_account()) {
-    RequireItem(items, key,
+    RequireItem(after, key,
                 {wire::ITEM_KIND_TEMPLATE, item.account().template_name()},
                 problems);
   }
   if (item.has_adapter()) {
-    RequireItem(items, key, {wire::ITEM_KIND_MODEL, item.adapter().model()},
+    RequireItem(after, key, {wire::ITEM_KIND_MODEL, item.adapter().model()},
                 problems);
   }
   if (item.has_key() && !item.key().withdrawn()) {
-    RequireItem(items, key, {wire::ITEM_KIND_ACCOUNT, item.key().account()},
+    RequireItem(after, key, {wire::ITEM_KIND_ACCOUNT, item.key().account()},
                 problems);
   }
   if (item.has_server()) {
     for (const std::string& it : item.server().models())
-      RequireItem(items, key, {wire::ITEM_KIND_MODEL, it}, problems);
+      RequireItem(after, key, {wire::ITEM_KIND_MODEL, it}, problems);
   }
 }
 
@@ -72,7 +99,7 @@
   const auto it = items.find(key);
   if (it == items.end() || !item.has_key())
     return;
-  const wire::KeyConfig& stored = it->second.item.key();
+  const wire::KeyConfig& stored = it->second->item.key();
   if (stored.withdrawn() && !item.key().withdrawn() &&
       !MutantEnabled("withdrawn_key_returns"))
     problems.push_back(ToString(key) + " is withdrawn and cannot return");
@@ -86,7 +113,7 @@
   if (!item.has_key() || !item.key().withdrawn())
     return false;
   const auto it = items.find(KeyOf(item));
-  return it != items.end() && it->second.item.key().withdrawn() &&
+  return it != items.end() && it->second->item.key().withdrawn() &&
          !MutantEnabled("withdrawal_repeated");
 }
 
@@ -101,9 +128,9 @@
   if (it == items.end())
     return stored;
   wire::KeyConfig* key = stored.item.mutable_key();
-  key->set_account(it->second.item.key().account());
-  key->set_salt(it->second.item.key().salt());
-  key->set_digest(it->second.item.key().digest());
+  key->set_account(it->second->item.key().account());
+  key->set_salt(it->second->item.key().salt());
+  key->set_digest(it->second->item.key().digest());
   return stored;
 }
 
@@ -149,10 +176,18 @@
   }
   if (!problems.empty() || OnlyWithdrawsKeys(change))
     return problems;
-  ItemMap after = items;
-  ApplyChange(change, 0, after);
-  for (const auto& [key, stored] : after)
-    CheckReferences(after, key, stored.item, problems);
+  const Prospect after(items, change);
+  for (const wire::ConfigItem& it : change.puts()) {
+    if (after.Contains(KeyOf(it)))
+      CheckReferences(after, KeyOf(it), it, problems);
+  }
+  if (change.removals_size() == 0)
+    return problems;
+  // Only a removal can break what an untouched item refers to.
+  for (const auto& [key, stored] : items) {
+    if (after.Contains(key) && !after.IsPut(key))
+      CheckReferences(after, key, stored->item, problems);
+  }
   return problems;
 }
 
@@ -161,7 +196,8 @@
                  ItemMap& items) {
   for (const wire::ConfigItem& it : change.puts()) {
     if (!RepeatsWithdrawal(items, it))
-      items[KeyOf(it)] = Stored(it, offset, items);
+      items[KeyOf(it)] =
+          std::make_shared<const StoredItem>(Stored(it, offset, items));
   }
   for (const wire::ItemName& it : change.removals())
     items.erase(ItemKey{it.kind(), it.name()});
--- a/lib/ledger/config_view.cc
+++ b/lib/ledger/config_view.cc
@@ -12,15 +12,16 @@
 
 constexpr std::string_view kAll = "*";
 
-bool Allows(const std::vector<std::string>& names, std::string_view name) {
+bool Contains(const Names& names, std::string_view name) {
   return std::any_of(names.begin(), names.end(), [name](const auto& it) {
     return it == kAll || it == name;
   });
 }
 
-std::vector<std::string> FirstNonEmpty(const Names& own, const Names& other) {
-  const Names& chosen = own.empty() ? other : own;
-  return {chosen.begin(), chosen.end()};
+/// Whether the account's own names allow `name`, or the template's if the
+/// account has none.
+bool Allows(const Names& own, const Names& base, std::string_view name) {
+  return Contains(own.empty() ? base : own, name);
 }
 
 std::string_view KindName(wire::ItemKind kind) {
@@ -44,18 +45,42 @@
   }
 }
 
+/// Calls `visit` for each item of one kind, in the order of their names.
+template <typename Visit>
+void ForEach(const ItemMap& items, wire::ItemKind kind, Visit visit) {
+  for (auto it = items.lower_bound({kind, ""});
+       it != items.end() && it->first.kind == kind; ++it)
+    visit(it->second->item);
+}
+
 }  // namespace
 
+AccountPolicy::AccountPolicy(const wire::AccountConfig* account,
+                             const wire::TemplateConfig* base)
+    : account_(account), base_(base) {}
+
+double AccountPolicy::rate() const {
+  return account_->has_rate() ? account_->rate() : base_->rate();
+}
+
+double AccountPolicy::burst() const {
+  return account_->has_burst() ? account_->burst() : base_->burst();
+}
+
+double AccountPolicy::weight() const {
+  return account_->has_weight() ? account_->weight() : base_->weight();
+}
+
 bool AccountPolicy::AllowsModel(std::string_view name) const {
-  return Allows(models, name);
+  return Allows(account_->models(), base_->models(), name);
 }
 
 bool AccountPolicy::AllowsAdapter(std::string_view name) const {
-  return Allows(adapters, name);
+  return Allows(account_->adapters(), base_->adapters(), name);
 }
 
 bool AccountPolicy::AllowsRoute(std::string_view path) const {
-  return Allows(routes, path);
+  return Allows(account_->routes(), base_->routes(), path);
 }
 
 ItemKey KeyOf(const wire::ConfigItem& item) {
@@ -85,18 +110,7 @@
 }
 
 ConfigView::ConfigView(std::uint64_t next_offset, ItemMap items)
-    : next_offset_(next_offset), items_(std::move(items)) {
-  for (const auto& [key, stored] : items_) {
-    if (key.kind == wire::ITEM_KIND_SERVER)
-      servers_.push_back(&stored.item.server());
-    if (key.kind == wire::ITEM_KIND_MODEL)
-      models_.push_back(&stored.item.model());
-    if (key.kind == wire::ITEM_KIND_ROUTE)
-      routes_.push_back(&stored.item.route());
-    if (key.kind == wire::ITEM_KIND_ACCOUNT)
-      AddPolicy(stored.item.account());
-  }
-}
+    : next_offset_(next_offset), items_(std::move(items)) {}
 
 const wire::ModelConfig* ConfigView::FindModel(std::string_view name) const {
   const wire::ConfigItem* item = Find(wire::ITEM_KIND_MODEL, name);
@@ -114,42 +128,58 @@
   return item ? &item->key() : nullptr;
 }
 
-const AccountPolicy* ConfigView::FindAccount(const AccountId& id) const {
-  const auto it = accounts_.find(id);
-  return it == accounts_.end() ? nullptr : &it->second;
+std::optional<AccountPolicy> ConfigView::FindAccount(
+    const AccountId& id) const {
+  const wire::ConfigItem* item = Find(wire::ITEM_KIND_ACCOUNT, id.value());
+  if (!item)
+    return std::nullopt;
+  return PolicyOf(item->account());
 }
 
 const wire::RouteConfig* ConfigView::FindRoute(std::string_view path) const {
   const wire::RouteConfig* best = nullptr;
-  for (const wire::RouteConfig* it : routes_) {
-    if (!path.starts_with(it->path()))
-      continue;
-    if (!best || it->path().size() > best->path().size())
-      best = it;
-  }
+  ForEach(items_, wire::ITEM_KIND_ROUTE, [&](const wire::ConfigItem& it) {
+    if (!path.starts_with(it.route().path()))
+      return;
+    if (!best || it.route().path().size() > best->path().size())
+      best = &it.route();
+  });
   return best;
 }
 
+std::vector<const wire::ServerConfig*> ConfigView::Servers() const {
+  std::vector<const wire::ServerConfig*> servers;
+  ForEach(items_, wire::ITEM_KIND_SERVER,
+          [&](const wire::ConfigItem& it) { servers.push_back(&it.server()); });
+  return servers;
+}
+
+std::vector<const wire::ModelConfig*> ConfigView::Models() const {
+  std::vector<const wire::ModelConfig*> models;
+  ForEach(items_, wire::ITEM_KIND_MODEL,
+          [&](const wire::ConfigItem& it) { models.push_back(&it.model()); });
+  return models;
+}
+
+std::vector<AccountPolicy> ConfigView::Accounts() const {
+  std::vector<AccountPolicy> accounts;
+  ForEach(items_, wire::ITEM_KIND_ACCOUNT, [&](const wire::ConfigItem& it) {
+    accounts.push_back(PolicyOf(it.account()));
+  });
+  return accounts;
+}
+
 const wire::ConfigItem* ConfigView::Find(wire::ItemKind kind,
                                          std::string_view name) const {
   const auto it = items_.find(ItemKey{kind, std::string(name)});
-  return it == items_.end() ? nullptr : &it->second.item;
+  return it == items_.end() ? nullptr : &it->second->item;
 }
 
-void ConfigView::AddPolicy(const wire::AccountConfig& account) {
-  const wire::ConfigItem* found =
+AccountPolicy ConfigView::PolicyOf(const wire::AccountConfig& account) const {
+  static const wire::TemplateConfig kNothing;
+  const wire::ConfigItem* base =
       Find(wire::ITEM_KIND_TEMPLATE, account.template_name());
-  const wire::TemplateConfig base =
-      found ? found->template_item() : wire::TemplateConfig();
-  AccountPolicy policy;
-  policy.id = AccountId(account.name());
-  policy.models = FirstNonEmpty(account.models(), base.models());
-  policy.adapters = FirstNonEmpty(account.adapters(), base.adapters());
-  policy.routes = FirstNonEmpty(account.routes(), base.routes());
-  policy.rate = account.has_rate() ? account.rate() : base.rate();
-  policy.burst = account.has_burst() ? account.burst() : base.burst();
-  policy.weight = account.has_weight() ? account.weight() : base.weight();
-  accounts_.emplace(policy.id, std::move(policy));
+  return {&account, base ? &base->template_item() : &kNothing};
 }
 
 }  // namespace mangoport
