At most once: claims, outcomes and their horizon, decided and driven to failure

Cause: a payout or commission order may run at most once, whatever is lost, paused, killed or repeated, and a refusal that says "not run" must be true.

A host dispatches only what it has read back from the log as the first claim of the key's generation. Nothing but the holder's own record that no byte has left frees a claim, and no wait makes another host take over. Keys are carried past the log's retention; a reader that starts where entries were dropped makes no claim until a horizon record covers what it cannot see.

Ruled out: - a lease on the claim: a paused holder can wake and send after any wait, so the key would run twice; - folding by the envelope's sequence: the verdict on a late or repeated entry would depend on where a reader began. Generations of the key decide instead; - saying "not run" on reading another host's release, or when no claim could be made: the key's next generation, or an earlier copy of the request, may be running out of sight. Only the holder says it, before its release goes out.

--- /dev/null
+++ b/lib/once/once_executor.cc
@@ -0,0 +1,529 @@
+#include "mangoport/once/once_executor.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "mangoport/core/invariant.h"
+#include "mangoport/core/mutant.h"
+
+namespace mangoport {
+namespace {
+
+bool IsFinal(const ClaimState& state) {
+  return state.phase == ClaimPhase::kDone ||
+         state.phase == ClaimPhase::kUnknown;
+}
+
+bool BodiesDiffer(const BodyFingerprint& left, const BodyFingerprint& right) {
+  return left != right && !MutantEnabled("conflict_ignored");
+}
+
+std::int64_t SecondsOf(WallTime time) {
+  return std::chrono::duration_cast<std::chrono::seconds>(
+             time.time_since_epoch())
+      .count();
+}
+
+WallTime::duration ToWall(Duration duration) {
+  return std::chrono::duration_cast<WallTime::duration>(duration);
+}
+
+wire::Envelope HorizonRecord(RecordWriter* writer,
+                             std::uint64_t up_to,
+                             WallTime wall) {
+  wire::RequestHorizon horizon;
+  horizon.set_up_to(up_to);
+  horizon.set_written_at_s(SecondsOf(wall));
+  return writer->Wrap(wire::RECORD_KIND_REQUEST_HORIZON,
+                      horizon.SerializeAsString());
+}
+
+}  // namespace
+
+OnceExecutor::OnceExecutor(WriterId self, const OnceSettings& settings)
+    : settings_(settings), writer_(std::move(self)), fold_(settings.fold) {}
+
+std::vector<OnceAction> OnceExecutor::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+// --- Requests
+
+void OnceExecutor::OnRequest(MonoTime now,
+                             WallTime wall,
+                             const OnceRequest& request) {
+  if (IsKeyOutOfDate(wall, request)) {
+    Answer(request.id, OnceAnswerKind::kKeyOutOfDate);
+    return;
+  }
+  const ClaimState* state = fold_.Find(request.key);
+  if (AnswerAtOnce(request, state))
+    return;
+  const std::uint32_t generation = state ? state->generation : 0;
+  OpenKey& open = open_[request.key];
+  open.waiters.push_back(
+      {request.id, request.body, generation,
+       std::min(request.deadline, now + settings_.max_wait)});
+  const bool free = !state || state->phase == ClaimPhase::kFree;
+  if (free && open.phase == Phase::kFollowing)
+    StartClaim(now, request, generation, &open);
+}
+
+bool OnceExecutor::IsKeyOutOfDate(WallTime wall,
+                                  const OnceRequest& request) const {
+  if (!request.key_created || MutantEnabled("key_age_not_checked"))
+    return false;
+  const WallTime created = *request.key_created;
+  return created + ToWall(settings_.max_key_age) < wall ||
+         created > wall + ToWall(settings_.max_clock_skew);
+}
+
+bool OnceExecutor::AnswerAtOnce(const OnceRequest& request,
+                                const ClaimState* state) {
+  if (!state)
+    return false;
+  const Waiter waiter{request.id, request.body, state->generation,
+                      request.deadline};
+  const std::optional<OnceAnswerKind> verdict = VerdictFromLog(*state, waiter);
+  if (!verdict)
+    return false;
+  Answer(request.id, *verdict, state->status, state->response);
+  return true;
+}
+
+void OnceExecutor::StartClaim(MonoTime now,
+                              const OnceRequest& request,
+                              std::uint32_t generation,
+                              OpenKey* open) {
+  open->phase = Phase::kClaiming;
+  open->generation = generation;
+  open->body = request.body;
+  open->key_created_s =
+      request.key_created ? SecondsOf(*request.key_created) : 0;
+  open->resend_after = now;
+  Enqueue(request.key, open);
+}
+
+// --- What the log says
+
+void OnceExecutor::OnPage(MonoTime now, const LogPage& page) {
+  if (!page.ok)
+    return;
+  const bool was_complete = fold_.complete();
+  fold_.NoteFirstRetained(page.first_retained);
+  if (!fold_.complete())
+    carry_.reset();
+  for (const LogEntry& it : page.entries)
+    fold_.ReadEntry(it.offset, it.payload, [this, now](const ClaimKey& key) {
+      OnKeyChanged(now, key);
+    });
+  if (fold_.complete() && !was_complete)
+    OnBecameComplete(now);
+}
+
+// Until now a claim that looked like the first may have been a later one, so
+// none was acted on.
+void OnceExecutor::OnBecameComplete(MonoTime now) {
+  std::vector<ClaimKey> keys = fold_.ClaimedBy(writer_.writer());
+  for (const auto& it : open_)
+    keys.push_back(it.first);
+  for (const ClaimKey& it : keys)
+    OnKeyChanged(now, it);
+}
+
+bool OnceExecutor::HoldsClaim(const ClaimState& state) const {
+  return state.phase == ClaimPhase::kClaimed &&
+         fold_.HolderOf(state) == writer_.writer();
+}
+
+void OnceExecutor::OnKeyChanged(MonoTime now, const ClaimKey& key) {
+  const ClaimState* state = fold_.Find(key);
+  if (!state)
+    return;
+  if (fold_.complete() && HoldsClaim(*state))
+    OnClaimWon(now, key, *state);
+  const auto it = open_.find(key);
+  if (it == open_.end())
+    return;
+  OpenKey& open = it->second;
+  AnswerFromLog(*state, &open);
+  const bool settled = IsFinal(*state) || state->generation > open.generation;
+  const bool lost = state->phase == ClaimPhase::kClaimed && !HoldsClaim(*state);
+  if (open.phase == Phase::kResolved && settled)
+    open.phase = Phase::kFollowing;
+  if (open.phase == Phase::kClaiming && (settled || lost))
+    open.phase = Phase::kFollowing;
+  if (MutantEnabled("generation_not_checked") &&
+      open.phase == Phase::kFollowing && state->phase == ClaimPhase::kFree) {
+    open.phase = Phase::kClaiming;
+    open.generation = state->generation;
+    open.body = open.waiters.empty() ? open.body : open.waiters.front().body;
+    Enqueue(key, &open);
+  }
+  if (IsIdle(open))
+    open_.erase(it);
+}
+
+void OnceExecutor::OnClaimWon(MonoTime now,
+                              const ClaimKey& key,
+                              const ClaimState& state) {
+  OpenKey& open = open_[key];
+  if (open.phase == Phase::kDispatched || open.phase == Phase::kResolved)
+    return;
+  open.generation = state.generation;
+  open.body = state.body;
+  open.key_created_s = state.key_created_s;
+  AnswerFromLog(state, &open);
+  const auto live = std::find_if(
+      open.waiters.begin(), open.waiters.end(), [now](const Waiter& it) {
+        return it.deadline > now || MutantEnabled("deadline_not_checked");
+      });
+  if (live == open.waiters.end()) {
+    Resolve(now, key, &open, wire::OUTCOME_KIND_RELEASED);
+    return;
+  }
+  Dispatch(key, &open, *live);
+}
+
+void OnceExecutor::Dispatch(const ClaimKey& key,
+                            OpenKey* open,
+                            const Waiter& waiter) {
+  const ClaimState* state = fold_.Find(key);
+  CheckInvariant(state && HoldsClaim(*state) && fold_.complete(),
+                 "only the holder of a claim dispatches",
+                 [&] { return "request " + waiter.id.value(); });
+  CheckInvariant(
+      open->phase == Phase::kClaiming || open->phase == Phase::kFollowing,
+      "a claim is dispatched once",
+      [&] { return "request " + waiter.id.value(); });
+  open->phase = Phase::kDispatched;
+  actions_.emplace_back(DispatchAction{waiter.id, key, open->generation});
+}
+
+std::optional<OnceAnswerKind> OnceExecutor::VerdictFromLog(
+    const ClaimState& state,
+    const Waiter& waiter) const {
+  const bool differs = BodiesDiffer(state.body, waiter.body);
+  if (IsFinal(state)) {
+    if (differs)
+      return OnceAnswerKind::kConflict;
+    if (state.phase == ClaimPhase::kUnknown)
+      return OnceAnswerKind::kUnknown;
+    return state.response ? OnceAnswerKind::kDone
+                          : OnceAnswerKind::kDoneWithoutBody;
+  }
+  // Released since the request came. The key's next generation may have been
+  // claimed meanwhile, beyond what this host has read: nothing can be said of
+  // the key, and this request must not run in it.
+  if (waiter.generation < state.generation)
+    return MutantEnabled("release_read_as_not_run")
+               ? OnceAnswerKind::kNotRun
+               : OnceAnswerKind::kNotDispatched;
+  if (state.phase == ClaimPhase::kClaimed && differs && fold_.complete())
+    return OnceAnswerKind::kConflict;
+  return std::nullopt;
+}
+
+void OnceExecutor::AnswerFromLog(const ClaimState& state, OpenKey* open) {
+  if (MutantEnabled("generation_not_checked"))
+    for (Waiter& it : open->waiters)
+      it.generation = state.generation;
+  std::erase_if(open->waiters, [&](const Waiter& it) {
+    const std::optional<OnceAnswerKind> verdict = VerdictFromLog(state, it);
+    if (!verdict)
+      return false;
+    Answer(it.id, *verdict, state.status, state.response);
+    return true;
+  });
+}
+
+// --- Outcomes
+
+void OnceExecutor::OnDispatchResult(MonoTime now,
+                                    const ClaimKey& key,
+                                    const DispatchResult& result) {
+  const auto it = open_.find(key);
+  if (it == open_.end() || it->second.phase != Phase::kDispatched)
+    return;
+  OpenKey& open = it->second;
+  if (result.kind == DispatchResult::Kind::kDone) {
+    open.response = std::make_shared<const RecordedResponse>(result.response);
+    Resolve(now, key, &open, wire::OUTCOME_KIND_DONE);
+    return;
+  }
+  if (result.kind == DispatchResult::Kind::kNotSent ||
+      MutantEnabled("unknown_said_not_run")) {
+    Resolve(now, key, &open, wire::OUTCOME_KIND_RELEASED);
+    return;
+  }
+  if (MutantEnabled("dispatched_again") && !open.waiters.empty()) {
+    actions_.emplace_back(
+        DispatchAction{open.waiters.front().id, key, open.generation});
+    return;
+  }
+  Resolve(now, key, &open, wire::OUTCOME_KIND_UNKNOWN);
+}
+
+// While the claim stands and its release has not gone out, nobody can run the
+// key: that is the one moment at which "not run" is true of the key itself.
+void OnceExecutor::Resolve(MonoTime now,
+                           const ClaimKey& key,
+                           OpenKey* open,
+                           wire::OutcomeKind outcome) {
+  open->phase = Phase::kResolved;
+  open->outcome = outcome;
+  open->resolved_at = now;
+  open->resend_after = now;
+  if (outcome == wire::OUTCOME_KIND_RELEASED) {
+    for (const Waiter& it : open->waiters)
+      Answer(it.id, OnceAnswerKind::kNotRun);
+    open->waiters.clear();
+  }
+  Enqueue(key, open);
+}
+
+void OnceExecutor::AnswerFromOutcome(MonoTime now, OpenKey* open) {
+  if (open->phase != Phase::kResolved ||
+      open->outcome == wire::OUTCOME_KIND_RELEASED)
+    return;
+  const bool waited = now >= open->resolved_at + settings_.outcome_wait;
+  std::erase_if(open->waiters, [&](const Waiter& it) {
+    if (!waited && it.deadline > now)
+      return false;
+    if (BodiesDiffer(open->body, it.body))
+      Answer(it.id, OnceAnswerKind::kConflict);
+    else if (open->outcome == wire::OUTCOME_KIND_UNKNOWN)
+      Answer(it.id, OnceAnswerKind::kUnknown);
+    else
+      Answer(it.id, OnceAnswerKind::kDone,
+             static_cast<std::uint16_t>(open->response->status),
+             open->response);
+    return true;
+  });
+}
+
+void OnceExecutor::AnswerExpired(MonoTime now,
+                                 const ClaimKey& key,
+                                 OpenKey* open) {
+  const ClaimState* state = fold_.Find(key);
+  const bool released = open->phase == Phase::kResolved &&
+                        open->outcome == wire::OUTCOME_KIND_RELEASED;
+  const bool claimed =
+      state && state->phase == ClaimPhase::kClaimed && !released;
+  for (Waiter& it : open->waiters) {
+    if (it.deadline > now)
+      continue;
+    if (claimed && MutantEnabled("claim_taken_over"))
+      actions_.emplace_back(DispatchAction{it.id, key, state->generation});
+    if (!claimed && MutantEnabled("late_claim_dispatched")) {
+      Answer(it.id, OnceAnswerKind::kNotRun);
+      it.deadline = MonoTime::max();
+      continue;
+    }
+    Answer(it.id, claimed ? OnceAnswerKind::kInProgress
+                          : OnceAnswerKind::kNotDispatched);
+  }
+  std::erase_if(open->waiters,
+                [now](const Waiter& it) { return it.deadline <= now; });
+}
+
+void OnceExecutor::Answer(const RequestId& id,
+                          OnceAnswerKind kind,
+                          std::uint16_t status,
+                          std::shared_ptr<const RecordedResponse> response) {
+  OnceAnswer answer{id, kind, 0, nullptr};
+  if (kind == OnceAnswerKind::kDone)
+    answer.response = std::move(response);
+  if (kind == OnceAnswerKind::kDone || kind == OnceAnswerKind::kDoneWithoutBody)
+    answer.status = status;
+  actions_.emplace_back(std::move(answer));
+}
+
+void OnceExecutor::OnTick(MonoTime now, WallTime wall) {
+  for (auto it = open_.begin(); it != open_.end();) {
+    AnswerFromOutcome(now, &it->second);
+    AnswerExpired(now, it->first, &it->second);
+    it = IsIdle(it->second) ? open_.erase(it) : std::next(it);
+  }
+  if (now < next_sweep_)
+    return;
+  next_sweep_ = now + settings_.sweep_interval;
+  fold_.DropCreatedBefore(
+      wall - ToWall(settings_.max_key_age + 2 * settings_.max_clock_skew));
+}
+
+bool OnceExecutor::IsIdle(const OpenKey& open) const {
+  return open.waiters.empty() &&
+         !(open.phase == Phase::kDispatched || open.phase == Phase::kResolved);
+}
+
+// --- Appends
+
+bool OnceExecutor::WantsAppend(const OpenKey& open) const {
+  return open.phase == Phase::kClaiming || open.phase == Phase::kResolved;
+}
+
+void OnceExecutor::Enqueue(const ClaimKey& key, OpenKey* open) {
+  if (std::exchange(open->queued, true))
+    return;
+  outbox_.push_back(key);
+}
+
+std::optional<std::string> OnceExecutor::TakeBatch(MonoTime now,
+                                                   WallTime wall) {
+  if (append_under_way_ || now < next_append_)
+    return std::nullopt;
+  std::vector<wire::Envelope> records;
+  TakeOwnRecords(now, &records);
+  StartCarryIfDue(wall);
+  TakeCarry(now, wall, &records);
+  if (records.empty())
+    return std::nullopt;
+  append_under_way_ = true;
+  next_append_ = now + settings_.append_interval;
+  return EncodeBatch(records);
+}
+
+void OnceExecutor::TakeOwnRecords(MonoTime now,
+                                  std::vector<wire::Envelope>* records) {
+  in_flight_.clear();
+  std::size_t bytes = 0;
+  for (std::size_t n = outbox_.size(); n > 0; --n) {
+    const ClaimKey key = outbox_.front();
+    outbox_.pop_front();
+    const auto it = open_.find(key);
+    if (it == open_.end())
+      continue;
+    OpenKey& open = it->second;
+    open.queued = WantsAppend(open);
+    if (!open.queued)
+      continue;
+    outbox_.push_back(key);
+    const bool blind = open.phase == Phase::kClaiming && !fold_.complete();
+    const bool full = records->size() >= settings_.max_batch_records ||
+                      bytes >= settings_.max_batch_bytes;
+    if (blind || full || now < open.resend_after)
+      continue;
+    open.resend_after = now + settings_.read_back_wait;
+    in_flight_.push_back(key);
+    records->push_back(OwnRecord(key, open));
+    bytes += records->back().body().size();
+  }
+}
+
+wire::Envelope OnceExecutor::OwnRecord(const ClaimKey& key,
+                                       const OpenKey& open) {
+  const wire::ClaimId id =
+      ToWire(key, open.body, open.generation, open.key_created_s);
+  if (open.phase == Phase::kClaiming) {
+    wire::RequestClaim claim;
+    *claim.mutable_id() = id;
+    return writer_.Wrap(wire::RECORD_KIND_REQUEST_CLAIM,
+                        claim.SerializeAsString());
+  }
+  wire::RequestOutcome outcome;
+  *outcome.mutable_id() = id;
+  outcome.set_kind(open.outcome);
+  if (open.outcome == wire::OUTCOME_KIND_DONE) {
+    *outcome.mutable_response() = ToWire(*open.response);
+    if (open.response->body.size() > settings_.max_recorded_body) {
+      outcome.mutable_response()->clear_body();
+      outcome.mutable_response()->set_body_kept(false);
+    }
+  }
+  return writer_.Wrap(wire::RECORD_KIND_REQUEST_OUTCOME,
+                      outcome.SerializeAsString());
+}
+
+void OnceExecutor::OnAppendResult(MonoTime now, AppendStatus status) {
+  append_under_way_ = false;
+  if (status != AppendStatus::kAppended) {
+    next_append_ = std::max(next_append_, now + settings_.append_retry);
+    if (carry_)
+      carry_->resend_after = now;
+  }
+  for (const ClaimKey& it : in_flight_) {
+    const auto open = open_.find(it);
+    if (open == open_.end())
+      continue;
+    if (status != AppendStatus::kAppended)
+      open->second.resend_after = now;
+    else if (MutantEnabled("claim_not_read_back") &&
+             open->second.phase == Phase::kClaiming)
+      Dispatch(it, &open->second, open->second.waiters.front());
+  }
+}
+
+// --- Carrying keys over the log's retention
+
+void OnceExecutor::StartCarryIfDue(WallTime wall) {
+  if (!first_carry_from_)
+    first_carry_from_ = wall;
+  if (carry_ && fold_.covered_up_to() >= carry_->up_to)
+    carry_.reset();
+  if (carry_ || !fold_.complete())
+    return;
+  constexpr int kPermille = 1000;
+  const WallTime from =
+      fold_.covered_up_to() > 0 ? fold_.covered_at() : *first_carry_from_;
+  const Duration wait =
+      settings_.carry_interval +
+      settings_.carry_interval / kPermille * settings_.carry_jitter_permille;
+  if (wall - from < ToWall(wait))
+    return;
+  carry_ = Carry{.up_to = fold_.next_offset(),
+                 .keys = fold_.StatedBefore(fold_.next_offset()),
+                 .first = 0,
+                 .resend_after = {}};
+}
+
+// True if an entry from `up_to` on states the key, or it is forgotten.
+bool OnceExecutor::IsCarried(const ClaimKey& key) const {
+  const ClaimState* state = fold_.Find(key);
+  return !state || state->stated_at >= carry_->up_to;
+}
+
+void OnceExecutor::TakeCarry(MonoTime now,
+                             WallTime wall,
+                             std::vector<wire::Envelope>* records) {
+  if (!carry_)
+    return;
+  const std::size_t before = carry_->first;
+  while (carry_->first < carry_->keys.size() &&
+         IsCarried(carry_->keys[carry_->first]))
+    ++carry_->first;
+  if (carry_->first == before && now < carry_->resend_after)
+    return;
+  carry_->resend_after = now + settings_.read_back_wait;
+  if (carry_->first < carry_->keys.size())
+    records->push_back(writer_.Wrap(wire::RECORD_KIND_REQUEST_CARRY,
+                                    NextCarried().SerializeAsString()));
+  // Only after every key has been read back from its new place.
+  if (carry_->first < carry_->keys.size() &&
+      !MutantEnabled("horizon_before_carried"))
+    return;
+  records->push_back(HorizonRecord(&writer_, carry_->up_to, wall));
+}
+
+wire::RequestCarry OnceExecutor::NextCarried() const {
+  wire::RequestCarry chunk;
+  std::size_t bytes = 0;
+  for (std::size_t i = carry_->first;
+       i < carry_->keys.size() && bytes < settings_.max_batch_bytes; ++i) {
+    const ClaimKey& key = carry_->keys[i];
+    if (IsCarried(key))
+      continue;
+    *chunk.add_claims() = ToCarried(fold_, key, *fold_.Find(key));
+    bytes += chunk.claims().rbegin()->ByteSizeLong();
+  }
+  return chunk;
+}
+
+std::string EncodeOperatorHorizon(const WriterId& operator_name,
+                                  std::uint64_t up_to,
+                                  WallTime wall) {
+  RecordWriter writer(operator_name);
+  return EncodeBatch({HorizonRecord(&writer, up_to, wall)});
+}
+
+}  // namespace mangoport
--- /dev/null
+++ b/unittests/once/claim_fold_fuzz.cc
@@ -0,0 +1,27 @@
+// Any bytes in a claim stream are folded without a crash, and what they leave
+// behind can be carried on.
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include "mangoport/once/claim_fold.h"
+
+// NOLINTNEXTLINE
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  using mangoport::ClaimKey;
+  mangoport::ClaimFold fold({.response_bytes = 64});
+  fold.NoteFirstRetained(0);
+  const std::string_view text(reinterpret_cast<const char*>(data), size);
+  const auto carry = [&fold](const ClaimKey& key) {
+    if (const auto* state = fold.Find(key))
+      ToCarried(fold, key, *state).SerializeAsString();
+  };
+  fold.ReadEntry(0, text.substr(0, size / 2), carry);
+  fold.ReadEntry(1, text.substr(size / 2), carry);
+  fold.ReadEntry(2, text, carry);
+  fold.DropCreatedBefore(mangoport::WallTime(std::chrono::seconds(1000)));
+  for (const ClaimKey& it : fold.StatedBefore(fold.next_offset()))
+    carry(it);
+  return 0;
+}
