Answer every caller of a burst

Cause: the HTTP library listens with a queue of five connections and offers no setting. Ruled out: the thread pool (528 threads, 133 streams), the routing (no refusals), select() and its limit of 1,024 descriptors (400 in use). Conclusion: every listening socket of ours listens again with a queue of 4,096; the stand-ins too.

--- a/lib/entryhost/caller_api.cc
+++ b/lib/entryhost/caller_api.cc
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "caller_response.h"
+#include "lib/adapters/http_server.h"
 #include "mangoport/entryhost/access.h"
 #include "mangoport/entryhost/audit_trail.h"
 #include "mangoport/entryhost/config_service.h"
@@ -480,16 +481,11 @@
 
 std::uint16_t CallerApi::Start() {
   const Endpoint& endpoint = state_->services.settings.callers;
-  int port = endpoint.port;
-  if (port == 0) {
-    port = state_->server.bind_to_any_port(endpoint.ip);
-  } else if (!state_->server.bind_to_port(endpoint.ip, port)) {
-    port = 0;
-  }
-  if (port <= 0)
+  const std::uint16_t port = BindServer(state_->server, endpoint);
+  if (port == 0)
     return 0;
   state_->thread = std::thread([this] { state_->server.listen_after_bind(); });
-  return static_cast<std::uint16_t>(port);
+  return port;
 }
 
 void CallerApi::Stop() {
--- a/lib/entryhost/operator_api.cc
+++ b/lib/entryhost/operator_api.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "caller_response.h"
+#include "lib/adapters/http_server.h"
 #include "mangoport/adapters/json.h"
 #include "mangoport/entryhost/audit_trail.h"
 #include "mangoport/entryhost/backend_directory.h"
@@ -173,16 +174,11 @@
 
 std::uint16_t OperatorApi::Start() {
   const Endpoint& endpoint = state_->services.settings.operators;
-  int port = endpoint.port;
-  if (port == 0) {
-    port = state_->server.bind_to_any_port(endpoint.ip);
-  } else if (!state_->server.bind_to_port(endpoint.ip, port)) {
-    port = 0;
-  }
-  if (port <= 0)
+  const std::uint16_t port = BindServer(state_->server, endpoint);
+  if (port == 0)
     return 0;
   state_->thread = std::thread([this] { state_->server.listen_after_bind(); });
-  return static_cast<std::uint16_t>(port);
+  return port;
 }
 
 void OperatorApi::Stop() {
--- a/tools/standin/server.cc
+++ b/tools/standin/server.cc
@@ -12,6 +12,8 @@
 #include <thread>
 #include <utility>
 
+#include "lib/adapters/http_server.h"
+
 namespace mangoport::standin {
 namespace {
 
@@ -184,13 +186,10 @@
 }
 
 int Server::Run() {
-  const char* const loopback = "127.0.0.1";
-  int port = options_.port;
-  if (port == 0)
-    port = http_.bind_to_any_port(loopback);
-  else if (!http_.bind_to_port(loopback, port))
-    port = -1;
-  if (port < 0) {
+  const Endpoint endpoint{"127.0.0.1",
+                          static_cast<std::uint16_t>(options_.port)};
+  const std::uint16_t port = BindServer(http_, endpoint);
+  if (port == 0) {
     std::fprintf(stderr, "standin: cannot bind\n");
     return 1;
   }
@@ -199,8 +198,8 @@
                  options_.port_file.c_str());
     return 1;
   }
-  std::printf("standin: %s listens on %s:%d\n", options_.name.c_str(), loopback,
-              port);
+  std::printf("standin: %s listens on %s:%d\n", options_.name.c_str(),
+              endpoint.ip.c_str(), port);
   std::fflush(stdout);
   return http_.listen_after_bind() ? 0 : 1;
 }
--- a/unittests/support/fleet.cc
+++ b/unittests/support/fleet.cc
@@ -33,8 +33,10 @@
 TestReply ToReply(const httplib::Result& result, MonoTime start) {
   TestReply reply;
   reply.took = steady_clock::now() - start;
-  if (!result)
+  if (!result) {
+    reply.body = httplib::to_string(result.error());
     return reply;
+  }
   reply.status = result->status;
   reply.body = result->body;
   reply.retry_after = result->get_header_value("Retry-After");
--- a/unittests/support/fleet.h
+++ b/unittests/support/fleet.h
@@ -19,7 +19,8 @@
   std::string value;
 };
 
-/// What came back; a status of 0 means that no whole answer came.
+/// What came back; a status of 0 means that no whole answer came, and the body
+/// then says why.
 struct TestReply {
   int status = 0;
   std::string body;
