Gossip between entry hosts: membership, configuration, key withdrawals

Each host asks one random peer a second, and pushes news at once to three peers of its zone.

- The age of evidence counts from when it was asked for, grows with a drift bound, and is carried through each hop; it is taken only once the entries it speaks of are applied.
Pushed messages carry none, since nothing bounds how long they were under way.
- Hosts are probed by these exchanges; a suspect refutes by raising its incarnation; two accusers and three seconds make it gone; peers alone take at most a third of a zone as gone, never its last host; a host that fails to reach half of its latest live peers accuses nobody.
- A new host hears three peers out, or reads the log to its end, and is not ready before it holds the highest offset it was told of.

--- /dev/null
+++ b/lib/membership/gossip.cc
@@ -0,0 +1,485 @@
+#include "mangoport/membership/gossip.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <xxhash.h>
+
+#include "mangoport/core/invariant.h"
+#include "mangoport/core/mutant.h"
+
+namespace mangoport {
+namespace {
+
+constexpr std::size_t kHostUpdatesPerMessage = 8;
+constexpr std::size_t kServerUpdatesPerMessage = 8;
+constexpr std::size_t kWithdrawalsPerRecord = 16;
+/// One round in so many tries a host that peers hold to be gone, so that the
+/// two sides of a healed partition meet again.
+constexpr std::uint64_t kRoundsPerRetryOfGone = 5;
+constexpr std::size_t kMaxProbesPerRound = 3;
+constexpr double kMaxOtherZoneShare = 0.5;
+/// Rough size of what is told of one host.
+constexpr double kBytesPerHostUpdate = 48;
+
+/// The order in which the hosts of a zone read the log.
+std::uint64_t ReaderRank(std::string_view host) {
+  return XXH64(host.data(), host.size(), 0);
+}
+
+}  // namespace
+
+Gossip::Gossip(wire::HostUpdate self,
+               std::vector<std::string> seed_addresses,
+               GossipOptions options,
+               ReplicaHooks replica,
+               WithdrawalOverlay::Recorded recorded,
+               std::uint64_t seed)
+    : options_(options),
+      seed_addresses_(std::move(seed_addresses)),
+      directory_(std::move(self), options.directory),
+      replica_(std::move(replica), options.replica),
+      overlay_(std::move(recorded)),
+      random_(seed) {}
+
+Duration Gossip::Jitter(Duration up_to) {
+  std::uniform_int_distribution<Duration::rep> spread(0, up_to.count());
+  return Duration(spread(random_));
+}
+
+Duration Gossip::HostTableInterval() const {
+  const double bytes =
+      kBytesPerHostUpdate * static_cast<double>(directory_.hosts().size());
+  const std::chrono::duration<double> affordable(
+      bytes / options_.host_table_bytes_per_second);
+  return std::max(options_.host_table_interval,
+                  std::chrono::duration_cast<Duration>(affordable));
+}
+
+GossipActions Gossip::OnTick(MonoTime now) {
+  GossipActions actions;
+  if (!started_at_) {
+    started_at_ = now;
+    next_round_ = now + Jitter(options_.period);
+  }
+  if (!ready_)
+    AskForBootstrap(now, actions);
+  if (now >= next_round_)
+    StartRound(now, actions);
+  if (replica_.behind() && now - last_catch_up_ >= options_.catch_up_interval) {
+    if (const KnownHost* peer = PickPartner())
+      CatchUpFrom(now, peer->id, actions);
+  }
+  PushNews(now, actions);
+  WantLogRead(now, actions);
+  RecordWithdrawals(now, actions);
+  UpdateReady(now);
+  return actions;
+}
+
+wire::SyncRequest Gossip::MakeRequest(MonoTime now) {
+  wire::SyncRequest request;
+  *request.mutable_sender() = directory_.self();
+  request.set_next_offset(replica_.next_offset());
+  request.set_highest_known(replica_.highest_known());
+  request.set_withdrawals_digest(overlay_.digest());
+  for (wire::HostUpdate& it : directory_.TakeUpdates(kHostUpdatesPerMessage))
+    *request.add_hosts() = std::move(it);
+  const std::size_t hosts = directory_.hosts().size();
+  for (wire::ServerUpdate& it :
+       servers_.TakeUpdates(now, kServerUpdatesPerMessage, hosts))
+    *request.add_servers() = std::move(it);
+  return request;
+}
+
+void Gossip::Send(MonoTime now, const KnownHost& host, GossipActions& actions) {
+  OutgoingSync& sync = actions.syncs.emplace_back();
+  sync.to = host.id;
+  sync.address = host.address;
+  sync.asked_at = now;
+  sync.request = MakeRequest(now);
+  if (auto accusation = directory_.AccusationOf(host.id))
+    *sync.request.add_hosts() = std::move(*accusation);
+}
+
+const KnownHost* Gossip::Pick(const std::vector<const KnownHost*>& from) {
+  if (from.empty())
+    return nullptr;
+  std::uniform_int_distribution<std::size_t> any(0, from.size() - 1);
+  return from[any(random_)];
+}
+
+const KnownHost* Gossip::PickPartner() {
+  std::vector<const KnownHost*> near;
+  std::vector<const KnownHost*> far;
+  for (const KnownHost* it : directory_.Contactable()) {
+    const bool own = it->zone.value() == directory_.self().zone();
+    (own ? near : far).push_back(it);
+  }
+  // Small zones too make some calls a second to the others together.
+  const double needed = options_.other_zone_calls_per_zone /
+                        (1 + static_cast<double>(near.size()));
+  std::bernoulli_distribution elsewhere(std::max(
+      options_.other_zone_share, std::min(needed, kMaxOtherZoneShare)));
+  const bool go_far = near.empty() || (!far.empty() && elsewhere(random_));
+  return Pick(go_far ? far : near);
+}
+
+void Gossip::StartRound(MonoTime now, GossipActions& actions) {
+  next_round_ = std::max(next_round_ + options_.period, now);
+  directory_.Tick(now);
+  log_reader_ = IsLogReader();
+  if (MutantEnabled("no_periodic_rounds"))
+    return;
+  std::vector<HostId> probes = directory_.TakeProbesWanted();
+  if (probes.size() > kMaxProbesPerRound)
+    probes.resize(kMaxProbesPerRound);
+  for (const HostId& it : probes) {
+    if (const KnownHost* host = directory_.Find(it))
+      Send(now, *host, actions);
+  }
+  if (const KnownHost* partner = PickPartner()) {
+    Send(now, *partner, actions);
+    if (now >= next_host_table_) {
+      actions.syncs.back().request.set_wants_all_hosts(true);
+      next_host_table_ = now + HostTableInterval();
+    }
+  } else {
+    AskSeed(now, actions);
+  }
+  if (random_() % kRoundsPerRetryOfGone != 0)
+    return;
+  std::vector<const KnownHost*> gone;
+  for (const auto& [id, host] : directory_.hosts()) {
+    if (host.gone_by_peers)
+      gone.push_back(&host);
+  }
+  if (const KnownHost* host = Pick(gone))
+    Send(now, *host, actions);
+}
+
+void Gossip::AskSeed(MonoTime now, GossipActions& actions) {
+  if (seed_addresses_.empty())
+    return;
+  OutgoingSync& sync = actions.syncs.emplace_back();
+  sync.address = seed_addresses_[random_() % seed_addresses_.size()];
+  sync.asked_at = now;
+  sync.request = MakeRequest(now);
+  sync.request.set_wants_all_hosts(true);
+}
+
+void Gossip::AskForBootstrap(MonoTime now, GossipActions& actions) {
+  if (now - last_bootstrap_ < options_.bootstrap_interval)
+    return;
+  last_bootstrap_ = now;
+  const bool ask_seed = !seed_addresses_.empty() && bootstrap_heard_.empty() &&
+                        (directory_.hosts().empty() || random_() % 2 == 0);
+  if (ask_seed)
+    return AskSeed(now, actions);
+  std::vector<const KnownHost*> unheard;
+  for (const KnownHost* it : directory_.Contactable()) {
+    if (bootstrap_heard_.count(it->id.value()) == 0)
+      unheard.push_back(it);
+  }
+  if (const KnownHost* host = Pick(unheard))
+    Send(now, *host, actions);
+}
+
+void Gossip::UpdateReady(MonoTime now) {
+  if (ready_ || !started_at_)
+    return;
+  const std::size_t live = directory_.Live().size();
+  const std::size_t wanted =
+      std::max<std::size_t>(1, std::min(options_.bootstrap_peers, live));
+  const bool heard_out = bootstrap_heard_.size() >= wanted;
+  const bool current =
+      !replica_.behind() || MutantEnabled("ready_while_behind");
+  const bool patience_over = now - *started_at_ >= options_.bootstrap_patience;
+  if (!log_read_to_end_ && !heard_out)
+    return;
+  if (!current && !patience_over)
+    return;
+  CheckInvariant(!replica_.behind() || patience_over,
+                 "a new host serves no older offset than it was told of", [&] {
+                   return std::to_string(replica_.next_offset()) + " of " +
+                          std::to_string(replica_.highest_known());
+                 });
+  ready_ = true;
+}
+
+void Gossip::TakeWithdrawals(
+    const google::protobuf::RepeatedPtrField<wire::KeyWithdrawal>& news) {
+  for (const wire::KeyWithdrawal& it : news) {
+    if (overlay_.Add(it))
+      push_withdrawals_.push_back(it);
+  }
+}
+
+void Gossip::TakeHostNews(
+    MonoTime now,
+    const google::protobuf::RepeatedPtrField<wire::HostUpdate>& hosts,
+    const google::protobuf::RepeatedPtrField<wire::ServerUpdate>& servers) {
+  for (const wire::HostUpdate& it : hosts)
+    directory_.Merge(now, it);
+  for (const wire::ServerUpdate& it : servers)
+    servers_.Merge(now, it);
+}
+
+void Gossip::OnMoved(std::uint64_t from) {
+  overlay_.DropRecorded();
+  if (!push_from_)
+    push_from_ = from;
+}
+
+wire::SyncReply Gossip::OnRequest(MonoTime now,
+                                  const wire::SyncRequest& request,
+                                  GossipActions& actions) {
+  TakeHostNews(now, request.hosts(), request.servers());
+  directory_.OnHeard(now, request.sender());
+  const std::uint64_t before = replica_.next_offset();
+  replica_.NoteOffset(request.next_offset());
+  replica_.NoteOffset(request.highest_known());
+  if (replica_.OnPushedEntries(request.entries()))
+    OnMoved(before);
+  TakeWithdrawals(request.withdrawals());
+
+  wire::SyncReply reply;
+  replica_.FillReply(request.next_offset(), reply);
+  if (auto evidence = replica_.MakeEvidence(now))
+    *reply.mutable_evidence() = std::move(*evidence);
+  reply.set_withdrawals_digest(overlay_.digest());
+  const bool differs = request.withdrawals_digest() != overlay_.digest();
+  if (differs && !MutantEnabled("withdrawals_not_compared")) {
+    for (const auto& [key, it] : overlay_.entries())
+      *reply.add_withdrawals() = it;
+  }
+  const bool all = request.wants_all_hosts();
+  for (wire::HostUpdate& it :
+       all ? directory_.AllUpdates()
+           : directory_.TakeUpdates(kHostUpdatesPerMessage))
+    *reply.add_hosts() = std::move(it);
+  if (auto it = directory_.AccusationOf(HostId(request.sender().host())))
+    *reply.add_hosts() = std::move(*it);
+  for (wire::ServerUpdate& it : servers_.TakeUpdates(
+           now, kServerUpdatesPerMessage, directory_.hosts().size()))
+    *reply.add_servers() = std::move(it);
+  *reply.mutable_sender() = directory_.self();
+
+  if (request.next_offset() > replica_.next_offset())
+    CatchUpFrom(now, HostId(request.sender().host()), actions);
+  PushNews(now, actions);
+  return reply;
+}
+
+GossipActions Gossip::OnReply(MonoTime now,
+                              const OutgoingSync& sent,
+                              const wire::SyncReply& reply) {
+  GossipActions actions;
+  // The addresses in the settings may well name this host itself.
+  if (reply.sender().host() == directory_.self().host())
+    return actions;
+  TakeHostNews(now, reply.hosts(), reply.servers());
+  directory_.OnHeard(now, reply.sender());
+  directory_.OnProbeAnswered(HostId(reply.sender().host()));
+  const std::uint64_t before = replica_.next_offset();
+  replica_.NoteOffset(reply.highest_known());
+  const bool moved = replica_.OnReply(sent.asked_at, reply);
+  if (moved)
+    OnMoved(before);
+  TakeWithdrawals(reply.withdrawals());
+  GiveMissingWithdrawals(now, sent, reply, actions);
+  bootstrap_heard_.insert(reply.sender().host());
+  if (moved && reply.next_offset() > replica_.next_offset())
+    CatchUpFrom(now, HostId(reply.sender().host()), actions);
+  PushNews(now, actions);
+  UpdateReady(now);
+  return actions;
+}
+
+void Gossip::GiveMissingWithdrawals(MonoTime now,
+                                    const OutgoingSync& sent,
+                                    const wire::SyncReply& reply,
+                                    GossipActions& actions) {
+  const bool differs =
+      sent.request.withdrawals_digest() != reply.withdrawals_digest() &&
+      !MutantEnabled("withdrawals_not_compared");
+  if (!differs || !sent.request.withdrawals().empty())
+    return;
+  std::set<std::string> has;
+  for (const wire::KeyWithdrawal& it : reply.withdrawals())
+    has.insert(it.key());
+  OutgoingSync sync{sent.to, sent.address, now, {}};
+  for (const auto& [key, it] : overlay_.entries()) {
+    if (has.count(key.value()) == 0)
+      *sync.request.add_withdrawals() = it;
+  }
+  if (sync.request.withdrawals().empty())
+    return;
+  auto withdrawals = sync.request.withdrawals();
+  sync.request = MakeRequest(now);
+  *sync.request.mutable_withdrawals() = std::move(withdrawals);
+  actions.syncs.push_back(std::move(sync));
+}
+
+void Gossip::OnFailure(MonoTime now, const OutgoingSync& sent) {
+  if (!sent.to.empty())
+    directory_.OnProbeFailed(now, sent.to);
+}
+
+void Gossip::CatchUpFrom(MonoTime now,
+                         const HostId& peer,
+                         GossipActions& actions) {
+  const KnownHost* host = directory_.Find(peer);
+  if (host == nullptr)
+    return;
+  last_catch_up_ = now;
+  Send(now, *host, actions);
+}
+
+void Gossip::PushTo(MonoTime now,
+                    const std::vector<const KnownHost*>& targets,
+                    std::size_t n,
+                    GossipActions& actions) {
+  std::vector<const KnownHost*> chosen;
+  std::sample(targets.begin(), targets.end(), std::back_inserter(chosen), n,
+              random_);
+  for (const KnownHost* it : chosen) {
+    Send(now, *it, actions);
+    wire::SyncRequest& request = actions.syncs.back().request;
+    if (push_from_)
+      replica_.FillPush(*push_from_, request);
+    for (const wire::KeyWithdrawal& withdrawal : push_withdrawals_)
+      *request.add_withdrawals() = withdrawal;
+  }
+}
+
+void Gossip::PushNews(MonoTime now, GossipActions& actions) {
+  const bool news = push_from_ || !push_withdrawals_.empty() || push_self_;
+  if (!news || now - last_push_ < options_.push_interval)
+    return;
+  last_push_ = now;
+  std::vector<const KnownHost*> near;
+  std::vector<const KnownHost*> far;
+  for (const KnownHost* it : directory_.Contactable()) {
+    const bool own = it->zone.value() == directory_.self().zone();
+    (own ? near : far).push_back(it);
+  }
+  PushTo(now, near, options_.fan_out, actions);
+  const bool everywhere = !push_withdrawals_.empty() || push_self_;
+  if (everywhere)
+    PushTo(now, far, 1, actions);
+  push_from_.reset();
+  push_withdrawals_.clear();
+  push_self_ = false;
+}
+
+GossipActions Gossip::OnLogReading(MonoTime now, const LogReading& reading) {
+  GossipActions actions;
+  log_read_open_ = false;
+  if (!reading.ok) {
+    next_log_read_ =
+        now + options_.log_retry_interval + Jitter(options_.log_retry_interval);
+    return actions;
+  }
+  log_answered_at_ = now;
+  const std::uint64_t before = replica_.next_offset();
+  if (replica_.OnLogReading(reading))
+    OnMoved(before);
+  log_read_to_end_ = log_read_to_end_ || reading.reached_end;
+  PushNews(now, actions);
+  WantLogRead(now, actions);
+  UpdateReady(now);
+  return actions;
+}
+
+std::size_t Gossip::ZoneSize() const {
+  std::size_t n = 1;
+  for (const KnownHost* it : directory_.Live())
+    n += it->zone.value() == directory_.self().zone() ? 1 : 0;
+  return n;
+}
+
+bool Gossip::IsLogReader() const {
+  const std::uint64_t own = ReaderRank(directory_.self().host());
+  std::size_t before = 0;
+  for (const KnownHost* it : directory_.Live()) {
+    const bool own_zone = it->zone.value() == directory_.self().zone();
+    before += own_zone && ReaderRank(it->id.value()) < own ? 1 : 0;
+  }
+  return before < options_.log_readers_per_zone;
+}
+
+bool Gossip::LogAnsweredLately(MonoTime now) const {
+  return log_answered_at_ != MonoTime{} &&
+         now - log_answered_at_ < options_.fallback_after;
+}
+
+void Gossip::WantLogRead(MonoTime now, GossipActions& actions) {
+  if (log_read_open_ || now < next_log_read_)
+    return;
+  const auto age = replica_.EvidenceAge(now);
+  const bool stale = !age || *age >= options_.fallback_after;
+  if (!log_reader_ && !stale)
+    return;
+  if (!log_reader_) {
+    const auto hosts = static_cast<Duration::rep>(ZoneSize());
+    const Duration round =
+        std::max(options_.fallback_after, options_.fallback_per_host * hosts);
+    next_log_read_ = now + round / 2 + Jitter(round);
+  }
+  log_read_open_ = true;
+  actions.log_read_from = replica_.read_from();
+}
+
+void Gossip::RecordWithdrawals(MonoTime now, GossipActions& actions) {
+  const bool able = !overlay_.entries().empty() && LogAnsweredLately(now);
+  if (!able) {
+    record_at_.reset();
+    return;
+  }
+  if (!record_at_) {
+    record_at_ = now + Jitter(options_.record_spread);
+    return;
+  }
+  if (now < *record_at_)
+    return;
+  record_at_ = now + options_.record_spread + Jitter(options_.record_spread);
+  for (const auto& [key, it] : overlay_.entries()) {
+    if (actions.withdrawals_to_record.size() < kWithdrawalsPerRecord)
+      actions.withdrawals_to_record.push_back(it);
+  }
+}
+
+void Gossip::OnPlatformList(MonoTime now,
+                            Duration age,
+                            const std::vector<HostStatement>& hosts,
+                            const std::vector<ServerStatement>& servers) {
+  directory_.OnList(now, age, hosts);
+  servers_.OnList(now, age, servers);
+}
+
+GossipActions Gossip::Withdraw(MonoTime now,
+                               const wire::KeyWithdrawal& withdrawal) {
+  GossipActions actions;
+  if (overlay_.Add(withdrawal))
+    push_withdrawals_.push_back(withdrawal);
+  PushNews(now, actions);
+  return actions;
+}
+
+void Gossip::OnServerSeen(MonoTime now,
+                          const ServerId& server,
+                          wire::ServerCondition seen) {
+  servers_.OnSeen(now, server, seen);
+}
+
+GossipActions Gossip::AnnounceLeaving(MonoTime now) {
+  GossipActions actions;
+  directory_.AnnounceLeaving();
+  push_self_ = true;
+  last_push_ = MonoTime{};
+  PushNews(now, actions);
+  return actions;
+}
+
+}  // namespace mangoport
