Drive configuration and keys to failure with real processes

Cause: races, lost answers, outages, retention and withdrawal were shown by the fold's soak only. Found: (1) the command line gave up on the first read without an answer; it now reads again.

Conclusion: what remains is withdrawal while the log is out, host to host.

--- a/include/mangoport/cli/config_client.h
+++ b/include/mangoport/cli/config_client.h
@@ -47,6 +47,8 @@
   PublishResult Publish(wire::ConfigChange change, WallTime now);
 
  private:
+  LogPage Read();
+
   LogService& log_;
   std::string author_;
   ConfigFold fold_;
--- a/include/mangoport/entryhost/config_service.h
+++ b/include/mangoport/entryhost/config_service.h
@@ -63,7 +63,7 @@
   void OnPage(MonoTime asked_at, const LogPage& page);
   void RaiseEvidence(MonoTime evidence);
   void PublishLocked();
-  void MaybeWriteSnapshotLocked(MonoTime now);
+  void MaybeWriteSnapshotLocked(MonoTime now, std::uint64_t first_retained);
 
   OnChange on_change_;
   OnVerdict on_verdict_;
--- a/lib/cli/config_client.cc
+++ b/lib/cli/config_client.cc
@@ -14,6 +14,9 @@
 constexpr Duration kAppendTimeout = milliseconds(3000);
 constexpr Duration kRetryPause = milliseconds(300);
 
+/// How often a read that was not answered is sent again.
+constexpr int kMaxReads = 5;
+
 /// How often an append that was refused or not answered is sent again.
 constexpr int kMaxAppends = 10;
 
@@ -28,10 +31,20 @@
 ConfigClient::ConfigClient(LogService& log, std::string author)
     : log_(log), author_(std::move(author)), writer_(NewWriter(author_)) {}
 
+LogPage ConfigClient::Read() {
+  LogPage page;
+  for (int i = 0; i < kMaxReads && !page.ok; ++i) {
+    if (i != 0)
+      std::this_thread::sleep_for(kRetryPause);
+    page = log_.Read(StreamId("config"), fold_.read_from(), kMaxEntries,
+                     Duration::zero());
+  }
+  return page;
+}
+
 bool ConfigClient::Refresh() {
   while (true) {
-    const LogPage page = log_.Read(StreamId("config"), fold_.read_from(),
-                                   kMaxEntries, Duration::zero());
+    const LogPage page = Read();
     if (!page.ok)
       return false;
     std::vector<EntryView> entries;
--- a/lib/entryhost/config_service.cc
+++ b/lib/entryhost/config_service.cc
@@ -1,5 +1,6 @@
 #include "mangoport/entryhost/config_service.h"
 
+#include <algorithm>
 #include <chrono>
 #include <random>
 #include <utility>
@@ -9,10 +10,13 @@
 
 using std::chrono::milliseconds;
 
-/// A snapshot is written back once this many changes have been read since the
-/// last one. It must stay well below what the log keeps.
+/// A snapshot is written back once this many changes are covered by none.
 constexpr std::uint64_t kChangesPerSnapshot = 256;
 
+/// A log that drops entries early gets its snapshots when the changes that
+/// none covers fill this part of what it keeps.
+constexpr std::uint64_t kRetainedPart = 4;
+
 /// Every host may write the snapshot, since all of them would write the same.
 /// Each waits a random part of this first, and leaves it if another was there
 /// before.
@@ -86,7 +90,8 @@
     verdicts = fold_.TakeVerdicts();
     changed = fold_.view() != view();
     PublishLocked();
-    MaybeWriteSnapshotLocked(std::chrono::steady_clock::now());
+    MaybeWriteSnapshotLocked(std::chrono::steady_clock::now(),
+                             page.first_retained);
   }
   if (status == FoldStatus::kCurrent && page.entries.size() < kMaxPageEntries)
     RaiseEvidence(asked_at);
@@ -111,8 +116,14 @@
     ready_.store(true);
 }
 
-void ConfigService::MaybeWriteSnapshotLocked(MonoTime now) {
-  if (fold_.changes_since_snapshot() < kChangesPerSnapshot) {
+void ConfigService::MaybeWriteSnapshotLocked(MonoTime now,
+                                             std::uint64_t first_retained) {
+  std::uint64_t limit = kChangesPerSnapshot;
+  if (first_retained > 0 && first_retained < fold_.next_offset()) {
+    const std::uint64_t retained = fold_.next_offset() - first_retained;
+    limit = std::clamp<std::uint64_t>(retained / kRetainedPart, 1, limit);
+  }
+  if (fold_.changes_since_snapshot() < limit) {
     snapshot_due_.reset();
     return;
   }
--- a/unittests/process/demo.cc
+++ b/unittests/process/demo.cc
@@ -250,20 +250,9 @@
 }
 
 /// No log, metric, audit record or backend server may hold a key's secret.
-void SearchForKey(Fleet& fleet,
-                  const Deployment& deployment,
-                  const std::string& key,
-                  Report& report) {
+void SearchForKey(Fleet& fleet, const std::string& key, Report& report) {
   const std::string secret = key.substr(key.rfind('_') + 1);
-  std::string everything = fleet.HostLogs() + fleet.Run({"audit"}).output;
-  for (const auto& it : fleet.hosts()) {
-    if (it->process->running())
-      everything += HttpGet(it->operators, "/metrics").body;
-  }
-  for (const std::string& it : deployment.engines)
-    everything += fleet.Stats(it);
-  for (const std::string& it : deployment.plain_servers)
-    everything += fleet.Stats(it);
+  const std::string everything = fleet.EverythingWritten();
   report.Step(everything.find(secret) == std::string::npos,
               "the key was searched for in " +
                   std::to_string(everything.size()) +
@@ -294,7 +283,7 @@
   FreezeEngines(fleet, deployment, key, report);
   KillHost(fleet, key, report);
   DrainHost(fleet, key, report);
-  SearchForKey(fleet, deployment, key, report);
+  SearchForKey(fleet, key, report);
   std::printf("%s\n", report.failed() == 0 ? "all of it held"
                                            : "something did not hold");
   return report.failed() == 0 ? 0 : 1;
--- a/unittests/support/fleet.cc
+++ b/unittests/support/fleet.cc
@@ -181,7 +181,10 @@
 
 std::string Fleet::WriteFile(const std::string& name, const std::string& text) {
   const std::string path = directory_ + "/" + name;
-  std::ofstream(path) << text;
+  // Commands may read the file while another thread replaces it.
+  const std::string partial = path + "." + std::to_string(++commands_);
+  std::ofstream(partial) << text;
+  std::filesystem::rename(partial, path);
   return path;
 }
 
@@ -203,8 +206,8 @@
   command.insert(command.end(), arguments.begin(), arguments.end());
   if (arguments.front() != "check" && arguments.front() != "version")
     command.insert(command.end(), {"--config", directory_ + "/operator.toml"});
-  const std::string output = directory_ + "/command.out";
-  std::filesystem::remove(output);
+  const std::string output =
+      directory_ + "/command-" + std::to_string(++commands_) + ".out";
   Process process(command, output);
   CommandResult result;
   result.exit_code = process.Wait(seconds(60));
@@ -254,6 +257,17 @@
   return all;
 }
 
+std::string Fleet::EverythingWritten() {
+  std::string all = HostLogs() + Run({"audit"}).output;
+  for (const auto& it : hosts_) {
+    if (it->process->running())
+      all += HttpGet(it->operators, "/metrics").body;
+  }
+  for (const auto& it : standins_)
+    all += Stats(it->name);
+  return all;
+}
+
 TestReply HttpGet(std::uint16_t port,
                   const std::string& path,
                   const std::vector<TestHeader>& headers) {
--- a/unittests/support/fleet.h
+++ b/unittests/support/fleet.h
@@ -1,6 +1,7 @@
 #ifndef MANGOPORT_UNITTESTS_SUPPORT_FLEET_H_
 #define MANGOPORT_UNITTESTS_SUPPORT_FLEET_H_
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -109,12 +110,17 @@
   /// The texts of all logs of hosts, for searching.
   std::string HostLogs() const;
 
+  /// Logs, metrics and audit trail of every host and what every backend server
+  /// saw of requests: all places in which no key may stand.
+  std::string EverythingWritten();
+
  private:
   void WriteOperatorSettings();
   void AwaitPorts(TestHost& host);
   void Spawn(TestHost& host);
 
   std::string directory_;
+  std::atomic<int> commands_{0};
   std::vector<std::unique_ptr<TestStandin>> standins_;
   std::vector<std::unique_ptr<TestHost>> hosts_;
 };
