Entry hosts hear from each other: heartbeats, configuration, withdrawals

The peer service carries the decisions of the gossip over the peer transport: a host that starts while the log is out takes the configuration from its peers, and a key that an operator withdraws at any host is refused on all, running streams included, before the log can say so. Once the log answers, one of the hosts appends the change and the word of mouth is dropped.

A host is ready only once it has read the log to its end or has heard its peers out and holds the highest offset that they named. Stopping is announced to peers. The operators' status has a section "peers".

Real processes, three zones, six hosts: log out, a seventh host started from seeds answers with a key issued before; a key withdrawn at one host is refused on all seven within the 7 s allowed while another key works; an eighth host never honours it; after the outage the log has it. A host under SIGSTOP is seen as not live by the other five although the list calls it live, and as live again after SIGCONT.

Not wired yet: every host still follows the log itself, where the gossip would let three a zone do it; what one host sees of leaving backend servers is not yet told to the others.

--- a/include/mangoport/entryhost/access.h
+++ b/include/mangoport/entryhost/access.h
@@ -1,6 +1,8 @@
 #ifndef MANGOPORT_ENTRYHOST_ACCESS_H_
 #define MANGOPORT_ENTRYHOST_ACCESS_H_
 
+#include <memory>
+#include <set>
 #include <string_view>
 #include <variant>
 
@@ -21,6 +23,8 @@
 struct KeyEvidence {
   MonoTime newest;
   Duration max_staleness{};
+  /// Keys withdrawn by word of an operator, beside the configuration.
+  std::shared_ptr<const std::set<KeyId>> withdrawn;
 };
 
 /// Finds the client account of an "Authorization" header's value, or says why
--- a/include/mangoport/entryhost/config_service.h
+++ b/include/mangoport/entryhost/config_service.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "mangoport/core/ids.h"
@@ -24,6 +25,9 @@
  public:
   using OnChange = std::function<void(const ConfigView&)>;
   using OnVerdict = std::function<void(const ChangeVerdict&)>;
+  /// A page that the log answered with, after it has been folded.
+  using OnLogPage = std::function<void(MonoTime asked_at, const LogPage&)>;
+  using KeySet = std::set<KeyId>;
 
   /// `on_change` runs after each new view is in force, `on_verdict` for each
   /// published change; both on the follower's thread.
@@ -59,14 +63,40 @@
 
   wire::ConfigSnapshot MakeSnapshot() const;
 
+  /// Reads entries of the stream that a peer sent.
+  void ReadPeerEntries(std::uint64_t first_retained,
+                       const std::vector<EntryView>& entries);
+
+  /// The offset from which the log is to be read next.
+  std::uint64_t read_from() const;
+
+  /// Watches the pages of the log; an empty function ends that, and no call is
+  /// under way when this returns.
+  void SetPageObserver(OnLogPage observer);
+
+  /// Keys withdrawn by word of an operator that the log has not recorded.
+  std::shared_ptr<const KeySet> withdrawn_keys() const {
+    return withdrawn_keys_.load(std::memory_order_acquire);
+  }
+  void SetWithdrawnKeys(KeySet keys);
+
+  /// Appends a change to the log; the fold decides what becomes of it.
+  void Publish(const wire::ConfigChange& change);
+
  private:
   void OnPage(MonoTime asked_at, const LogPage& page);
+  FoldStatus Fold(std::uint64_t first_retained,
+                  const std::vector<EntryView>& entries);
   void RaiseEvidence(MonoTime evidence);
   void PublishLocked();
   void MaybeWriteSnapshotLocked(MonoTime now);
 
   OnChange on_change_;
   OnVerdict on_verdict_;
+  /// Held while the observer runs, before any other lock.
+  std::mutex observer_mutex_;
+  OnLogPage page_observer_;
+  std::atomic<std::shared_ptr<const KeySet>> withdrawn_keys_;
   mutable std::mutex mutex_;
   ConfigFold fold_;
   std::optional<MonoTime> snapshot_due_;
--- /dev/null
+++ b/include/mangoport/entryhost/peer_service.h
@@ -0,0 +1,54 @@
+#ifndef MANGOPORT_ENTRYHOST_PEER_SERVICE_H_
+#define MANGOPORT_ENTRYHOST_PEER_SERVICE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "mangoport/core/ids.h"
+#include "mangoport/settings/host_settings.h"
+
+namespace mangoport {
+
+class ConfigService;
+class HostList;
+
+/// Keeps this host in touch with its peers: carries the decisions of `Gossip`
+/// over the peer transport and into the configuration in force.
+class PeerService {
+ public:
+  /// `host_list` may be null; the seeds of the settings are then all that is
+  /// known of other hosts at first.
+  PeerService(const HostSettings& settings,
+              ConfigService& config,
+              HostList* host_list);
+  ~PeerService();
+
+  PeerService(const PeerService&) = delete;
+  PeerService& operator=(const PeerService&) = delete;
+
+  /// Binds and starts. Returns the port, or 0 if that failed.
+  std::uint16_t Start();
+
+  /// Withdraws a key here at once and at every peer in reach soon; the log
+  /// records it when it can.
+  void Withdraw(const KeyId& key, const std::string& reason);
+
+  /// Tells peers that this host is stopping.
+  void AnnounceLeaving();
+
+  /// True once this host may serve what it knows.
+  bool ready() const;
+
+  /// Peers and withdrawals, as JSON for operators.
+  std::string StatusJson() const;
+
+ private:
+  struct State;
+
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace mangoport
+
+#endif  // MANGOPORT_ENTRYHOST_PEER_SERVICE_H_
--- a/lib/entryhost/access.cc
+++ b/lib/entryhost/access.cc
@@ -17,6 +17,13 @@
   return now - evidence.newest <= evidence.max_staleness;
 }
 
+bool IsWithdrawn(const wire::KeyConfig& stored,
+                 const KeyId& id,
+                 const KeyEvidence& evidence) {
+  return stored.withdrawn() ||
+         (evidence.withdrawn && evidence.withdrawn->count(id) != 0);
+}
+
 }  // namespace
 
 std::variant<Identity, Error> Authenticate(MonoTime now,
@@ -30,7 +37,8 @@
   if (!shown)
     return NotRun(ErrorCode::kUnauthorized, "the key is not valid");
   const wire::KeyConfig* stored = view.FindKey(shown->id);
-  if (!stored || stored->withdrawn() || !MatchesDigest(shown->secret, *stored))
+  if (!stored || IsWithdrawn(*stored, shown->id, evidence) ||
+      !MatchesDigest(shown->secret, *stored))
     return NotRun(ErrorCode::kUnauthorized, "the key is not valid");
   if (!IsFresh(now, evidence)) {
     return NotRun(ErrorCode::kUnavailable,
@@ -47,7 +55,7 @@
                 const KeyEvidence& evidence,
                 const Identity& identity) {
   const wire::KeyConfig* stored = view.FindKey(identity.key);
-  return stored && !stored->withdrawn() &&
+  return stored && !IsWithdrawn(*stored, identity.key, evidence) &&
          stored->account() == identity.account.value() &&
          IsFresh(now, evidence);
 }
--- a/lib/entryhost/caller_api.cc
+++ b/lib/entryhost/caller_api.cc
@@ -228,7 +228,8 @@
 }
 
 KeyEvidence CallerApi::State::Evidence() const {
-  return {services.config->evidence_time(), services.settings.max_staleness};
+  return {services.config->evidence_time(), services.settings.max_staleness,
+          services.config->withdrawn_keys()};
 }
 
 Exchange CallerApi::State::Begin(const char* surface) {
--- a/lib/entryhost/config_service.cc
+++ b/lib/entryhost/config_service.cc
@@ -34,6 +34,7 @@
                              OnVerdict on_verdict)
     : on_change_(std::move(on_change)),
       on_verdict_(std::move(on_verdict)),
+      withdrawn_keys_(std::make_shared<const KeySet>()),
       view_(fold_.view()),
       appender_(log, kConfigStream, std::move(writer)),
       follower_(
@@ -73,29 +74,63 @@
   return fold_.MakeSnapshot();
 }
 
+std::uint64_t ConfigService::read_from() const {
+  const std::lock_guard lock(mutex_);
+  return fold_.read_from();
+}
+
+void ConfigService::SetPageObserver(OnLogPage observer) {
+  const std::lock_guard lock(observer_mutex_);
+  page_observer_ = std::move(observer);
+}
+
+void ConfigService::SetWithdrawnKeys(KeySet keys) {
+  withdrawn_keys_.store(std::make_shared<const KeySet>(std::move(keys)),
+                        std::memory_order_release);
+}
+
+void ConfigService::Publish(const wire::ConfigChange& change) {
+  appender_.Append(wire::RECORD_KIND_CONFIG_CHANGE, change.SerializeAsString(),
+                   nullptr);
+}
+
+void ConfigService::ReadPeerEntries(std::uint64_t first_retained,
+                                    const std::vector<EntryView>& entries) {
+  Fold(first_retained, entries);
+}
+
 void ConfigService::OnPage(MonoTime asked_at, const LogPage& page) {
   std::vector<EntryView> entries;
   for (const LogEntry& it : page.entries)
     entries.push_back({it.offset, it.payload});
+  const FoldStatus status = Fold(page.first_retained, entries);
+  if (status == FoldStatus::kCurrent && page.entries.size() < kMaxPageEntries)
+    RaiseEvidence(asked_at);
+  if (status == FoldStatus::kCurrent)
+    ready_.store(true);
+  const std::lock_guard lock(observer_mutex_);
+  if (page_observer_)
+    page_observer_(asked_at, page);
+}
+
+FoldStatus ConfigService::Fold(std::uint64_t first_retained,
+                               const std::vector<EntryView>& entries) {
   std::vector<ChangeVerdict> verdicts;
   FoldStatus status = FoldStatus::kCurrent;
   bool changed = false;
   {
     const std::lock_guard lock(mutex_);
-    status = fold_.ReadEntries(page.first_retained, entries);
+    status = fold_.ReadEntries(first_retained, entries);
     verdicts = fold_.TakeVerdicts();
     changed = fold_.view() != view();
     PublishLocked();
     MaybeWriteSnapshotLocked(std::chrono::steady_clock::now());
   }
-  if (status == FoldStatus::kCurrent && page.entries.size() < kMaxPageEntries)
-    RaiseEvidence(asked_at);
-  if (status == FoldStatus::kCurrent)
-    ready_.store(true);
   if (changed)
     on_change_(*view());
   for (const ChangeVerdict& it : verdicts)
     on_verdict_(it);
+  return status;
 }
 
 void ConfigService::RaiseEvidence(MonoTime evidence) {
--- a/lib/entryhost/entry_host.cc
+++ b/lib/entryhost/entry_host.cc
@@ -21,6 +21,7 @@
 #include "mangoport/entryhost/caller_api.h"
 #include "mangoport/entryhost/config_service.h"
 #include "mangoport/entryhost/operator_api.h"
+#include "mangoport/entryhost/peer_service.h"
 #include "mangoport/entryhost/plain_proxy.h"
 #include "mangoport/entryhost/request_tracker.h"
 #include "mangoport/metrics/host_metrics.h"
@@ -66,7 +67,9 @@
   OperatorServices MakeOperatorServices();
   void OnConfigChange(const ConfigView& view);
   void OnVerdict(const ChangeVerdict& verdict);
-  bool IsReady() const { return !draining.load() && config.ready(); }
+  bool IsReady() const {
+    return !draining.load() && config.ready() && peers.ready();
+  }
   void Drain();
 
   HostSettings settings;
@@ -85,6 +88,7 @@
   BackendDirectory backends;
   PlainProxy plain;
   ConfigService config;
+  PeerService peers;
   OperatorApi operator_api;
   CallerApi caller_api;
 };
@@ -106,6 +110,7 @@
           NewWriter(settings.id, "config"),
           [this](const ConfigView& view) { OnConfigChange(view); },
           [this](const ChangeVerdict& verdict) { OnVerdict(verdict); }),
+      peers(settings, config, host_list.get()),
       operator_api(MakeOperatorServices()),
       caller_api(MakeCallerServices()) {}
 
@@ -134,6 +139,10 @@
   services.tracker = &tracker;
   services.ready = [this] { return IsReady(); };
   services.drain = [this] { Drain(); };
+  services.withdraw = [this](const KeyId& key, const std::string& reason) {
+    peers.Withdraw(key, reason);
+  };
+  services.sections.push_back({"peers", [this] { return peers.StatusJson(); }});
   return services;
 }
 
@@ -151,6 +160,7 @@
 }
 
 void EntryHost::State::Drain() {
+  peers.AnnounceLeaving();
   const std::lock_guard lock(mutex);
   draining.store(true);
   shutdown_requested.notify_all();
@@ -163,6 +173,8 @@
 
 Result<void> EntryHost::Start() {
   BoundPorts ports;
+  // Operators withdraw keys through the peers, which therefore come first.
+  ports.peers = state_->peers.Start();
   ports.operators = state_->operator_api.Start();
   ports.callers = state_->caller_api.Start();
   const auto fail = [](std::string message) {
@@ -173,6 +185,8 @@
     return fail("cannot bind " + ToString(state_->settings.operators));
   if (ports.callers == 0)
     return fail("cannot bind " + ToString(state_->settings.callers));
+  if (ports.peers == 0)
+    return fail("cannot bind " + ToString(state_->settings.peers));
   if (!state_->settings.ports_file.empty() &&
       !WritePortsFile(state_->settings.ports_file, ports))
     return fail("cannot write " + state_->settings.ports_file);
