Plain calls that may not be repeated go through claims

Cause: a route that is not idempotent was proxied without a claim, so a repeat at another host, or after a lost answer, ran the call again.

OnceService follows the claim stream, groups claims and outcomes into appends and dispatches on the thread of the caller that a claim was made for. A caller waits three seconds for its claim and twenty for its outcome ([claims] in the settings), not the whole request timeout, while the log is out.

--- a/include/mangoport/once/once_executor.h
+++ b/include/mangoport/once/once_executor.h
@@ -25,7 +25,7 @@
 /// Bounds and waits of an OnceExecutor.
 struct OnceSettings {
   /// Least time between two appends to the stream.
-  Duration append_interval = std::chrono::milliseconds(20);
+  Duration append_interval = std::chrono::milliseconds(60);
   /// Wait before what the log refused, or did not answer, is appended again.
   Duration append_retry = std::chrono::milliseconds(250);
   /// Wait for an appended record to be read back before it is appended again.
@@ -33,8 +33,10 @@
   /// How long an outcome is withheld from its callers so that it is recorded
   /// before they hear it.
   Duration outcome_wait = std::chrono::milliseconds(500);
+  /// How long a caller waits for its key to be claimed.
+  Duration claim_wait = std::chrono::seconds(3);
   /// Longest a caller waits, whatever its own deadline.
-  Duration max_wait = std::chrono::minutes(5);
+  Duration max_wait = std::chrono::seconds(20);
   std::size_t max_batch_records = 256;
   std::size_t max_batch_bytes = std::size_t{256} << 10U;
   /// Larger response bodies are not recorded for repeats.
@@ -128,6 +130,8 @@
   std::uint64_t next_offset() const { return fold_.next_offset(); }
   const ClaimFold& fold() const { return fold_; }
   std::size_t open_keys() const { return open_.size(); }
+  /// Keys whose outcome is known here and not yet in the log.
+  std::size_t unrecorded_outcomes() const;
 
  private:
   enum class Phase {
@@ -147,6 +151,7 @@
     /// The key's generation when the request arrived.
     std::uint32_t generation = 0;
     MonoTime deadline;
+    MonoTime claim_by;
   };
 
   /// A key with callers that wait or a record that must be appended.
--- a/include/mangoport/settings/host_settings.h
+++ b/include/mangoport/settings/host_settings.h
@@ -57,6 +57,18 @@
   Duration drain_timeout = std::chrono::seconds(150);
 };
 
+/// How requests that may not be repeated are claimed in the log.
+struct ClaimSettings {
+  /// Least time between two appends by this host.
+  Duration append_interval = std::chrono::milliseconds(60);
+  /// How long a caller waits for its claim before it is refused.
+  Duration claim_wait = std::chrono::seconds(3);
+  /// How long a caller waits for the outcome.
+  Duration outcome_wait = std::chrono::seconds(20);
+  /// How often all claims are carried forward; well under the log's retention.
+  Duration carry_interval = std::chrono::hours(4);
+};
+
 struct LogSettings {
   std::string level = "info";
   bool json = false;
@@ -79,6 +91,7 @@
   CallerLimits limits;
   BackendTimeouts backends;
   ShutdownSettings shutdown;
+  ClaimSettings claims;
   LogSettings log;
   /// How long keys are honoured without fresh evidence from the log or from a
   /// peer that has it.
--- a/lib/entryhost/entry_host.cc
+++ b/lib/entryhost/entry_host.cc
@@ -20,6 +20,7 @@
 #include "mangoport/entryhost/backend_directory.h"
 #include "mangoport/entryhost/caller_api.h"
 #include "mangoport/entryhost/config_service.h"
+#include "mangoport/entryhost/once_service.h"
 #include "mangoport/entryhost/operator_api.h"
 #include "mangoport/entryhost/plain_proxy.h"
 #include "mangoport/entryhost/request_tracker.h"
@@ -84,6 +85,7 @@
   AuditTrail audit;
   BackendDirectory backends;
   PlainProxy plain;
+  OnceService once;
   ConfigService config;
   OperatorApi operator_api;
   CallerApi caller_api;
@@ -101,6 +103,10 @@
                settings.zone,
                settings.backends.report_interval),
       plain(plain_client, &backends, settings.backends),
+      once(*log,
+           NewWriter(settings.id, "once"),
+           settings.claims,
+           [this](const PlainRequest& request) { return plain.Run(request); }),
       config(
           *log,
           NewWriter(settings.id, "config"),
@@ -118,7 +124,7 @@
   services.tracker = &tracker;
   services.completions = {engines, &backends, &metrics, settings.backends};
   services.run_plain = [this](const PlainRequest& request) {
-    return plain.Run(request);
+    return request.route.idempotent() ? plain.Run(request) : once.Run(request);
   };
   services.ready = [this] { return IsReady(); };
   return services;
@@ -134,6 +140,7 @@
   services.tracker = &tracker;
   services.ready = [this] { return IsReady(); };
   services.drain = [this] { Drain(); };
+  services.sections.push_back({"claims", [this] { return once.StatusJson(); }});
   return services;
 }
 
--- a/lib/once/once_executor.cc
+++ b/lib/once/once_executor.cc
@@ -63,7 +63,8 @@
   OpenKey& open = open_[request.key];
   open.waiters.push_back(
       {request.id, request.body, generation,
-       std::min(request.deadline, now + settings_.max_wait)});
+       std::min(request.deadline, now + settings_.max_wait),
+       std::min(request.deadline, now + settings_.claim_wait)});
   const bool free = !state || state->phase == ClaimPhase::kFree;
   if (free && open.phase == Phase::kFollowing)
     StartClaim(now, request, generation, &open);
@@ -82,8 +83,7 @@
                                 const ClaimState* state) {
   if (!state)
     return false;
-  const Waiter waiter{request.id, request.body, state->generation,
-                      request.deadline};
+  const Waiter waiter{request.id, request.body, state->generation, {}, {}};
   const std::optional<OnceAnswerKind> verdict = VerdictFromLog(*state, waiter);
   if (!verdict)
     return false;
@@ -310,21 +310,20 @@
                         open->outcome == wire::OUTCOME_KIND_RELEASED;
   const bool claimed =
       state && state->phase == ClaimPhase::kClaimed && !released;
-  for (Waiter& it : open->waiters) {
-    if (it.deadline > now)
-      continue;
+  std::erase_if(open->waiters, [&](Waiter& it) {
+    if ((claimed ? it.deadline : it.claim_by) > now)
+      return false;
     if (claimed && MutantEnabled("claim_taken_over"))
       actions_.emplace_back(DispatchAction{it.id, key, state->generation});
     if (!claimed && MutantEnabled("late_claim_dispatched")) {
       Answer(it.id, OnceAnswerKind::kNotRun);
-      it.deadline = MonoTime::max();
-      continue;
+      it.deadline = it.claim_by = MonoTime::max();
+      return false;
     }
     Answer(it.id, claimed ? OnceAnswerKind::kInProgress
                           : OnceAnswerKind::kNotDispatched);
-  }
-  std::erase_if(open->waiters,
-                [now](const Waiter& it) { return it.deadline <= now; });
+    return true;
+  });
 }
 
 void OnceExecutor::Answer(const RequestId& id,
@@ -357,6 +356,12 @@
          !(open.phase == Phase::kDispatched || open.phase == Phase::kResolved);
 }
 
+std::size_t OnceExecutor::unrecorded_outcomes() const {
+  return static_cast<std::size_t>(std::count_if(
+      open_.begin(), open_.end(),
+      [](const auto& it) { return it.second.phase == Phase::kResolved; }));
+}
+
 // --- Appends
 
 bool OnceExecutor::WantsAppend(const OpenKey& open) const {
--- a/lib/settings/host_settings.cc
+++ b/lib/settings/host_settings.cc
@@ -103,6 +103,20 @@
   table.Finish();
 }
 
+void ReadClaims(TomlTable table, ClaimSettings& claims) {
+  claims.append_interval =
+      table.Milliseconds("append_interval_ms", claims.append_interval,
+                         milliseconds(1), seconds(10));
+  claims.claim_wait = table.Milliseconds("claim_wait_ms", claims.claim_wait,
+                                         milliseconds(100), minutes(5));
+  claims.outcome_wait = table.Milliseconds(
+      "outcome_wait_ms", claims.outcome_wait, milliseconds(100), minutes(10));
+  claims.carry_interval =
+      table.Milliseconds("carry_interval_ms", claims.carry_interval,
+                         milliseconds(500), hours(24 * 7));
+  table.Finish();
+}
+
 void ReadLog(TomlTable table, LogSettings& log) {
   log.level = table.String("level", log.level);
   const std::vector<std::string> levels = {"debug", "info", "warn", "error"};
@@ -158,6 +172,7 @@
   ReadLimits(table.Table("limits"), settings.limits);
   ReadBackends(table.Table("backends"), settings.backends);
   ReadShutdown(table.Table("shutdown"), settings.shutdown);
+  ReadClaims(table.Table("claims"), settings.claims);
   ReadLog(table.Table("log"), settings.log);
   table.Finish();
   SortFindings(findings);
--- a/unittests/once/once_soak.cc
+++ b/unittests/once/once_soak.cc
@@ -32,6 +32,8 @@
 
 OnceSettings SoakSettings() {
   OnceSettings settings;
+  settings.append_interval = std::chrono::milliseconds(20);
+  settings.claim_wait = std::chrono::milliseconds(1200);
   settings.append_retry = std::chrono::milliseconds(60);
   settings.read_back_wait = std::chrono::milliseconds(200);
   settings.outcome_wait = std::chrono::milliseconds(100);
@@ -141,8 +143,8 @@
   // --- Faults
 
   void InjectFaults() {
-    if (Chance(10))
-      PauseHost();
+    if (Chance(6))
+      Pause(hosts_[Below(hosts_.size())]);
     if (Chance(3))
       ReplaceHost(Below(hosts_.size()));
     if (Chance(3))
@@ -154,8 +156,7 @@
         Cut(i, 20 + Below(Chance(100) ? 600 : 100));
   }
 
-  void PauseHost() {
-    SoakHost& host = hosts_[Below(hosts_.size())];
+  void Pause(SoakHost& host) {
     host.paused_until = progress_.step + 5 + Below(Chance(200) ? 1500 : 150);
     progress_.Note(host.name + " paused until " +
                    std::to_string(host.paused_until));
@@ -325,6 +326,9 @@
       if (auto batch = executor.TakeBatch(MonoOf(host), WallOf(host)))
         Append(host, i, *batch);
     }
+    // With an append under way and callers that wait for it.
+    if (Late(10) && host.executors[0]->open_keys() > 0)
+      Pause(host);
   }
 
   LogPage ReadPage(const FakeStream& stream, const OnceExecutor& executor) {
