--- a/lib/entryhost/caller_api.cc
+++ b/lib/entryhost/caller_api.cc
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "caller_response.h"
+#include "lib/adapters/http_server.h"
 #include "mangoport/entryhost/access.h"
 #include "mangoport/entryhost/audit_trail.h"
 #include "mangoport/entryhost/config_service.h"
@@ -305,7 +306,8 @@
     return Refuse(exchange, *error, Duration::zero(), response);
   auto completion = std::get<CallerCompletion>(std::move(parsed));
   const std::shared_ptr<const ConfigView> view = services.config->view();
-  const AccountPolicy* policy = view->FindAccount(exchange.identity.account);
+  const std::optional<AccountPolicy> policy =
+      view->FindAccount(exchange.identity.account);
   if (!policy) {
     return Refuse(exchange,
                   {ErrorCode::kForbidden, "the client account is closed", true},
@@ -402,9 +404,10 @@
   if (!Identify(request, exchange, response))
     return;
   const std::shared_ptr<const ConfigView> view = services.config->view();
-  const AccountPolicy* policy = view->FindAccount(exchange.identity.account);
+  const std::optional<AccountPolicy> policy =
+      view->FindAccount(exchange.identity.account);
   nlohmann::json data = nlohmann::json::array();
-  for (const wire::ModelConfig* it : view->models()) {
+  for (const wire::ModelConfig* it : view->Models()) {
     if (policy && policy->AllowsModel(it->name()))
       data.push_back({{"id", it->name()}, {"object", "model"}});
   }
@@ -430,7 +433,8 @@
   if (!route->open()) {
     if (!Identify(request, exchange, response))
       return;
-    const AccountPolicy* policy = view->FindAccount(exchange.identity.account);
+    const std::optional<AccountPolicy> policy =
+        view->FindAccount(exchange.identity.account);
     if (!policy || !policy->AllowsRoute(route->path())) {
       return Refuse(exchange,
                     {ErrorCode::kForbidden,
@@ -477,16 +481,11 @@
 
 std::uint16_t CallerApi::Start() {
   const Endpoint& endpoint = state_->services.settings.callers;
-  int port = endpoint.port;
-  if (port == 0) {
-    port = state_->server.bind_to_any_port(endpoint.ip);
-  } else if (!state_->server.bind_to_port(endpoint.ip, port)) {
-    port = 0;
-  }
-  if (port <= 0)
+  const std::uint16_t port = BindServer(state_->server, endpoint);
+  if (port == 0)
     return 0;
   state_->thread = std::thread([this] { state_->server.listen_after_bind(); });
-  return static_cast<std::uint16_t>(port);
+  return port;
 }
 
 void CallerApi::Stop() {
