--- a/lib/entryhost/config_service.cc
+++ b/lib/entryhost/config_service.cc
@@ -128,8 +128,7 @@
     verdicts = fold_.TakeVerdicts();
     changed = fold_.view() != view();
     PublishLocked();
-    MaybeWriteSnapshotLocked(std::chrono::steady_clock::now(),
-                             page.first_retained);
+    MaybeWriteSnapshotLocked(std::chrono::steady_clock::now(), first_retained);
   }
   if (changed)
     on_change_(*view());
--- a/lib/entryhost/entry_host.cc
+++ b/lib/entryhost/entry_host.cc
@@ -20,6 +20,7 @@
 #include "mangoport/entryhost/backend_directory.h"
 #include "mangoport/entryhost/caller_api.h"
 #include "mangoport/entryhost/config_service.h"
+#include "mangoport/entryhost/once_service.h"
 #include "mangoport/entryhost/operator_api.h"
 #include "mangoport/entryhost/peer_service.h"
 #include "mangoport/entryhost/plain_proxy.h"
@@ -87,6 +88,7 @@
   AuditTrail audit;
   BackendDirectory backends;
   PlainProxy plain;
+  OnceService once;
   ConfigService config;
   PeerService peers;
   OperatorApi operator_api;
@@ -105,6 +107,10 @@
                settings.zone,
                settings.backends.report_interval),
       plain(plain_client, &backends, settings.backends),
+      once(*log,
+           NewWriter(settings.id, "once"),
+           settings.claims,
+           [this](const PlainRequest& request) { return plain.Run(request); }),
       config(
           *log,
           NewWriter(settings.id, "config"),
@@ -123,7 +129,7 @@
   services.tracker = &tracker;
   services.completions = {engines, &backends, &metrics, settings.backends};
   services.run_plain = [this](const PlainRequest& request) {
-    return plain.Run(request);
+    return request.route.idempotent() ? plain.Run(request) : once.Run(request);
   };
   services.ready = [this] { return IsReady(); };
   return services;
@@ -143,6 +149,7 @@
     peers.Withdraw(key, reason);
   };
   services.sections.push_back({"peers", [this] { return peers.StatusJson(); }});
+  services.sections.push_back({"claims", [this] { return once.StatusJson(); }});
   return services;
 }
 
