--- a/include/mangoport/entryhost/config_service.h
+++ b/include/mangoport/entryhost/config_service.h
@@ -89,7 +89,7 @@
                   const std::vector<EntryView>& entries);
   void RaiseEvidence(MonoTime evidence);
   void PublishLocked();
-  void MaybeWriteSnapshotLocked(MonoTime now);
+  void MaybeWriteSnapshotLocked(MonoTime now, std::uint64_t first_retained);
 
   OnChange on_change_;
   OnVerdict on_verdict_;
