--- a/lib/entryhost/entry_host.cc
+++ b/lib/entryhost/entry_host.cc
@@ -22,6 +22,7 @@
 #include "mangoport/entryhost/config_service.h"
 #include "mangoport/entryhost/once_service.h"
 #include "mangoport/entryhost/operator_api.h"
+#include "mangoport/entryhost/peer_service.h"
 #include "mangoport/entryhost/plain_proxy.h"
 #include "mangoport/entryhost/request_tracker.h"
 #include "mangoport/metrics/host_metrics.h"
@@ -67,7 +68,9 @@
   OperatorServices MakeOperatorServices();
   void OnConfigChange(const ConfigView& view);
   void OnVerdict(const ChangeVerdict& verdict);
-  bool IsReady() const { return !draining.load() && config.ready(); }
+  bool IsReady() const {
+    return !draining.load() && config.ready() && peers.ready();
+  }
   void Drain();
 
   HostSettings settings;
@@ -87,6 +90,7 @@
   PlainProxy plain;
   OnceService once;
   ConfigService config;
+  PeerService peers;
   OperatorApi operator_api;
   CallerApi caller_api;
 };
@@ -112,6 +116,7 @@
           NewWriter(settings.id, "config"),
           [this](const ConfigView& view) { OnConfigChange(view); },
           [this](const ChangeVerdict& verdict) { OnVerdict(verdict); }),
+      peers(settings, config, host_list.get()),
       operator_api(MakeOperatorServices()),
       caller_api(MakeCallerServices()) {}
 
@@ -140,6 +145,10 @@
   services.tracker = &tracker;
   services.ready = [this] { return IsReady(); };
   services.drain = [this] { Drain(); };
+  services.withdraw = [this](const KeyId& key, const std::string& reason) {
+    peers.Withdraw(key, reason);
+  };
+  services.sections.push_back({"peers", [this] { return peers.StatusJson(); }});
   services.sections.push_back({"claims", [this] { return once.StatusJson(); }});
   return services;
 }
@@ -158,6 +167,7 @@
 }
 
 void EntryHost::State::Drain() {
+  peers.AnnounceLeaving();
   const std::lock_guard lock(mutex);
   draining.store(true);
   shutdown_requested.notify_all();
@@ -170,6 +180,8 @@
 
 Result<void> EntryHost::Start() {
   BoundPorts ports;
+  // Operators withdraw keys through the peers, which therefore come first.
+  ports.peers = state_->peers.Start();
   ports.operators = state_->operator_api.Start();
   ports.callers = state_->caller_api.Start();
   const auto fail = [](std::string message) {
@@ -180,6 +192,8 @@
     return fail("cannot bind " + ToString(state_->settings.operators));
   if (ports.callers == 0)
     return fail("cannot bind " + ToString(state_->settings.callers));
+  if (ports.peers == 0)
+    return fail("cannot bind " + ToString(state_->settings.peers));
   if (!state_->settings.ports_file.empty() &&
       !WritePortsFile(state_->settings.ports_file, ports))
     return fail("cannot write " + state_->settings.ports_file);
