Token budgets by escrow: hosts, dealers, leases and their soak

The bound is: for every account and over every interval, admitted tokens <= burst + rate x time over all hosts together. Static equal shares keep it but refuse accounts whose requests arrive at few hosts, and counting at the log would need an append per request. So tokens are dealt for a time: the holder of the stream `budget` deals the shared pool to zones, the holder of `budget.<zone>` deals its zone's static floor, and what it took from the shared pool, to hosts. A lease counts from the sending of the request; what a silent taker holds counts as spent.

--- /dev/null
+++ b/lib/limits/host_budget.cc
@@ -0,0 +1,256 @@
+#include "mangoport/limits/host_budget.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "mangoport/core/invariant.h"
+#include "mangoport/core/mutant.h"
+
+namespace mangoport {
+namespace {
+
+/// Weight of past demand falls by e in this time.
+constexpr double kDemandMemorySeconds = 1.0;
+
+/// Demand below this is forgotten, and the account's tokens given back.
+constexpr double kLeastDemand = 1.0;
+
+/// A request without an answer is repeated after this.
+constexpr Duration kReplyTimeout = std::chrono::milliseconds(100);
+
+/// With less than this part of the wanted balance a host asks before its time.
+constexpr std::int64_t kLowDivisor = 2;
+
+/// Early requests for demand, as opposed to waiting requests, keep this gap.
+constexpr Duration kLowAskInterval = std::chrono::milliseconds(100);
+
+}  // namespace
+
+bool MayDispatch(const SpendReceipt& receipt, MonoTime now) {
+  return now < receipt.valid_until ||
+         MutantEnabled("lease_not_checked_at_dispatch");
+}
+
+HostBudget::HostBudget(std::string name, const BudgetSettings& settings)
+    : name_(std::move(name)), settings_(settings) {}
+
+void HostBudget::SetLimits(const std::vector<AccountLimit>& limits) {
+  std::unordered_map<AccountId, Demand> next;
+  for (const AccountLimit& it : limits) {
+    const auto old = demands_.find(it.account);
+    Demand& entry = next[it.account];
+    if (old != demands_.end())
+      entry = old->second;
+    entry.limit = it;
+  }
+  demands_ = std::move(next);
+  std::erase_if(active_,
+                [this](const AccountId& it) { return !demands_.contains(it); });
+}
+
+void HostBudget::SetDealer(MonoTime now, const DealerId& dealer) {
+  if (current_ && current_->dealer() == dealer)
+    return;
+  if (current_ && current_->Live(now))
+    draining_ = std::move(current_);
+  ++session_;
+  current_.emplace(name_ + "#" + std::to_string(session_), dealer);
+  last_reply_.reset();
+  report_at_ = now;
+}
+
+SpendDecision HostBudget::TrySpend(MonoTime now, const SpendRequest& request) {
+  SpendDecision decision;
+  const auto found = demands_.find(request.account);
+  if (found == demands_.end()) {
+    decision.verdict = SpendVerdict::kUnknownAccount;
+    return decision;
+  }
+  Demand& demand = found->second;
+  if (request.tokens > demand.limit.burst_tokens || request.tokens < 0) {
+    decision.verdict = SpendVerdict::kTooLarge;
+    return decision;
+  }
+  if (!request.retried)
+    NoteDemand(now, demand, request.tokens);
+  if (SpendFrom(now, request, decision.receipt)) {
+    NoteLow(now, demand);
+    decision.verdict = SpendVerdict::kAdmitted;
+    return decision;
+  }
+  return Decline(now, request, demand);
+}
+
+void HostBudget::Refund(MonoTime now,
+                        SpendReceipt& receipt,
+                        std::int64_t unused) {
+  const std::int64_t n = std::min(unused, std::exchange(receipt.tokens, 0));
+  if (n <= 0 || !current_)
+    return;
+  current_->Expire(now);
+  const Duration age = now - receipt.charged_at;
+  if (age <= settings_.recent_refund_age)
+    current_->Refund(receipt.account, n, CreditAge::kRecent);
+  else if (age <= settings_.old_refund_age)
+    current_->Refund(receipt.account, n, CreditAge::kOld);
+}
+
+std::optional<wire::BudgetRequest> HostBudget::MakeRequest(MonoTime now) {
+  if (!current_)
+    return std::nullopt;
+  current_->Expire(now);
+  const bool asked = current_->sent_at() != MonoTime::min();
+  const Duration since = asked ? now - current_->sent_at() : Duration::max();
+  if (since < settings_.ask_interval)
+    return std::nullopt;
+  if (current_->awaits_reply() && since < kReplyTimeout)
+    return std::nullopt;
+  const bool low = runs_low_ && since >= kLowAskInterval;
+  if (now < report_at_ && !has_waiting_ && !low)
+    return std::nullopt;
+  report_at_ = now + settings_.report_interval;
+  runs_low_ = false;
+  return current_->MakeRequest(now, Needs(now));
+}
+
+bool HostBudget::OnReply(MonoTime now, const wire::BudgetReply& reply) {
+  if (!current_ || !current_->OnReply(now, reply, MonoTime::min()))
+    return false;
+  last_reply_ = now;
+  return true;
+}
+
+std::int64_t HostBudget::balance(MonoTime now, const AccountId& account) const {
+  std::int64_t n = 0;
+  if (draining_ && draining_->Live(now))
+    n += draining_->balance(account);
+  if (current_ && current_->Live(now))
+    n += current_->balance(account);
+  return n;
+}
+
+void HostBudget::NoteDemand(MonoTime now, Demand& demand, std::int64_t tokens) {
+  demand.tokens_per_second = DemandAt(now, demand) +
+                             static_cast<double>(tokens) / kDemandMemorySeconds;
+  demand.updated = now;
+  if (std::exchange(demand.active, true))
+    return;
+  active_.push_back(demand.limit.account);
+}
+
+/// Marks that the next request is due early if the balance is well below what
+/// the demand asks for.
+void HostBudget::NoteLow(MonoTime now, const Demand& demand) {
+  if (!current_ || now < current_->dry_until(demand.limit.account))
+    return;
+  const double horizon =
+      std::chrono::duration<double>(settings_.demand_horizon).count();
+  const auto wanted =
+      static_cast<std::int64_t>(demand.tokens_per_second * horizon);
+  runs_low_ |= current_->balance(demand.limit.account) < wanted / kLowDivisor;
+}
+
+double HostBudget::DemandAt(MonoTime now, const Demand& demand) const {
+  if (demand.updated == MonoTime::min())
+    return 0;
+  const double age =
+      std::chrono::duration<double>(now - demand.updated).count();
+  return demand.tokens_per_second *
+         std::exp(-std::max(0.0, age) / kDemandMemorySeconds);
+}
+
+/// Spends from the older session first, since its tokens lapse first.
+bool HostBudget::SpendFrom(MonoTime now,
+                           const SpendRequest& request,
+                           SpendReceipt& receipt) {
+  if (draining_ && !draining_->Live(now))
+    draining_.reset();
+  if (current_)
+    current_->Expire(now);
+  if (balance(now, request.account) < request.tokens)
+    return false;
+  receipt.account = request.account;
+  receipt.tokens = request.tokens;
+  receipt.charged_at = now;
+  receipt.valid_until = MonoTime::max();
+  std::int64_t rest = request.tokens;
+  for (std::optional<GrantTaker>* it : {&draining_, &current_}) {
+    if (rest == 0 || !*it || !(*it)->Live(now))
+      continue;
+    const std::int64_t n = (*it)->Spend(request.account, rest);
+    if (n > 0)
+      receipt.valid_until = std::min(receipt.valid_until, (*it)->lease_until());
+    rest -= n;
+  }
+  CheckInvariant(rest == 0, "a host spends no more than it was granted",
+                 [&request] { return request.account.value(); });
+  return true;
+}
+
+SpendDecision HostBudget::Decline(MonoTime now,
+                                  const SpendRequest& request,
+                                  Demand& demand) {
+  SpendDecision decision;
+  const MonoTime dry =
+      current_ ? current_->dry_until(request.account) : MonoTime::min();
+  if (now < dry) {
+    decision.retry_after = dry - now;
+    return decision;
+  }
+  NoteWaiting(demand, request.tokens);
+  if (now - request.arrived < settings_.max_wait) {
+    decision.verdict = SpendVerdict::kWait;
+    return decision;
+  }
+  const std::int64_t rate =
+      std::max<std::int64_t>(1, demand.limit.tokens_per_second);
+  decision.retry_after =
+      std::chrono::milliseconds(1 + request.tokens * 1000 / rate);
+  return decision;
+}
+
+void HostBudget::NoteWaiting(Demand& demand, std::int64_t tokens) {
+  demand.waiting_smallest =
+      demand.waiting == 0 ? tokens : std::min(demand.waiting_smallest, tokens);
+  demand.waiting += tokens;
+  has_waiting_ = true;
+}
+
+std::vector<GrantNeed> HostBudget::Needs(MonoTime now) {
+  has_waiting_ = false;
+  std::vector<GrantNeed> needs;
+  needs.reserve(active_.size());
+  std::erase_if(active_, [&](const AccountId& id) {
+    Demand& demand = demands_.at(id);
+    needs.push_back(NeedOf(now, demand));
+    const GrantNeed& need = needs.back();
+    demand.active = need.wanted > 0 || need.urgent > 0;
+    return !demand.active;
+  });
+  return needs;
+}
+
+/// States the demand of one account and gives back what exceeds it.
+GrantNeed HostBudget::NeedOf(MonoTime now, Demand& demand) {
+  GrantNeed need;
+  need.account = demand.limit.account;
+  const double rate = DemandAt(now, demand);
+  const double horizon =
+      std::chrono::duration<double>(settings_.demand_horizon).count();
+  if (rate >= kLeastDemand)
+    need.wanted = std::min(static_cast<std::int64_t>(rate * horizon),
+                           demand.limit.burst_tokens);
+  need.urgent =
+      std::min(std::exchange(demand.waiting, 0), demand.limit.burst_tokens);
+  need.smallest = need.urgent > 0 ? demand.waiting_smallest : 0;
+  const std::int64_t held = current_->balance(need.account);
+  const std::int64_t wish = std::max(need.wanted, need.urgent);
+  const std::int64_t keep =
+      std::min(wish, current_->ceiling(need.account).value_or(wish));
+  if (held > keep + keep / 2)
+    current_->GiveBack(need.account, held - keep);
+  return need;
+}
+
+}  // namespace mangoport
--- /dev/null
+++ b/unittests/limits/budget_fleet.h
@@ -0,0 +1,481 @@
+#ifndef MANGOPORT_UNITTESTS_LIMITS_BUDGET_FLEET_H_
+#define MANGOPORT_UNITTESTS_LIMITS_BUDGET_FLEET_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "mangoport/limits/budget_dealer.h"
+#include "mangoport/limits/holder_lease.h"
+#include "mangoport/limits/host_budget.h"
+
+namespace mangoport {
+
+/// What the fakes of network, log and clocks do.
+struct FleetOptions {
+  int zones = 3;
+  int hosts_per_zone = 3;
+  BudgetSettings settings;
+  Duration step = std::chrono::milliseconds(1);
+  /// One way, within a zone and between zones; the log takes twice the latter.
+  Duration near_delay = std::chrono::milliseconds(1);
+  Duration far_delay = std::chrono::milliseconds(2);
+  double loss = 0;
+  double duplication = 0;
+  /// Messages that take up to `long_delay` more.
+  double delayed = 0;
+  Duration long_delay = std::chrono::milliseconds(400);
+  double lost_append_answers = 0;
+  /// Clocks start anywhere and run wrong by at most this part.
+  double drift = 0;
+};
+
+/// Hosts with their budgets, dealers and leases over a fake network and a fake
+/// log, driven by one true time. Holds no rule of its own.
+class BudgetFleet {
+ public:
+  using TrueTime = std::chrono::nanoseconds;
+
+  struct Waiting {
+    SpendRequest request;
+    std::uint64_t id = 0;
+  };
+
+  /// A charge of one request, as the outside world sees it.
+  struct Charge {
+    SpendReceipt receipt;
+    std::uint64_t id = 0;
+  };
+
+  struct Process {
+    int zone = 0;
+    int number = 0;
+    int run = 0;
+    bool up = false;
+    bool paused = false;
+    /// Cut off from the log alone.
+    bool log_cut = false;
+    MonoTime paused_at;
+    TrueTime resumes{0};
+    TrueTime starts{0};
+    double clock_rate = 1;
+    MonoTime clock_zero;
+    std::size_t config_version = 0;
+    std::unique_ptr<HostBudget> budget;
+    /// The stream `budget`, then the stream of this host's zone.
+    std::unique_ptr<HolderLease> leases[2];
+    std::unique_ptr<BudgetDealer> dealers[2];
+    std::size_t read[2] = {0, 0};
+    std::vector<Waiting> waiting;
+    std::deque<std::pair<int, std::string>> inbox;
+    std::string name;
+  };
+
+  BudgetFleet(const FleetOptions& options,
+              std::uint64_t seed,
+              std::vector<AccountLimit> limits)
+      : options_(options), random_(seed), logs_(options.zones + 1) {
+    configs_.push_back(std::move(limits));
+    cut_.assign(options.zones, false);
+    for (int zone = 0; zone < options.zones; ++zone) {
+      for (int i = 0; i < options.hosts_per_zone; ++i) {
+        Process& it = processes_.emplace_back();
+        it.zone = zone;
+        it.number = static_cast<int>(processes_.size()) - 1;
+        Start(it);
+      }
+    }
+  }
+
+  /// Called for each admitted and dispatched request with the true time.
+  std::function<void(Process&, const Charge&)> on_admitted;
+  /// Called when a request is refused for want of tokens.
+  std::function<void(Process&, const SpendRequest&)> on_refused;
+  /// Called when a host goes on after a pause, before anything else there,
+  /// with its clock at the start of the pause.
+  std::function<void(Process&, MonoTime)> on_resumed;
+  std::function<void(std::string)> on_event = [](const std::string&) {};
+
+  TrueTime now() const { return now_; }
+  std::deque<Process>& processes() { return processes_; }
+  std::mt19937_64& random() { return random_; }
+  std::uint64_t messages() const { return messages_; }
+  std::uint64_t message_bytes() const { return message_bytes_; }
+  std::size_t log_records() const {
+    std::size_t n = 0;
+    for (const auto& it : logs_)
+      n += it.size();
+    return n;
+  }
+  const std::vector<std::vector<AccountLimit>>& configs() const {
+    return configs_;
+  }
+
+  bool Chance(double part) {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < part;
+  }
+  std::uint64_t Pick(std::uint64_t n) { return random_() % n; }
+
+  /// One host's monotonic clock.
+  MonoTime ClockOf(const Process& it) const {
+    return it.clock_zero +
+           Duration(static_cast<std::int64_t>(
+               static_cast<double>(now_.count()) * it.clock_rate));
+  }
+
+  void Offer(Process& it, const AccountId& account, std::int64_t tokens) {
+    const SpendRequest request = {account, tokens, ClockOf(it), false};
+    Try(it, {request, ++next_id_}, ClockOf(it));
+  }
+
+  /// Tries one request with a time that was read before a pause.
+  void OfferWithOldTime(Process& it,
+                        const AccountId& account,
+                        std::int64_t tokens,
+                        MonoTime old) {
+    Try(it, {{account, tokens, old, false}, ++next_id_}, old);
+  }
+
+  void PublishLimits(std::vector<AccountLimit> limits) {
+    configs_.push_back(std::move(limits));
+  }
+  void SetCut(int zone, bool cut) { cut_[zone] = cut; }
+  void SetLogOut(bool out) { log_out_ = out; }
+  void Pause(Process& it, Duration time) {
+    it.paused = true;
+    it.paused_at = ClockOf(it);
+    it.resumes = now_ + time;
+  }
+  void Kill(Process& it, Duration down) {
+    it.up = it.paused = false;
+    it.starts = now_ + down;
+    it.inbox.clear();
+    it.waiting.clear();
+  }
+
+  /// A planned stop of the holders on this host, before it is killed.
+  void Release(Process& it) {
+    for (int level : {0, 1}) {
+      BudgetDealer& dealer = *it.dealers[level];
+      auto record = it.leases[level]->MakeRelease(ClockOf(it));
+      dealer.SetHeldUntil(MonoTime::min());
+      if (!record)
+        continue;
+      for (auto& reserve : dealer.ReservesToRecord(record->nonce()))
+        *record->add_reserves() = reserve;
+      Append(it, level, *record);
+    }
+  }
+
+  /// Passes one step of true time.
+  void Step() {
+    now_ += options_.step;
+    LandAppends();
+    Deliver();
+    for (Process& it : processes_) {
+      if (!it.up && now_ >= it.starts)
+        Start(it);
+      if (it.paused && now_ >= it.resumes) {
+        it.paused = false;
+        on_resumed(it, it.paused_at);
+      }
+      if (it.up && !it.paused)
+        Run(it);
+    }
+  }
+
+ private:
+  enum Kind { kRequest, kReplyToHost, kReplyToZone };
+  struct Message {
+    TrueTime at;
+    std::uint64_t order = 0;
+    int from = 0;
+    int to = 0;
+    int to_run = 0;
+    int kind = 0;
+    std::string bytes;
+    bool operator<(const Message& other) const {
+      return std::tie(at, order) > std::tie(other.at, other.order);
+    }
+  };
+  struct LateAppend {
+    TrueTime at;
+    int stream = 0;
+    wire::BudgetRecord record;
+  };
+
+  void Start(Process& it) {
+    it.up = true;
+    it.paused = false;
+    it.log_cut = false;
+    ++it.run;
+    it.name = "h" + std::to_string(it.number) + "/" + std::to_string(it.run);
+    it.clock_zero = MonoTime(std::chrono::seconds(1000 + Pick(1000000)));
+    it.clock_rate = 1 + options_.drift * std::uniform_real_distribution<double>(
+                                             -1, 1)(random_);
+    // Extremes are the cases that count.
+    if (options_.drift > 0 && Chance(0.8))
+      it.clock_rate = 1 + (Chance(0.5) ? options_.drift : -options_.drift);
+    const BudgetSettings& s = options_.settings;
+    it.budget = std::make_unique<HostBudget>(it.name, s);
+    it.leases[0] =
+        std::make_unique<HolderLease>(it.name, s, s.pool_holder_lease);
+    it.leases[1] =
+        std::make_unique<HolderLease>(it.name, s, s.floor_holder_lease);
+    it.dealers[0] = std::make_unique<BudgetDealer>(it.name + ":pool", s,
+                                                   s.zone_grant_lease);
+    it.dealers[1] = std::make_unique<BudgetDealer>(it.name + ":zone", s,
+                                                   s.host_grant_lease);
+    it.read[0] = it.read[1] = 0;
+    it.config_version = configs_.size() - 1;
+    ApplyConfig(it);
+  }
+
+  void ApplyConfig(Process& it) {
+    std::vector<AccountLimit> pool;
+    std::vector<AccountLimit> floor;
+    for (const AccountLimit& limit : configs_[it.config_version]) {
+      pool.push_back(SharedPool(limit, options_.settings));
+      floor.push_back(ZoneFloor(limit, options_.settings));
+    }
+    it.dealers[0]->SetLimits(ClockOf(it), pool);
+    it.dealers[1]->SetLimits(ClockOf(it), floor);
+    it.budget->SetLimits(configs_[it.config_version]);
+  }
+
+  void Run(Process& it) {
+    const bool log_reachable = !log_out_ && !cut_[it.zone] && !it.log_cut;
+    if (log_reachable && it.config_version + 1 < configs_.size() &&
+        Chance(0.02)) {
+      ++it.config_version;
+      ApplyConfig(it);
+    }
+    for (int level : {0, 1})
+      RunHolder(it, level, log_reachable);
+    ChooseDealer(it);
+    while (!it.inbox.empty()) {
+      const auto [kind, bytes] = std::move(it.inbox.front());
+      it.inbox.pop_front();
+      Receive(it, kind, bytes);
+    }
+    std::vector<Waiting> waiting = std::exchange(it.waiting, {});
+    for (Waiting& w : waiting) {
+      w.request.retried = true;
+      Try(it, w, ClockOf(it));
+    }
+    if (auto request = it.budget->MakeRequest(ClockOf(it)))
+      SendRequest(it, *request);
+    if (auto request = it.dealers[1]->MakeUplinkRequest(ClockOf(it)))
+      SendRequest(it, *request);
+  }
+
+  int LogOf(const Process& it, int level) const {
+    return level == 0 ? 0 : 1 + it.zone;
+  }
+  StreamId StreamOf(const Process& it, int level) const {
+    return StreamId("budget." + std::to_string(LogOf(it, level)));
+  }
+
+  void RunHolder(Process& it, int level, bool log_reachable) {
+    HolderLease& lease = *it.leases[level];
+    BudgetDealer& dealer = *it.dealers[level];
+    const auto& log = logs_[LogOf(it, level)];
+    if (log_reachable && Chance(0.3)) {
+      for (; it.read[level] < log.size(); ++it.read[level])
+        ReadRecord(it, level, log[it.read[level]]);
+      lease.OnCaughtUp(ClockOf(it));
+    }
+    dealer.SetHeldUntil(lease.held_until());
+    dealer.Tick(ClockOf(it));
+    const auto& pool_epoch = it.leases[0]->fold().epoch();
+    if (level == 1 && pool_epoch)
+      dealer.SetUplink(ClockOf(it), DealerId{StreamOf(it, 0), *pool_epoch});
+    if (auto record = lease.MakeRecord(ClockOf(it), dealer.wants_record())) {
+      if (record->kind() == wire::BudgetRecord::RENEWAL) {
+        for (auto& reserve : dealer.ReservesToRecord(record->nonce()))
+          *record->add_reserves() = reserve;
+      }
+      Append(it, level, *record);
+    }
+  }
+
+  void ReadRecord(Process& it, int level, const wire::BudgetRecord& record) {
+    HolderLease& lease = *it.leases[level];
+    BudgetDealer& dealer = *it.dealers[level];
+    const LogPosition position = {it.read[level], 0};
+    if (!lease.OnRecord(ClockOf(it), position, record) ||
+        record.holder() != it.name)
+      return;
+    if (record.kind() == wire::BudgetRecord::CLAIM) {
+      on_event(it.name + " holds " + std::to_string(LogOf(it, level)));
+      dealer.StartEpoch(ClockOf(it), {StreamOf(it, level), position},
+                        lease.fold().inheritance());
+    } else {
+      dealer.OnReservesRecorded(record.nonce());
+    }
+  }
+
+  /// The zone's dealer, or the shared pool's while the zone's is silent.
+  void ChooseDealer(Process& it) {
+    const MonoTime now = ClockOf(it);
+    const auto& zone = it.leases[1]->fold();
+    const auto& pool = it.leases[0]->fold();
+    const bool zone_alive = !zone.holder().empty() && Alive(zone.holder());
+    if (zone.epoch() && zone_alive)
+      it.budget->SetDealer(now, {StreamOf(it, 1), *zone.epoch()});
+    else if (pool.epoch())
+      it.budget->SetDealer(now, {StreamOf(it, 0), *pool.epoch()});
+  }
+
+  /// Stands for a connection that is refused or answers.
+  bool Alive(const std::string& name) const {
+    const Process* it = Find(name);
+    return it != nullptr && it->up;
+  }
+
+  const Process* Find(const std::string& name) const {
+    if (name.empty())
+      return nullptr;
+    const std::size_t n = std::stoul(name.substr(1));
+    return processes_[n].name == name ? &processes_[n] : nullptr;
+  }
+
+  void SendRequest(Process& it, const wire::BudgetRequest& request) {
+    const DealerId dealer = FromWire(request.dealer());
+    const int level = dealer.stream == StreamOf(it, 0) ? 0 : 1;
+    const auto& fold = it.leases[level]->fold();
+    if (fold.epoch() != dealer.epoch)
+      return;
+    const Process* holder = Find(fold.holder());
+    if (holder == nullptr)
+      return;
+    Send(it, *holder, kRequest, request.SerializeAsString());
+  }
+
+  void Send(const Process& from,
+            const Process& to,
+            int kind,
+            const std::string& bytes) {
+    ++messages_;
+    message_bytes_ += bytes.size();
+    if (Chance(options_.loss))
+      return;
+    const int copies = Chance(options_.duplication) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      Duration delay =
+          from.zone == to.zone ? options_.near_delay : options_.far_delay;
+      if (Chance(options_.delayed))
+        delay += Duration(static_cast<std::int64_t>(
+            Pick(static_cast<std::uint64_t>(options_.long_delay.count()))));
+      network_.push({now_ + delay, ++next_id_, from.number, to.number, to.run,
+                     kind, bytes});
+    }
+  }
+
+  void Deliver() {
+    while (!network_.empty() && network_.top().at <= now_) {
+      const Message message = network_.top();
+      network_.pop();
+      Process& to = processes_[message.to];
+      const Process& from = processes_[message.from];
+      const bool cut =
+          from.zone != to.zone && (cut_[from.zone] || cut_[to.zone]);
+      if (!cut && to.up && to.run == message.to_run)
+        to.inbox.emplace_back(message.kind | (message.from << 4),
+                              message.bytes);
+    }
+  }
+
+  void Receive(Process& it, int tag, const std::string& bytes) {
+    const int kind = tag & 15;
+    const Process& from = processes_[tag >> 4];
+    if (kind != kRequest) {
+      wire::BudgetReply reply;
+      reply.ParseFromString(bytes);
+      if (kind == kReplyToHost)
+        it.budget->OnReply(ClockOf(it), reply);
+      else
+        it.dealers[1]->OnUplinkReply(ClockOf(it), reply);
+      return;
+    }
+    wire::BudgetRequest request;
+    request.ParseFromString(bytes);
+    const bool from_zone = request.taker().find(":zone") != std::string::npos;
+    for (int level : {0, 1}) {
+      if (it.dealers[level]->id() != FromWire(request.dealer()))
+        continue;
+      if (auto reply = it.dealers[level]->OnRequest(ClockOf(it), request))
+        Send(it, from, from_zone ? kReplyToZone : kReplyToHost,
+             reply->SerializeAsString());
+    }
+  }
+
+  void Try(Process& it, Waiting waiting, MonoTime now) {
+    const SpendDecision decision = it.budget->TrySpend(now, waiting.request);
+    if (decision.verdict == SpendVerdict::kWait)
+      it.waiting.push_back(std::move(waiting));
+    else if (decision.verdict == SpendVerdict::kRefused)
+      on_refused(it, waiting.request);
+    else if (decision.verdict == SpendVerdict::kAdmitted &&
+             MayDispatch(decision.receipt, ClockOf(it)))
+      on_admitted(it, {decision.receipt, waiting.id});
+  }
+
+  void Append(const Process& it, int level, const wire::BudgetRecord& record) {
+    if (cut_[it.zone] || it.log_cut)
+      return;
+    if (log_out_) {
+      // The answer is lost; the record may still arrive, after the outage.
+      if (Chance(0.5))
+        late_.push_back(
+            {now_ + Duration(static_cast<std::int64_t>(Pick(2'000'000'000))),
+             LogOf(it, level), record});
+      return;
+    }
+    Duration delay = 2 * options_.far_delay;
+    if (Chance(options_.lost_append_answers))
+      delay += Duration(static_cast<std::int64_t>(Pick(1'500'000'000)));
+    late_.push_back({now_ + delay, LogOf(it, level), record});
+    if (Chance(options_.lost_append_answers))
+      late_.push_back({now_ + 2 * delay, LogOf(it, level), record});
+  }
+
+  void LandAppends() {
+    if (log_out_)
+      return;
+    std::erase_if(late_, [this](const LateAppend& it) {
+      if (it.at > now_)
+        return false;
+      logs_[it.stream].push_back(it.record);
+      return true;
+    });
+  }
+
+  FleetOptions options_;
+  std::mt19937_64 random_;
+  TrueTime now_{0};
+  std::uint64_t next_id_ = 0;
+  std::uint64_t messages_ = 0;
+  std::uint64_t message_bytes_ = 0;
+  std::deque<Process> processes_;
+  std::priority_queue<Message> network_;
+  std::vector<std::vector<wire::BudgetRecord>> logs_;
+  std::vector<LateAppend> late_;
+  std::vector<std::vector<AccountLimit>> configs_;
+  std::vector<bool> cut_;
+  bool log_out_ = false;
+};
+
+}  // namespace mangoport
+
+#endif  // MANGOPORT_UNITTESTS_LIMITS_BUDGET_FLEET_H_
--- /dev/null
+++ b/unittests/limits/limits_soak.cc
@@ -0,0 +1,616 @@
+// Drives hosts, dealers and leases through faults, and checks from outside that
+// each account's admitted tokens stay within burst + rate x time over every
+// interval.
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "mangoport/core/invariant.h"
+#include "unittests/limits/budget_fleet.h"
+#include "unittests/support/soak_main.h"
+
+namespace mangoport {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using TrueTime = BudgetFleet::TrueTime;
+
+double Seconds(TrueTime time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+/// Sees every admitted request with its true time. A leaky bucket that never
+/// falls below zero is the same as the bound over every interval.
+class Observer {
+ public:
+  /// The greatest limits that any process may still apply.
+  void SetLimit(const AccountId& account, double rate, double burst) {
+    Account& it = accounts_[account];
+    if (it.steps.empty())
+      it.level = burst;
+    if (it.steps.empty() || it.steps.back().rate != rate ||
+        it.steps.back().burst != burst)
+      it.steps.push_back({now_, rate, burst});
+  }
+
+  void SetNow(TrueTime now) { now_ = now; }
+
+  void Admit(const AccountId& account, std::uint64_t id, std::int64_t tokens) {
+    accounts_[account].spends.push_back({now_, id, tokens});
+  }
+
+  void Refund(const AccountId& account, std::uint64_t id, std::int64_t tokens) {
+    auto& spends = accounts_[account].spends;
+    for (auto it = spends.rbegin(); it != spends.rend(); ++it) {
+      if (it->id == id)
+        it->tokens -= tokens;
+    }
+  }
+
+  /// Checks all spends up to now, and that what could be spent in this instant
+  /// would still be within the bound.
+  void Check(const std::function<std::int64_t(const AccountId&)>& spendable) {
+    for (auto& [id, it] : accounts_)
+      CheckAccount(id, it, spendable(id));
+  }
+
+ private:
+  struct Spend {
+    TrueTime at;
+    std::uint64_t id = 0;
+    std::int64_t tokens = 0;
+  };
+  struct LimitStep {
+    TrueTime at;
+    double rate = 0;
+    double burst = 0;
+  };
+  struct Account {
+    double level = 0;
+    TrueTime level_at{0};
+    std::deque<Spend> spends;
+    std::deque<LimitStep> steps;
+  };
+
+  static void Fill(const Account& account,
+                   TrueTime& at,
+                   TrueTime to,
+                   double& level) {
+    for (std::size_t i = 0; i < account.steps.size(); ++i) {
+      const LimitStep& step = account.steps[i];
+      if (i > 0 && step.at > to)
+        break;
+      const TrueTime end =
+          i + 1 < account.steps.size() ? account.steps[i + 1].at : to;
+      const TrueTime until = std::min(end, to);
+      if (until < at)
+        continue;
+      level = std::min(step.burst, level + step.rate * Seconds(until - at));
+      at = until;
+    }
+  }
+
+  void CheckAccount(const AccountId& id,
+                    Account& account,
+                    std::int64_t spendable) {
+    double level = account.level;
+    TrueTime at = account.level_at;
+    // No refund comes later than this.
+    const TrueTime settled = now_ - seconds(6);
+    std::size_t done = 0;
+    for (const Spend& it : account.spends) {
+      Fill(account, at, it.at, level);
+      level -= static_cast<double>(it.tokens);
+      CheckInvariant(
+          level > -0.5, "no account gets more than its rate and burst", [&] {
+            return id.value() + ": over by " + std::to_string(-level) +
+                   " tokens at " + std::to_string(Seconds(it.at)) + " s";
+          });
+      if (it.at < settled) {
+        ++done;
+        account.level = level;
+        account.level_at = it.at;
+      }
+    }
+    Fill(account, at, now_, level);
+    CheckInvariant(static_cast<double>(spendable) <= level + 0.5,
+                   "the spendable sum stays within rate and burst", [&] {
+                     return id.value() + ": " + std::to_string(spendable) +
+                            " spendable of " + std::to_string(level);
+                   });
+    account.spends.erase(
+        account.spends.begin(),
+        account.spends.begin() + static_cast<std::ptrdiff_t>(done));
+    while (account.steps.size() > 1 && account.steps[1].at <= account.level_at)
+      account.steps.pop_front();
+  }
+
+  TrueTime now_{0};
+  std::map<AccountId, Account> accounts_;
+};
+
+/// Which faults one episode has, and how often.
+struct FaultMix {
+  bool cuts = false;
+  bool log_outages = false;
+  bool stops = false;
+  bool kills = false;
+  bool changes = false;
+  bool pauses = false;
+  bool log_cuts = false;
+  bool wide_drift = false;
+  /// Nothing but changes of the pool's holder, with time to fill up between.
+  bool successions = false;
+  std::uint64_t succession_kind = 0;
+  double faults_per_second = 0;
+  bool bad_network = false;
+};
+
+/// Few faults at a time show what many would hide.
+FaultMix PickMix(std::mt19937_64& random) {
+  const auto chance = [&random] { return random() % 2 == 0; };
+  FaultMix mix;
+  mix.cuts = chance();
+  mix.log_outages = chance();
+  mix.stops = chance();
+  mix.kills = chance();
+  mix.changes = chance() && chance();
+  mix.pauses = chance();
+  mix.log_cuts = chance();
+  mix.wide_drift = random() % 4 != 0;
+  mix.bad_network = chance();
+  constexpr double kRates[] = {0, 0.3, 1, 3};
+  mix.faults_per_second = kRates[random() % 4];
+  mix.successions = chance();
+  if (mix.successions) {
+    mix.bad_network = false;
+    mix.succession_kind = random() % 4;
+    mix.faults_per_second = 0.25;
+  }
+  return mix;
+}
+
+FleetOptions SoakFleet(const FaultMix& mix) {
+  FleetOptions options;
+  options.step = milliseconds(5);
+  options.near_delay = milliseconds(4);
+  options.far_delay = milliseconds(9);
+  if (mix.bad_network) {
+    options.loss = 0.03;
+    options.duplication = 0.03;
+    options.delayed = 0.03;
+    options.lost_append_answers = 0.1;
+  }
+  options.drift = mix.wide_drift ? 0.2 : 0.002;
+  BudgetSettings& s = options.settings;
+  s.pool_holder_lease = milliseconds(1000);
+  s.floor_holder_lease = milliseconds(2500);
+  s.holder_renew_interval = milliseconds(150);
+  s.host_grant_lease = milliseconds(400);
+  s.zone_grant_lease = milliseconds(1000);
+  s.max_clock_drift = options.drift;
+  s.floor_rate_part = 0.5;
+  s.floor_burst_part = 0.4;
+  s.max_wait = milliseconds(50);
+  s.ask_interval = milliseconds(5);
+  s.report_interval = milliseconds(60);
+  s.demand_horizon = milliseconds(400);
+  s.recent_refund_age = milliseconds(500);
+  s.old_refund_age = milliseconds(3000);
+  s.overflow_room_window = milliseconds(200);
+  s.recent_room_window = milliseconds(2200);
+  s.old_room_window = milliseconds(4700);
+  return options;
+}
+
+/// "flooding" always asks for several times its rate. Only "steady" and "quick"
+/// have refunds: lost ones leave a slack that would hide faults.
+std::vector<AccountLimit> FirstLimits() {
+  return {{AccountId("steady"), 2000, 3000},
+          {AccountId("light"), 20000, 3000},
+          {AccountId("quick"), 20000, 5000},
+          {AccountId("flooding"), 4000, 6000},
+          {AccountId("slow"), 800, 9000}};
+}
+
+/// A new fleet with one mix of faults.
+class Episode {
+ public:
+  Episode(const FaultMix& mix, std::uint64_t seed, SoakProgress& progress)
+      : mix_(mix),
+        options_(SoakFleet(mix)),
+        progress_(progress),
+        fleet_(options_, seed, FirstLimits()) {
+    fleet_.on_admitted = [this](auto& host, const auto& charge) {
+      OnAdmitted(host, charge);
+    };
+    fleet_.on_resumed = [this](auto& host, MonoTime paused_at) {
+      OnResumed(host, paused_at);
+    };
+    fleet_.on_refused = [this](auto&, const auto&) { ++refused_; };
+    fleet_.on_event = [this](std::string it) {
+      const bool pool = it.ends_with(" holds 0");
+      progress_.Note(std::move(it));
+      if (fleet_.Chance(0.5))
+        StartDrain(pool);
+      if (!pool || !std::exchange(kill_next_holder_, false))
+        return;
+      ends_.emplace(fleet_.now() + milliseconds(100 + fleet_.Pick(500)),
+                    [this] { KillPoolHolder(); });
+    };
+  }
+
+  /// One step of the soak is several of the fleet.
+  void Step() {
+    constexpr int kFleetSteps = 10;
+    for (int i = 0; i < kFleetSteps; ++i) {
+      fleet_.Step();
+      observer_.SetNow(fleet_.now());
+      TellLimits();
+      Demand();
+      RefundSome();
+      Faults();
+    }
+    observer_.Check([this](const AccountId& it) { return Spendable(it); });
+  }
+
+  std::uint64_t admitted() const { return admitted_; }
+  std::uint64_t refused() const { return refused_; }
+
+ private:
+  /// What hosts hold on live leases, and what holders could deal.
+  std::int64_t Spendable(const AccountId& account) {
+    std::int64_t n = 0;
+    for (BudgetFleet::Process& it : fleet_.processes()) {
+      if (!it.up)
+        continue;
+      const MonoTime now = fleet_.ClockOf(it);
+      n += it.budget->balance(now, account);
+      for (int level : {0, 1}) {
+        if (it.leases[level]->holds(now))
+          n += it.dealers[level]->free(now, account);
+      }
+    }
+    return n;
+  }
+
+  struct Open {
+    BudgetFleet::Process* host = nullptr;
+    int run = 0;
+    BudgetFleet::Charge charge;
+    TrueTime ends;
+  };
+
+  void OnAdmitted(BudgetFleet::Process& host,
+                  const BudgetFleet::Charge& charge) {
+    ++admitted_;
+    CheckInvariant(fleet_.ClockOf(host) < charge.receipt.valid_until,
+                   "no request is dispatched on a lapsed grant",
+                   [&host] { return host.name; });
+    observer_.Admit(charge.receipt.account, charge.id, charge.receipt.tokens);
+    const TrueTime length = milliseconds(fleet_.Pick(2500));
+    const std::string& account = charge.receipt.account.value();
+    const bool refunds = account == "steady" || account == "quick";
+    if (refunds && fleet_.Chance(0.7))
+      open_.push_back({&host, host.run, charge, fleet_.now() + length});
+  }
+
+  /// Until every process has applied a change, and its grants have passed, the
+  /// greater of old and new limits holds.
+  void TellLimits() {
+    std::size_t oldest = fleet_.configs().size() - 1;
+    for (const auto& it : fleet_.processes()) {
+      if (it.up)
+        oldest = std::min(oldest, it.config_version);
+    }
+    if (oldest != oldest_config_) {
+      drains_until_ = fleet_.now() + 3 * options_.settings.zone_grant_lease;
+      draining_config_ = std::min(draining_config_, oldest_config_);
+      oldest_config_ = oldest;
+    }
+    if (fleet_.now() >= drains_until_)
+      draining_config_ = oldest;
+    for (const AccountLimit& account : FirstLimits()) {
+      double rate = 0;
+      double burst = 0;
+      for (std::size_t v = draining_config_; v < fleet_.configs().size(); ++v) {
+        for (const AccountLimit& it : fleet_.configs()[v]) {
+          if (it.account != account.account)
+            continue;
+          if (v >= oldest)
+            rate = std::max(rate, static_cast<double>(it.tokens_per_second));
+          burst = std::max(burst, static_cast<double>(it.burst_tokens));
+        }
+      }
+      observer_.SetLimit(account.account, rate, burst);
+    }
+  }
+
+  void Demand() {
+    if (!mix_.successions && fleet_.Chance(0.3 * Seconds(options_.step)))
+      StartDrain();
+    if (fleet_.now() < drain_until_)
+      Drain();
+    for (const AccountLimit& it : fleet_.configs().back()) {
+      const std::int64_t most = it.burst_tokens / 8;
+      const double load = it.account.value() == "flooding" ? 5.0
+                          : it.account.value() == "light"  ? 0.1
+                          : it.account.value() == "slow"   ? 0.2
+                                                           : 0.6;
+      double n = load * static_cast<double>(it.tokens_per_second) *
+                 Seconds(options_.step) / (static_cast<double>(most) / 2);
+      for (; n >= 1 || (n > 0 && fleet_.Chance(n)); n -= 1) {
+        BudgetFleet::Process& host = PickHost();
+        const auto size = static_cast<std::int64_t>(
+            1 + fleet_.Pick(static_cast<std::uint64_t>(most)));
+        if (host.up && !host.paused)
+          fleet_.Offer(host, it.account, size);
+      }
+    }
+  }
+
+  /// Asks everywhere, in small requests, for all that there is: tokens that
+  /// exist twice then show.
+  void Drain() {
+    for (BudgetFleet::Process& host : fleet_.processes()) {
+      if (!host.up || host.paused)
+        continue;
+      for (const AccountLimit& it : fleet_.configs().back()) {
+        // The slow account needs long to fill up again.
+        if (it.account.value() != "slow" || drains_slow_)
+          fleet_.Offer(host, it.account, 1 + it.burst_tokens / 40);
+      }
+    }
+  }
+
+  void StartDrain(bool also_slow = false) {
+    drains_slow_ = also_slow || (drains_slow_ && fleet_.now() < drain_until_);
+    drain_until_ =
+        fleet_.now() + milliseconds((also_slow ? 500 : 50) + fleet_.Pick(400));
+  }
+
+  /// Most arrivals come to one host, which changes.
+  BudgetFleet::Process& PickHost() {
+    const std::size_t n = fleet_.processes().size();
+    const auto era = static_cast<std::size_t>(fleet_.now() / seconds(3));
+    if (fleet_.Chance(0.7))
+      return fleet_.processes()[era * 5 % n];
+    return fleet_.processes()[fleet_.Pick(n)];
+  }
+
+  void RefundSome() {
+    std::erase_if(open_, [this](Open& it) {
+      const bool alive = it.host->up && it.host->run == it.run;
+      if (!alive)
+        return true;
+      if (it.host->paused || fleet_.now() < it.ends)
+        return false;
+      SpendReceipt receipt = it.charge.receipt;
+      const std::int64_t unused = static_cast<std::int64_t>(
+          fleet_.Pick(static_cast<std::uint64_t>(receipt.tokens) + 1));
+      observer_.Refund(receipt.account, it.charge.id, unused);
+      it.host->budget->Refund(fleet_.ClockOf(*it.host), receipt, unused);
+      return true;
+    });
+  }
+
+  void Faults() {
+    for (auto it = ends_.begin();
+         it != ends_.end() && it->first <= fleet_.now(); it = ends_.erase(it))
+      it->second();
+    if (!fleet_.Chance(mix_.faults_per_second * Seconds(options_.step)))
+      return;
+    if (mix_.successions) {
+      EndPoolHolder();
+      return;
+    }
+    BudgetFleet::Process& host =
+        fleet_.Chance(0.7)
+            ? PickVictim()
+            : fleet_.processes()[fleet_.Pick(fleet_.processes().size())];
+    const Duration time = milliseconds(50 + fleet_.Pick(3000));
+    if (fleet_.Chance(0.5))
+      ends_.emplace(fleet_.now() + milliseconds(fleet_.Pick(1500)),
+                    [this] { StartDrain(); });
+    switch (fleet_.Pick(7)) {
+      case 0:
+        if (mix_.cuts)
+          Cut(static_cast<int>(fleet_.Pick(3)), time);
+        break;
+      case 1:
+        if (mix_.log_outages)
+          StopLog(time);
+        break;
+      case 2:
+        if (mix_.stops)
+          Stop(host, time / 8);
+        break;
+      case 3:
+        if (mix_.kills)
+          Kill(host, time / 4);
+        break;
+      case 4:
+        if (mix_.changes)
+          ChangeLimits();
+        break;
+      case 5:
+        if (mix_.log_cuts)
+          CutFromLog(host, time);
+        break;
+      default:
+        if (mix_.pauses)
+          PauseHost(host, time);
+    }
+  }
+
+  void Cut(int zone, Duration time) {
+    Note("cut zone " + std::to_string(zone));
+    fleet_.SetCut(zone, true);
+    ends_.emplace(fleet_.now() + time,
+                  [this, zone] { fleet_.SetCut(zone, false); });
+  }
+
+  void StopLog(Duration time) {
+    Note("log out");
+    fleet_.SetLogOut(true);
+    ends_.emplace(fleet_.now() + time, [this] { fleet_.SetLogOut(false); });
+  }
+
+  void EndPoolHolder() {
+    for (BudgetFleet::Process& it : fleet_.processes()) {
+      if (!it.up || !it.leases[0]->holds(fleet_.ClockOf(it)))
+        continue;
+      kill_next_holder_ = fleet_.Chance(0.5);
+      switch (mix_.succession_kind) {
+        case 0:
+          Stop(it, milliseconds(100));
+          break;
+        case 1:
+          Kill(it, milliseconds(100));
+          break;
+        case 2:
+          PauseHost(it, milliseconds(1000 + fleet_.Pick(1500)));
+          break;
+        default:
+          CutFromLog(it, milliseconds(3000));
+      }
+      return;
+    }
+  }
+
+  void KillPoolHolder() {
+    for (BudgetFleet::Process& it : fleet_.processes()) {
+      if (it.up && it.leases[0]->holds(fleet_.ClockOf(it)))
+        fleet_.Kill(it, milliseconds(100));
+    }
+  }
+
+  void CutFromLog(BudgetFleet::Process& host, Duration time) {
+    Note("cut " + host.name + " from the log");
+    host.log_cut = true;
+    // It still deals, but cannot say in the log what it dealt.
+    StartDrain(true);
+    ends_.emplace(fleet_.now() + time, [&host] { host.log_cut = false; });
+  }
+
+  void Stop(BudgetFleet::Process& host, Duration down) {
+    Note("release and stop " + host.name);
+    if (host.up && !host.paused)
+      fleet_.Release(host);
+    fleet_.Kill(host, down);
+  }
+
+  void Kill(BudgetFleet::Process& host, Duration down) {
+    Note("kill " + host.name);
+    fleet_.Kill(host, down);
+    // Its successor may die soon after it took over.
+    if (fleet_.Chance(0.5))
+      kill_next_holder_ = true;
+  }
+
+  /// Holders are hit more often than other hosts.
+  BudgetFleet::Process& PickVictim() {
+    const std::uint64_t level = fleet_.Pick(2);
+    const auto n = fleet_.processes().size();
+    const auto first = fleet_.Pick(n);
+    for (std::size_t i = 0; i < n; ++i) {
+      BudgetFleet::Process& it = fleet_.processes()[(first + i) % n];
+      if (it.up && it.leases[level]->holds(fleet_.ClockOf(it)))
+        return it;
+    }
+    return fleet_.processes()[first];
+  }
+
+  void PauseHost(BudgetFleet::Process& host, Duration time) {
+    if (!host.up || host.paused)
+      return;
+    Note("pause " + host.name + " for " +
+         std::to_string(time / milliseconds(1)) + " ms");
+    fleet_.Pause(host, time);
+  }
+
+  /// A thread that read the clock before the pause goes on after it.
+  void OnResumed(BudgetFleet::Process& host, MonoTime paused_at) {
+    if (fleet_.Chance(0.5))
+      StartDrain();
+    for (int i = 0; i < 20; ++i) {
+      for (const AccountLimit& limit : FirstLimits())
+        fleet_.OfferWithOldTime(host, limit.account, 10, paused_at);
+    }
+  }
+
+  void ChangeLimits() {
+    std::vector<AccountLimit> limits = FirstLimits();
+    for (AccountLimit& it : limits) {
+      const auto part = static_cast<std::int64_t>(1 + fleet_.Pick(4));
+      it.tokens_per_second = it.tokens_per_second * part / 4;
+      it.burst_tokens = it.burst_tokens * part / 4;
+    }
+    Note("publish limits");
+    fleet_.PublishLimits(limits);
+  }
+
+  void Note(std::string event) { progress_.Note(std::move(event)); }
+
+  FaultMix mix_;
+  FleetOptions options_;
+  SoakProgress& progress_;
+  BudgetFleet fleet_;
+  Observer observer_;
+  std::vector<Open> open_;
+  std::multimap<TrueTime, std::function<void()>> ends_;
+  std::size_t oldest_config_ = 0;
+  std::size_t draining_config_ = 0;
+  TrueTime drains_until_{0};
+  TrueTime drain_until_{0};
+  bool drains_slow_ = false;
+  bool kill_next_holder_ = false;
+  std::uint64_t admitted_ = 0;
+  std::uint64_t refused_ = 0;
+};
+
+void Run(const SoakOptions& options, SoakProgress& progress) {
+  constexpr std::uint64_t kEpisodeSteps = 250;
+  std::mt19937_64 random(options.seed);
+  std::unique_ptr<Episode> episode;
+  std::uint64_t admitted = 0;
+  std::uint64_t refused = 0;
+  for (progress.step = 0; progress.step < options.steps; ++progress.step) {
+    if (progress.step % kEpisodeSteps == 0)
+      episode = std::make_unique<Episode>(PickMix(random), random(), progress);
+    const std::uint64_t admitted_before = episode->admitted();
+    const std::uint64_t refused_before = episode->refused();
+    episode->Step();
+    admitted += episode->admitted() - admitted_before;
+    refused += episode->refused() - refused_before;
+  }
+  std::printf("admitted %llu requests, refused %llu\n",
+              static_cast<unsigned long long>(admitted),
+              static_cast<unsigned long long>(refused));
+  CheckInvariant(admitted > options.steps, "the fleet serves",
+                 [admitted] { return std::to_string(admitted); });
+}
+
+}  // namespace
+}  // namespace mangoport
+
+int main(int argc, char** argv) {
+  return mangoport::SoakMain(
+      argc, argv,
+      {"lease_not_checked_at_spend", "lease_not_checked_at_dispatch",
+       "burst_granted_at_takeover", "reserve_inherited_twice", "reserve_dealt",
+       "earlier_grants_not_waited_out", "dead_taker_returned_early",
+       "grant_outlives_uplink", "drift_ignored", "drift_ignored_in_refill",
+       "refund_after_expiry_credited", "credit_ignores_past_room",
+       "lowered_rate_not_applied", "superseded_holder_deals", "floor_lent"},
+      mangoport::Run);
+}
