Failure handling of a request from first attempt to whole answer

A request's attempts are now followed by one pure state machine: tokens are checked by request id and index before they are handed on, a silent attempt is dropped at its progress deadline and resumed elsewhere at the next token, retries and hedges draw on budgets per client account and host, and a final refusal says not_run only if no attempt can have run.

Requests that crash backend servers are found by what ran, unproven, on a server when it died. After one crash a request is a suspect and runs only on a server that it has claimed through the log; if that dies with nothing else unproven on it, the request is quarantined for an hour. Only the normalised text, model, adapter and account count, so that a repeat with other white space, case, request id or token limit is the same request. An edit of a quarantined request runs isolated, and look-alikes are served.

Found by the soak and mended: a stream that had run well in isolation was still counted as isolated; a caller that hangs up before the crash was not noticed, so an unproven request is followed for a second after its caller left; copies of one request at one host went to several servers; a hold, not a conviction, follows when two suspects share a crash. Tried and dropped: convicting on two crashes alone (bystanders of two poisonous requests were convicted), and clearing a suspect once it had made its first tokens (one that crashes later went free).

--- a/include/mangoport/routing/router.h
+++ b/include/mangoport/routing/router.h
@@ -25,7 +25,7 @@
   ServerHealth health;
   /// Time of the newest evidence that the server is leaving.
   std::optional<MonoTime> leaving_since;
-  /// Until then only an isolated request may start here.
+  /// Until then a suspect has this server for itself.
   MonoTime reserved_until;
   bool listed = true;
   /// Place on the hash rings of its models.
@@ -93,13 +93,19 @@
   /// Evidence from a peer or an operator that a server was leaving at `since`.
   void OnLeaving(MonoTime since, const ServerId& server);
 
-  /// Keeps new work away from `server`, but for isolated requests.
+  /// Keeps new work away from `server` while others can take it.
   void Reserve(const ServerId& server, MonoTime until);
+  void Unreserve(const ServerId& server);
 
   void OnReport(MonoTime now, const ServerReport& report);
 
   RouteChoice Choose(MonoTime now, const RouteRequest& request);
 
+  /// True if `server` may take this request now, whatever its health.
+  bool Accepts(MonoTime now,
+               const RouteRequest& request,
+               const ServerId& server) const;
+
   void OnDispatched(MonoTime now, const ServerId& server);
   void OnFirstToken(MonoTime now, const ServerId& server);
   /// `ran_for` is the time since dispatch; it teaches the service time.
@@ -127,6 +133,8 @@
     std::vector<ZoneRing> zones;
     std::uint64_t turn = 0;
   };
+  /// Which servers may be chosen; never one that is leaving.
+  enum class Pool { kFit, kReservedToo, kEjectedToo };
   struct Candidate {
     Slot slot = 0;
     double load = 0;
@@ -136,29 +144,29 @@
   bool MayChoose(MonoTime now,
                  const RouteRequest& request,
                  Slot slot,
-                 bool ignore_health) const;
+                 Pool pool) const;
   bool IsExcluded(const RouteRequest& request, Slot slot) const;
   /// Load over batch size.
   double RelativeLoad(MonoTime now, Slot slot) const;
   std::optional<Candidate> SampleTwo(MonoTime now,
                                      const RouteRequest& request,
                                      const Ring& ring,
-                                     bool ignore_health);
+                                     Pool pool);
   std::optional<Candidate> PickOne(MonoTime now,
                                    const RouteRequest& request,
                                    const Ring& ring,
-                                   bool ignore_health);
+                                   Pool pool);
   std::optional<Candidate> LeastOf(MonoTime now,
                                    const RouteRequest& request,
                                    const Ring& ring,
-                                   bool ignore_health) const;
+                                   Pool pool) const;
   std::optional<Candidate> AffinityIn(MonoTime now,
                                       const RouteRequest& request,
                                       const Ring& ring) const;
   std::optional<Candidate> ChooseInZones(MonoTime now,
                                          const RouteRequest& request,
                                          ModelEntry& entry,
-                                         bool ignore_health);
+                                         Pool pool);
   std::optional<Candidate> ChooseByBaseline(MonoTime now,
                                             const RouteRequest& request,
                                             ModelEntry& entry);
--- /dev/null
+++ b/lib/routing/request_supervisor.cc
@@ -0,0 +1,525 @@
+#include "mangoport/routing/request_supervisor.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "mangoport/core/invariant.h"
+#include "mangoport/core/mutant.h"
+
+namespace mangoport {
+namespace {
+
+constexpr Duration kRetryAfterFailure = std::chrono::seconds(1);
+/// An isolated run that must last to the end of the answer.
+constexpr Duration kLateIsolationLease = std::chrono::seconds(60);
+
+std::int64_t ToMillis(WallTime time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             time.time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+RequestSupervisor::RequestSupervisor(SupervisorSettings settings,
+                                     SupervisedRequest request)
+    : settings_(settings), request_(std::move(request)) {}
+
+SupervisorActions RequestSupervisor::Start(SupervisorStep step) {
+  SupervisorActions actions;
+  step.state.retries.OnRequest(step.now, request_.route.account);
+  step.state.hedges.OnRequest(step.now, request_.route.account);
+  TryToRun(step, actions);
+  return actions;
+}
+
+Verdict RequestSupervisor::JudgeNow(const SupervisorStep& step) const {
+  const QuarantineFold& fold = step.state.quarantine;
+  if (!fold.NeedsSketch(request_.fingerprint.account))
+    return Verdict{};
+  return fold.Judge(step.wall, request_.fingerprint, request_.sketch);
+}
+
+void RequestSupervisor::TryToRun(SupervisorStep& step,
+                                 SupervisorActions& actions) {
+  next_step_at_.reset();
+  const Verdict verdict = JudgeNow(step);
+  if (verdict.level == SuspicionLevel::kQuarantined &&
+      !MutantEnabled("quarantine_ignored")) {
+    Refuse(step, ErrorCode::kQuarantined,
+           "this request crashed backend servers", verdict.until - step.wall,
+           actions);
+    return;
+  }
+  if (verdict.level == SuspicionLevel::kHeld) {
+    Refuse(step, ErrorCode::kUnavailable,
+           "this request ran on backend servers that crashed",
+           verdict.until - step.wall, actions);
+    return;
+  }
+  if (verdict.level == SuspicionLevel::kSuspect &&
+      !MutantEnabled("suspects_share")) {
+    AskForIsolation(step, verdict.late, actions);
+    return;
+  }
+  if (FollowCopy(step, actions))
+    return;
+  Error refusal;
+  Duration retry_after{};
+  const std::optional<ServerId> server =
+      Pick(step, /*isolated=*/false, refusal, retry_after);
+  if (!server) {
+    Refuse(step, refusal.code, refusal.message, retry_after, actions);
+    return;
+  }
+  StartOn(step, *server, /*isolated=*/false, actions);
+}
+
+bool RequestSupervisor::FollowCopy(SupervisorStep& step,
+                                   SupervisorActions& actions) {
+  const std::optional<ServerId> server =
+      step.state.watch.RunningOn(request_.fingerprint);
+  const std::vector<ServerId>& failed = request_.route.excluded;
+  if (!server || MutantEnabled("copies_spread") ||
+      std::find(failed.begin(), failed.end(), *server) != failed.end())
+    return false;
+  if (step.state.router.Accepts(step.now, request_.route, *server)) {
+    StartOn(step, *server, /*isolated=*/false, actions);
+    return true;
+  }
+  if (!copy_wait_ends_at_)
+    copy_wait_ends_at_ = step.now + settings_.copy_patience;
+  if (step.now >= *copy_wait_ends_at_)
+    return false;
+  next_step_at_ = step.now + settings_.retry_backoff;
+  return true;
+}
+
+std::optional<ServerId> RequestSupervisor::Pick(SupervisorStep& step,
+                                                bool isolated,
+                                                Error& refusal,
+                                                Duration& retry_after) {
+  Router& router = step.state.router;
+  RouteRequest route = request_.route;
+  route.isolated = isolated;
+  if (attempts_started_ > 0)
+    route.deadline = request_.deadline;
+  RouteChoice choice = router.Choose(step.now, route);
+  if (!choice.server && !route.excluded.empty()) {
+    // Each server failed it once; a second try there beats none.
+    route.excluded.clear();
+    choice = router.Choose(step.now, route);
+  }
+  refusal = choice.refusal;
+  retry_after = choice.retry_after;
+  return choice.server;
+}
+
+void RequestSupervisor::StartOn(SupervisorStep& step,
+                                const ServerId& server,
+                                bool isolated,
+                                SupervisorActions& actions) {
+  CheckInvariant(!step.state.router.IsLeaving(server),
+                 "a leaving backend server gets no new work",
+                 [&server] { return "server " + server.value(); });
+  CheckInvariant(request_.repeatable || maybe_run_ == 0,
+                 "a request that may not be repeated is sent once",
+                 [this] { return request_.route.request.value(); });
+  Attempt attempt;
+  attempt.id = ++attempts_started_;
+  attempt.server = server;
+  attempt.started_at = step.now;
+  attempt.progress_due = step.now + settings_.first_token_timeout;
+  attempt.isolated = isolated;
+  attempt.ticket = step.state.watch.Begin(
+      step.now, {server, request_.fingerprint, request_.sketch, isolated});
+  ++maybe_run_;
+  step.state.router.OnDispatched(step.now, server);
+  actions.emplace_back(StartAttempt{.attempt = attempt.id,
+                                    .server = server,
+                                    .resume_from = delivered_,
+                                    .fresh_connection = fresh_connection_});
+  const bool may_hedge = request_.repeatable && !isolated && delivered_ == 0 &&
+                         live_.empty() &&
+                         settings_.hedge_after > Duration::zero();
+  hedge_at_ = may_hedge ? step.now + settings_.hedge_after : MonoTime::max();
+  live_.push_back(std::move(attempt));
+}
+
+void RequestSupervisor::AskForIsolation(SupervisorStep& step,
+                                        bool late,
+                                        SupervisorActions& actions) {
+  Error refusal;
+  Duration retry_after{};
+  const std::optional<ServerId> server =
+      Pick(step, /*isolated=*/true, refusal, retry_after);
+  if (!isolation_wanted_at_)
+    isolation_wanted_at_ = step.now;
+  if (!server) {
+    WaitForIsolation(step, actions);
+    return;
+  }
+  // Other suspects of this host look elsewhere while the claim is under way.
+  step.state.router.Reserve(
+      *server, step.now + settings_.claim_timeout + settings_.isolation_lead);
+  isolation_ = Isolation{.server = *server, .late = late};
+  next_step_at_ = step.now + settings_.claim_timeout;
+  actions.emplace_back(AskIsolation{
+      .server = *server,
+      .lease = late ? kLateIsolationLease : settings_.isolation_lease});
+}
+
+void RequestSupervisor::WaitForIsolation(SupervisorStep& step,
+                                         SupervisorActions& actions) {
+  if (step.now - *isolation_wanted_at_ < settings_.isolation_patience) {
+    next_step_at_ = step.now + settings_.isolation_lead;
+    return;
+  }
+  Refuse(step, ErrorCode::kUnavailable,
+         "this request ran on a backend server that crashed, and cannot be "
+         "isolated now",
+         kRetryAfterFailure, actions);
+}
+
+SupervisorActions RequestSupervisor::OnIsolation(SupervisorStep step,
+                                                 bool granted) {
+  SupervisorActions actions;
+  if (finished_ || !isolation_ || isolation_->granted)
+    return actions;
+  if (!granted) {
+    step.state.router.Unreserve(isolation_->server);
+    isolation_.reset();
+    WaitForIsolation(step, actions);
+    return actions;
+  }
+  isolation_->granted = true;
+  next_step_at_ = step.now + settings_.isolation_lead;
+  return actions;
+}
+
+void RequestSupervisor::RunIsolated(SupervisorStep& step,
+                                    SupervisorActions& actions) {
+  next_step_at_.reset();
+  const Verdict verdict = JudgeNow(step);
+  const bool usable = verdict.level <= SuspicionLevel::kSuspect &&
+                      !step.state.router.IsLeaving(isolation_->server);
+  if (usable) {
+    StartOn(step, isolation_->server, /*isolated=*/true, actions);
+    return;
+  }
+  CloseIsolation(step, /*survived=*/false, actions);
+  TryToRun(step, actions);
+}
+
+void RequestSupervisor::MaybeHedge(SupervisorStep& step,
+                                   SupervisorActions& actions) {
+  hedge_at_ = MonoTime::max();
+  if (live_.size() != 1 || delivered_ > 0 || !request_.repeatable)
+    return;
+  if (JudgeNow(step).level != SuspicionLevel::kClear)
+    return;
+  RouteRequest route = request_.route;
+  route.deadline = request_.deadline;
+  route.excluded.push_back(live_.front().server);
+  const RouteChoice choice = step.state.router.Choose(step.now, route);
+  if (!choice.server ||
+      !step.state.hedges.TryTake(step.now, request_.route.account))
+    return;
+  StartOn(step, *choice.server, /*isolated=*/false, actions);
+}
+
+RequestSupervisor::Attempt* RequestSupervisor::FindLive(std::uint32_t attempt) {
+  const auto it = std::find_if(
+      live_.begin(), live_.end(),
+      [attempt](const Attempt& live) { return live.id == attempt; });
+  return it == live_.end() ? nullptr : &*it;
+}
+
+SupervisorActions RequestSupervisor::OnToken(SupervisorStep step,
+                                             std::uint32_t attempt,
+                                             const RequestId& request,
+                                             std::uint32_t index,
+                                             std::string text) {
+  SupervisorActions actions;
+  Attempt* live = FindLive(attempt);
+  if (finished_ || live == nullptr)
+    return actions;
+  const bool mine = request == request_.route.request ||
+                    MutantEnabled("request_id_unchecked");
+  const bool next = index == delivered_ || MutantEnabled("index_unchecked");
+  if (!mine || !next) {
+    FailAttempt(step, attempt, AttemptOutcome::kInvalidAnswer, actions);
+    return actions;
+  }
+  CancelOthers(step, attempt, actions);
+  live = FindLive(attempt);
+  if (live->tokens == 0)
+    step.state.router.OnFirstToken(step.now, live->server);
+  ++live->tokens;
+  live->progress_due = step.now + settings_.between_tokens_timeout;
+  if (live->tokens == settings_.proven_tokens)
+    MarkProven(step, *live, actions);
+  ++delivered_;
+  hedge_at_ = MonoTime::max();
+  if (!abandoned_until_) {
+    actions.emplace_back(DeliverToken{.index = index, .text = std::move(text)});
+    return actions;
+  }
+  if (live->tokens >= settings_.proven_tokens)
+    Abandon(step, actions);
+  return actions;
+}
+
+void RequestSupervisor::MarkProven(SupervisorStep& step,
+                                   Attempt& attempt,
+                                   SupervisorActions& actions) {
+  const bool stays_isolated =
+      attempt.isolated && isolation_ && isolation_->late;
+  step.state.watch.MarkProven(step.now, attempt.ticket, stays_isolated);
+  if (stays_isolated)
+    return;
+  // It stays a suspect until it has run to its end.
+  if (attempt.isolated)
+    CloseIsolation(step, /*survived=*/false, actions);
+  attempt.isolated = false;
+}
+
+void RequestSupervisor::CloseIsolation(SupervisorStep& step,
+                                       bool survived,
+                                       SupervisorActions& actions) {
+  if (!isolation_)
+    return;
+  step.state.router.Unreserve(isolation_->server);
+  isolation_.reset();
+  actions.emplace_back(EndIsolation{.survived = survived});
+}
+
+SupervisorActions RequestSupervisor::OnFinal(SupervisorStep step,
+                                             std::uint32_t attempt,
+                                             const RequestId& request,
+                                             std::uint32_t tokens) {
+  SupervisorActions actions;
+  Attempt* live = FindLive(attempt);
+  if (finished_ || live == nullptr)
+    return actions;
+  const bool whole = tokens == delivered_ || MutantEnabled("count_unchecked");
+  if (request != request_.route.request || !whole) {
+    FailAttempt(step, attempt, AttemptOutcome::kInvalidAnswer, actions);
+    return actions;
+  }
+  CancelOthers(step, attempt, actions);
+  CloseAttempt(step, live_.front(), AttemptOutcome::kCompleted);
+  live_.clear();
+  CloseIsolation(step, /*survived=*/true, actions);
+  if (step.state.quarantine.Remembers(step.wall, request_.fingerprint)) {
+    step.state.quarantine.Clear(request_.fingerprint, step.wall);
+    actions.emplace_back(ClearSuspicion{});
+  }
+  finished_ = true;
+  if (!abandoned_until_)
+    actions.emplace_back(
+        FinishRequest{.complete = true, .error = {}, .tokens = delivered_});
+  return actions;
+}
+
+void RequestSupervisor::CloseAttempt(SupervisorStep& step,
+                                     const Attempt& attempt,
+                                     AttemptOutcome outcome) {
+  step.state.router.OnFinished(step.now, attempt.server, outcome,
+                               step.now - attempt.started_at);
+  if (outcome == AttemptOutcome::kCompleted || ProvesNotRun(outcome))
+    step.state.watch.Withdraw(attempt.ticket);
+  else
+    step.state.watch.End(step.now, attempt.ticket);
+  if (ProvesNotRun(outcome))
+    --maybe_run_;
+}
+
+void RequestSupervisor::CancelOthers(SupervisorStep& step,
+                                     std::uint32_t winner,
+                                     SupervisorActions& actions) {
+  for (const Attempt& it : live_) {
+    if (it.id == winner)
+      continue;
+    CloseAttempt(step, it, AttemptOutcome::kCancelled);
+    actions.emplace_back(CancelAttempt{.attempt = it.id, .server = it.server});
+  }
+  std::erase_if(live_, [winner](const Attempt& it) { return it.id != winner; });
+}
+
+SupervisorActions RequestSupervisor::OnAttemptFailed(SupervisorStep step,
+                                                     std::uint32_t attempt,
+                                                     AttemptOutcome outcome) {
+  SupervisorActions actions;
+  if (finished_ || FindLive(attempt) == nullptr)
+    return actions;
+  FailAttempt(step, attempt, outcome, actions);
+  return actions;
+}
+
+void RequestSupervisor::ReportDeath(SupervisorStep& step,
+                                    const ServerId& server,
+                                    SupervisorActions& actions) {
+  wire::CrashReport report;
+  report.set_server(server.value());
+  report.set_crashed_at_ms(ToMillis(step.wall));
+  for (wire::Suspect& it : step.state.watch.OnServerDied(step.now, server))
+    *report.add_suspects() = std::move(it);
+  if (report.suspects().empty())
+    return;
+  step.state.quarantine.MergeReport(report);
+  actions.emplace_back(SendCrashReport{std::move(report)});
+}
+
+void RequestSupervisor::FailAttempt(SupervisorStep& step,
+                                    std::uint32_t id,
+                                    AttemptOutcome outcome,
+                                    SupervisorActions& actions) {
+  const Attempt attempt = *FindLive(id);
+  std::erase_if(live_, [id](const Attempt& it) { return it.id == id; });
+  if (outcome == AttemptOutcome::kServerDied)
+    ReportDeath(step, attempt.server, actions);
+  CloseAttempt(step, attempt, outcome);
+  // A copy that finds the door shut may know before its original does.
+  const bool copy_died =
+      outcome == AttemptOutcome::kConnectFailed &&
+      step.state.watch.RunningOn(request_.fingerprint) == attempt.server;
+  if (copy_died)
+    ReportDeath(step, attempt.server, actions);
+  if (outcome == AttemptOutcome::kTimedOut ||
+      outcome == AttemptOutcome::kInvalidAnswer)
+    actions.emplace_back(CancelAttempt{
+        .attempt = id, .server = attempt.server, .drop_connection = true});
+  if (attempt.isolated)
+    CloseIsolation(step, /*survived=*/false, actions);
+  request_.route.excluded.push_back(attempt.server);
+  if (live_.empty())
+    Retry(step, outcome, actions);
+}
+
+void RequestSupervisor::Retry(SupervisorStep& step,
+                              AttemptOutcome outcome,
+                              SupervisorActions& actions) {
+  if (abandoned_until_) {
+    Abandon(step, actions);
+    return;
+  }
+  fresh_connection_ = true;
+  hedge_at_ = MonoTime::max();
+  const bool not_run = maybe_run_ == 0;
+  if (!request_.repeatable && !not_run && !MutantEnabled("repeats_anything")) {
+    Refuse(step, ErrorCode::kOutcomeUnknown,
+           "the backend server's answer was lost", Duration::zero(), actions);
+    return;
+  }
+  // A graceful leave is nobody's overload: it costs no budget.
+  const bool free = outcome == AttemptOutcome::kRefusedLeaving;
+  if (attempts_started_ >= settings_.max_attempts ||
+      (!free &&
+       !step.state.retries.TryTake(step.now, request_.route.account))) {
+    const bool busy = outcome == AttemptOutcome::kRefusedBusy;
+    Refuse(step, busy ? ErrorCode::kOverloaded : ErrorCode::kUnavailable,
+           busy ? "backend servers are full" : "backend servers failed",
+           kRetryAfterFailure, actions);
+    return;
+  }
+  next_step_at_ = step.now + settings_.retry_backoff *
+                                 (1 << std::min(attempts_started_ - 1, 4U));
+}
+
+void RequestSupervisor::Refuse(SupervisorStep& step,
+                               ErrorCode code,
+                               std::string message,
+                               Duration retry_after,
+                               SupervisorActions& actions) {
+  CancelOthers(step, /*winner=*/0, actions);
+  CloseIsolation(step, /*survived=*/false, actions);
+  finished_ = true;
+  next_step_at_.reset();
+  if (abandoned_until_)
+    return;
+  const bool not_run = maybe_run_ == 0 || MutantEnabled("not_run_untrue");
+  actions.emplace_back(FinishRequest{.complete = false,
+                                     .error = {.code = code,
+                                               .message = std::move(message),
+                                               .not_run = not_run},
+                                     .retry_after = retry_after,
+                                     .tokens = delivered_});
+}
+
+SupervisorActions RequestSupervisor::OnTimer(SupervisorStep step) {
+  SupervisorActions actions;
+  if (finished_)
+    return actions;
+  if (abandoned_until_ && step.now >= *abandoned_until_) {
+    Abandon(step, actions);
+    return actions;
+  }
+  if (step.now >= request_.deadline) {
+    Refuse(step, ErrorCode::kDeadlineExceeded, "the deadline has passed",
+           Duration::zero(), actions);
+    return actions;
+  }
+  const std::vector<Attempt> checked = live_;
+  for (const Attempt& it : checked) {
+    if (!finished_ && step.now >= it.progress_due)
+      FailAttempt(step, it.id, AttemptOutcome::kTimedOut, actions);
+  }
+  if (finished_)
+    return actions;
+  if (step.now >= hedge_at_)
+    MaybeHedge(step, actions);
+  if (!next_step_at_ || step.now < *next_step_at_)
+    return actions;
+  if (isolation_ && isolation_->granted) {
+    RunIsolated(step, actions);
+    return actions;
+  }
+  if (isolation_) {
+    CloseIsolation(step, /*survived=*/false, actions);
+    WaitForIsolation(step, actions);
+    return actions;
+  }
+  TryToRun(step, actions);
+  return actions;
+}
+
+SupervisorActions RequestSupervisor::OnCallerGone(SupervisorStep step) {
+  SupervisorActions actions;
+  if (finished_ || abandoned_until_)
+    return actions;
+  const auto unproven =
+      std::find_if(live_.begin(), live_.end(), [this](const Attempt& it) {
+        return it.tokens < settings_.proven_tokens;
+      });
+  if (unproven == live_.end() || MutantEnabled("hang_up_forgotten")) {
+    Abandon(step, actions);
+    return actions;
+  }
+  CancelOthers(step, unproven->id, actions);
+  next_step_at_.reset();
+  hedge_at_ = MonoTime::max();
+  abandoned_until_ = step.now + settings_.abandoned_linger;
+  return actions;
+}
+
+void RequestSupervisor::Abandon(SupervisorStep& step,
+                                SupervisorActions& actions) {
+  CancelOthers(step, /*winner=*/0, actions);
+  CloseIsolation(step, /*survived=*/false, actions);
+  next_step_at_.reset();
+  finished_ = true;
+}
+
+MonoTime RequestSupervisor::NextTimer() const {
+  MonoTime next = std::min(request_.deadline, hedge_at_);
+  if (abandoned_until_)
+    next = std::min(next, *abandoned_until_);
+  if (next_step_at_)
+    next = std::min(next, *next_step_at_);
+  for (const Attempt& it : live_)
+    next = std::min(next, it.progress_due);
+  return next;
+}
+
+}  // namespace mangoport
--- a/lib/routing/router.cc
+++ b/lib/routing/router.cc
@@ -108,9 +108,17 @@
 }
 
 void Router::Reserve(const ServerId& server, MonoTime until) {
+  const auto it = by_id_.find(server);
+  if (it == by_id_.end())
+    return;
+  MonoTime& known = slots_[it->second].reserved_until;
+  known = std::max(known, until);
+}
+
+void Router::Unreserve(const ServerId& server) {
   const auto it = by_id_.find(server);
   if (it != by_id_.end())
-    slots_[it->second].reserved_until = until;
+    slots_[it->second].reserved_until = MonoTime();
 }
 
 void Router::OnReport(MonoTime /*now*/, const ServerReport& report) {
@@ -129,13 +137,13 @@
 bool Router::MayChoose(MonoTime now,
                        const RouteRequest& request,
                        Slot slot,
-                       bool ignore_health) const {
+                       Pool pool) const {
   const BackendState& state = slots_[slot];
   if (state.leaving_since && !MutantEnabled("leaving_ignored"))
     return false;
-  if (now < state.reserved_until)
+  if (pool == Pool::kFit && now < state.reserved_until)
     return false;
-  if (!ignore_health && !state.health.MayServe(now))
+  if (pool != Pool::kEjectedToo && !state.health.MayServe(now))
     return false;
   return !IsExcluded(request, slot);
 }
@@ -148,18 +156,18 @@
 std::optional<Router::Candidate> Router::PickOne(MonoTime now,
                                                  const RouteRequest& request,
                                                  const Ring& ring,
-                                                 bool ignore_health) {
+                                                 Pool pool) {
   if (ring.empty())
     return std::nullopt;
   for (int i = 0; i < kDraws; ++i) {
     const Slot slot = ring[random_() % ring.size()];
-    if (MayChoose(now, request, slot, ignore_health))
+    if (MayChoose(now, request, slot, pool))
       return Candidate{slot, RelativeLoad(now, slot)};
   }
   const std::size_t start = random_() % ring.size();
   for (std::size_t i = 0; i < ring.size(); ++i) {
     const Slot slot = ring[(start + i) % ring.size()];
-    if (MayChoose(now, request, slot, ignore_health))
+    if (MayChoose(now, request, slot, pool))
       return Candidate{slot, RelativeLoad(now, slot)};
   }
   return std::nullopt;
@@ -168,23 +176,21 @@
 std::optional<Router::Candidate> Router::SampleTwo(MonoTime now,
                                                    const RouteRequest& request,
                                                    const Ring& ring,
-                                                   bool ignore_health) {
-  const std::optional<Candidate> first =
-      PickOne(now, request, ring, ignore_health);
+                                                   Pool pool) {
+  const std::optional<Candidate> first = PickOne(now, request, ring, pool);
   if (!first)
     return std::nullopt;
-  const std::optional<Candidate> second =
-      PickOne(now, request, ring, ignore_health);
+  const std::optional<Candidate> second = PickOne(now, request, ring, pool);
   return second->load < first->load ? second : first;
 }
 
 std::optional<Router::Candidate> Router::LeastOf(MonoTime now,
                                                  const RouteRequest& request,
                                                  const Ring& ring,
-                                                 bool ignore_health) const {
+                                                 Pool pool) const {
   std::optional<Candidate> best;
   for (const Slot slot : ring) {
-    if (!MayChoose(now, request, slot, ignore_health))
+    if (!MayChoose(now, request, slot, pool))
       continue;
     const double load = slots_[slot].load.own_outstanding();
     if (!best || load < best->load)
@@ -206,7 +212,7 @@
   const std::size_t start = from - ring.begin();
   for (std::size_t i = 0; i < std::min(kRingSteps, ring.size()); ++i) {
     const Slot slot = ring[(start + i) % ring.size()];
-    if (MayChoose(now, request, slot, /*ignore_health=*/false))
+    if (MayChoose(now, request, slot, Pool::kFit))
       return Candidate{slot, RelativeLoad(now, slot)};
   }
   return std::nullopt;
@@ -238,7 +244,7 @@
   std::optional<Candidate> best;
   for (const Slot slot : holders->second) {
     const ServerSpec& spec = slots_[slot].spec;
-    if (spec.zone != zone || !MayChoose(now, request, slot, false) ||
+    if (spec.zone != zone || !MayChoose(now, request, slot, Pool::kFit) ||
         std::find(spec.models.begin(), spec.models.end(), request.model) ==
             spec.models.end())
       continue;
@@ -253,12 +259,12 @@
     MonoTime now,
     const RouteRequest& request,
     ModelEntry& entry,
-    bool ignore_health) {
+    Pool pool) {
   std::optional<Candidate> best;
   for (const ZoneRing& it : entry.zones) {
     if (it.zone != request.own_zone)
       continue;
-    best = SampleTwo(now, request, it.ring, ignore_health);
+    best = SampleTwo(now, request, it.ring, pool);
     if (best)
       best = PreferAffinity(now, request, it.ring, *best);
   }
@@ -268,7 +274,7 @@
     if (it.zone == request.own_zone)
       continue;
     const std::optional<Candidate> other =
-        SampleTwo(now, request, it.ring, ignore_health);
+        SampleTwo(now, request, it.ring, pool);
     if (other && (!best || other->load + kZonePenalty < best->load))
       best = PreferAffinity(now, request, it.ring, *other);
   }
@@ -283,12 +289,12 @@
   for (const ZoneRing& it : entry.zones)
     all.insert(all.end(), it.ring.begin(), it.ring.end());
   if (settings_.policy == RoutingPolicy::kLeastOutstanding)
-    return LeastOf(now, request, all, /*ignore_health=*/true);
+    return LeastOf(now, request, all, Pool::kEjectedToo);
   if (settings_.policy == RoutingPolicy::kRandom)
-    return PickOne(now, request, all, /*ignore_health=*/true);
+    return PickOne(now, request, all, Pool::kEjectedToo);
   for (std::size_t i = 0; i < all.size(); ++i) {
     const Slot slot = all[entry.turn++ % all.size()];
-    if (MayChoose(now, request, slot, /*ignore_health=*/true))
+    if (MayChoose(now, request, slot, Pool::kEjectedToo))
       return Candidate{slot, RelativeLoad(now, slot)};
   }
   return std::nullopt;
@@ -312,14 +318,22 @@
     return choice;
   }
   std::optional<Candidate> best;
-  if (settings_.policy != RoutingPolicy::kMangoport) {
+  if (request.isolated) {
+    for (const ZoneRing& it : entry->second.zones) {
+      const auto sampled = SampleTwo(now, request, it.ring, Pool::kFit);
+      if (sampled && (!best || sampled->load < best->load))
+        best = sampled;
+    }
+  } else if (settings_.policy != RoutingPolicy::kMangoport) {
     best = ChooseByBaseline(now, request, entry->second);
   } else {
-    best = ChooseInZones(now, request, entry->second, /*ignore_health=*/false);
+    best = ChooseInZones(now, request, entry->second, Pool::kFit);
+    if (!best)
+      best = ChooseInZones(now, request, entry->second, Pool::kReservedToo);
     // The floor under ejection: with every server ejected the likeliest fault
     // is on our side, so that all of them are tried again.
     if (!best && !MutantEnabled("ejection_empties_pool"))
-      best = ChooseInZones(now, request, entry->second, /*ignore_health=*/true);
+      best = ChooseInZones(now, request, entry->second, Pool::kEjectedToo);
   }
   if (!best) {
     choice.refusal =
@@ -340,6 +354,17 @@
   return choice;
 }
 
+bool Router::Accepts(MonoTime now,
+                     const RouteRequest& request,
+                     const ServerId& server) const {
+  const auto it = by_id_.find(server);
+  if (it == by_id_.end() || !slots_[it->second].listed)
+    return false;
+  const BackendState& state = slots_[it->second];
+  return now >= state.reserved_until &&
+         MayChoose(now, request, it->second, Pool::kEjectedToo);
+}
+
 void Router::OnDispatched(MonoTime now, const ServerId& server) {
   const auto it = by_id_.find(server);
   if (it == by_id_.end())
