--- a/lib/entryhost/config_service.cc
+++ b/lib/entryhost/config_service.cc
@@ -112,6 +112,12 @@
     RaiseEvidence(asked_at);
   if (status == FoldStatus::kCurrent)
     ready_.store(true);
+  {
+    // Only a page of the log tells how much the log still keeps.
+    const std::lock_guard lock(mutex_);
+    MaybeWriteSnapshotLocked(std::chrono::steady_clock::now(),
+                             page.first_retained);
+  }
   const std::lock_guard lock(observer_mutex_);
   if (page_observer_)
     page_observer_(asked_at, page);
@@ -128,8 +134,6 @@
     verdicts = fold_.TakeVerdicts();
     changed = fold_.view() != view();
     PublishLocked();
-    MaybeWriteSnapshotLocked(std::chrono::steady_clock::now(),
-                             page.first_retained);
   }
   if (changed)
     on_change_(*view());
--- a/unittests/process/peer_exchange_test.cc
+++ b/unittests/process/peer_exchange_test.cc
@@ -10,7 +10,6 @@
 #include <criterion/criterion.h>
 #include <nlohmann/json.hpp>
 
-#include "mangoport/adapters/json.h"
 #include "unittests/support/deployment.h"
 #include "unittests/support/fleet.h"
 
@@ -33,7 +32,7 @@
 json PeersOf(const TestHost& host) {
   const TestReply reply =
       HttpGet(host.operators, "/operator/v1/status", kOperator);
-  const json status = ParseJson(reply.body);
+  const json status = json::parse(reply.body, nullptr, false);
   return status.is_object() ? status.value("peers", json::object())
                             : json::object();
 }
