A refusal before the claim does not say "not run" of a named request

Cause: a payout whose answer was lost and whose key was then withdrawn was refused with 401 and "not_run": true, although it had run. Any refusal before the claim (key, access, length) spoke only of its own copy.

Now a request with an Idempotency-Key on a route that is not idempotent is told "not_run": false until its claim decides (once_process_test, the stranger's 401). The key's longest length is 200 bytes in both places that check it.

--- a/include/mangoport/once/claim_key.h
+++ b/include/mangoport/once/claim_key.h
@@ -60,7 +60,7 @@
 std::optional<WallTime> KeyCreatedAt(std::string_view idempotency_key);
 
 /// Longest idempotency key taken, in bytes.
-inline constexpr std::size_t kMaxIdempotencyKeyBytes = 255;
+inline constexpr std::size_t kMaxIdempotencyKeyBytes = 200;
 
 /// True if the key is not empty, not too long and of printable ASCII.
 bool IsValidIdempotencyKey(std::string_view idempotency_key);
--- a/lib/entryhost/caller_api.cc
+++ b/lib/entryhost/caller_api.cc
@@ -56,6 +56,9 @@
   std::string surface;
   Identity identity;
   RequestTracker::Scope scope;
+  /// The caller names a request that an earlier copy may have run already, so
+  /// a refusal of this copy says nothing of whether it ran.
+  bool may_be_repeat = false;
 };
 
 }  // namespace
@@ -233,18 +236,17 @@
 }
 
 Exchange CallerApi::State::Begin(const char* surface) {
-  return {names.Next(),
-          steady_clock::now(),
-          surface,
-          {},
-          services.tracker->Begin()};
+  return {names.Next(), steady_clock::now(),       surface,
+          {},           services.tracker->Begin(), false};
 }
 
 void CallerApi::State::Refuse(const Exchange& exchange,
                               const Error& error,
                               Duration retry_after,
                               httplib::Response& response) {
-  SetError(response, exchange.request, error, retry_after);
+  Error told = error;
+  told.not_run = error.not_run && !exchange.may_be_repeat;
+  SetError(response, exchange.request, told, retry_after);
   services.metrics->CountRequest(exchange.identity.account, exchange.surface,
                                  ErrorCodeName(error.code));
   AuditEvent event;
@@ -425,6 +427,8 @@
   response.set_header("X-Request-Id", exchange.request.value());
   const std::shared_ptr<const ConfigView> view = services.config->view();
   const wire::RouteConfig* route = view->FindRoute(request.path);
+  exchange.may_be_repeat =
+      request.has_header("Idempotency-Key") && !(route && route->idempotent());
   if (!route) {
     return Refuse(
         exchange,
@@ -460,6 +464,8 @@
                   Duration::zero(), response);
   }
   const PlainAnswer answer = services.run_plain(call);
+  // From here on the answer speaks of the key and not only of this copy.
+  exchange.may_be_repeat = false;
   if (!answer.answered)
     return Refuse(exchange, answer.error, Duration::zero(), response);
   response.status = answer.http_status;
--- a/lib/once/once_answer.cc
+++ b/lib/once/once_answer.cc
@@ -69,7 +69,7 @@
 
 Error MissingKeyError() {
   return {ErrorCode::kInvalidRequest,
-          "this route needs an Idempotency-Key header of 1 to 255 printable "
+          "this route needs an Idempotency-Key header of 1 to 200 printable "
           "ASCII characters",
           true};
 }
--- a/unittests/process/once_process_test.cc
+++ b/unittests/process/once_process_test.cc
@@ -110,6 +110,11 @@
     cr_assert_eq(it.body, stories[0].body);
   }
   cr_assert_eq(payouts.Runs("payout-1"), 1);
+  const TestReply stranger = HttpPost(
+      payouts.fleet().hosts()[0]->callers, "/calls/pay", "{}",
+      {{"Authorization", "Bearer none"}, {"Idempotency-Key", "payout-1"}});
+  cr_assert_eq(stranger.status, 401);
+  cr_assert(stranger.body.find(R"("not_run":false)") != std::string::npos);
   const Story other = payouts.Pay(1, "payout-1", "9000");
   cr_assert_eq(other.status, 409, "%s", other.body.c_str());
   cr_assert_eq(payouts.Runs("payout-1"), 1);
