--- a/include/mangoport/limits/budget_dealer.h
+++ b/include/mangoport/limits/budget_dealer.h
@@ -117,6 +117,7 @@
   struct Taker {
     std::uint64_t sequence = 0;
     MonoTime replied_at = MonoTime::min();
+    MonoTime listed_at = MonoTime::min();
     MonoTime expires_at = MonoTime::min();
     std::unordered_map<AccountId, Holding> holdings;
   };
@@ -163,7 +164,7 @@
                                          const AccountId& account,
                                          const Pool& pool,
                                          const Holding& holding) const;
-  void AddShortAccounts(MonoTime now, wire::BudgetReply& reply);
+  void AddShortAccounts(MonoTime now, Taker& taker, wire::BudgetReply& reply);
   GrantNeed UplinkNeed(MonoTime now, const AccountId& account, Pool& pool);
   std::int64_t HandOnOverflow(MonoTime now, Pool& pool);
   void CheckCovered(const AccountId& account, const Pool& pool) const;
@@ -180,7 +181,6 @@
   std::vector<AccountLimit> limits_;
   std::unordered_map<AccountId, Pool> pools_;
   std::unordered_map<std::string, Taker> takers_;
-  std::vector<AccountId> contested_;
   std::vector<AccountId> unmet_;
   std::optional<GrantTaker> uplink_;
   std::optional<DealerId> uplink_dealer_;
--- a/lib/limits/budget_dealer.cc
+++ b/lib/limits/budget_dealer.cc
@@ -17,6 +17,12 @@
 /// shared pool is short.
 constexpr Duration kHandOnTime = std::chrono::seconds(1);
 
+/// How often one taker hears which pools have room, how many it hears of, and
+/// from which part of the cap on room is worth naming.
+constexpr Duration kShortListInterval = std::chrono::milliseconds(250);
+constexpr int kMostShortAccounts = 64;
+constexpr std::int64_t kShortDivisor = 16;
+
 /// A request without an answer is given up after this.
 constexpr Duration kReplyTimeout = std::chrono::milliseconds(100);
 
@@ -77,7 +83,6 @@
   next_expiry_ = unknown_until_;
   pools_.clear();
   takers_.clear();
-  contested_.clear();
   unmet_.clear();
   for (const AccountLimit& it : limits_) {
     const std::int64_t cap = it.burst_tokens;
@@ -142,7 +147,7 @@
     *reply.add_grants() = MakeGrant(now, it, account, pool, holding);
     CheckCovered(account, pool);
   }
-  AddShortAccounts(now, reply);
+  AddShortAccounts(now, taker, reply);
   taker.sequence = request.sequence();
   taker.replied_at = now;
   const Duration counted =
@@ -489,8 +494,6 @@
         pool.unmet == 0 ? smallest : std::min(pool.unmet_smallest, smallest);
     pool.unmet += needed;
   }
-  if (now >= pool.contested_until)
-    contested_.push_back(account);
   pool.contested_until = now + kContestedTime;
   const std::int64_t free = Free(account, pool);
   if (free >= smallest) {
@@ -527,12 +530,25 @@
   return std::nullopt;
 }
 
-void BudgetDealer::AddShortAccounts(MonoTime now, wire::BudgetReply& reply) {
-  std::erase_if(contested_, [this, now](const AccountId& it) {
-    return now >= pools_.at(it).contested_until;
-  });
-  for (const AccountId& it : contested_)
-    reply.add_short_accounts(it.value());
+/// Names accounts whose pool has room, so that zones hand on what their full
+/// floors would throw away.
+void BudgetDealer::AddShortAccounts(MonoTime now,
+                                    Taker& taker,
+                                    wire::BudgetReply& reply) {
+  const bool due = taker.listed_at == MonoTime::min() ||
+                   now - taker.listed_at >= kShortListInterval;
+  if (uplink_dealer_ || !due)
+    return;
+  taker.listed_at = now;
+  for (auto& [id, pool] : pools_) {
+    pool.tokens.Accrue(now, settings_.max_clock_drift);
+    const std::int64_t cap = pool.tokens.limit().burst_tokens;
+    if (cap - pool.tokens.level() <= cap / kShortDivisor)
+      continue;
+    reply.add_short_accounts(id.value());
+    if (reply.short_accounts_size() == kMostShortAccounts)
+      return;
+  }
 }
 
 /// What to ask of the shared pool: for all accounts at a full report, between
