Callers' streams run under the request supervisor, and quarantine through the log

The caller path had its own attempt loop: no retry budget, no quarantine, and three attempts in all. Now the request supervisor decides and the stream only carries out; each attempt has a reading thread and all of them one inbox, so that hedges and late answers cannot cross. Crash reports and isolation claims travel in the log's stream "quarantine"; a broken stream whose engine no longer answers counts as that engine's death.

Found by the process test: five attempts in all gave up on a stream that six engines froze one after the other although each had made progress; only attempts without a token are counted now, the rest is bounded by the budget.

--- a/include/mangoport/entryhost/backend_directory.h
+++ b/include/mangoport/entryhost/backend_directory.h
@@ -1,6 +1,7 @@
 #ifndef MANGOPORT_ENTRYHOST_BACKEND_DIRECTORY_H_
 #define MANGOPORT_ENTRYHOST_BACKEND_DIRECTORY_H_
 
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -15,6 +16,7 @@
 #include "mangoport/ledger/config_view.h"
 #include "mangoport/ports/engine.h"
 #include "mangoport/ports/host_list.h"
+#include "mangoport/routing/request_supervisor.h"
 #include "mangoport/routing/router.h"
 #include "mangoport/settings/host_settings.h"
 
@@ -49,6 +51,9 @@
   /// Evidence that a server is leaving, from a peer or the server itself.
   void OnLeaving(MonoTime since, const ServerId& server);
 
+  /// One step of deciding, under the directory's lock; `step` must not block.
+  void WithRouting(const std::function<void(SupervisorStep)>& step);
+
   RouteChoice Choose(MonoTime now, RouteRequest request);
   void OnDispatched(MonoTime now, const ServerId& server);
   void OnFirstToken(MonoTime now, const ServerId& server);
@@ -57,6 +62,8 @@
                   AttemptOutcome outcome,
                   Duration ran_for);
 
+  const ZoneId& own_zone() const { return own_zone_; }
+
   std::optional<Endpoint> EndpointOf(const ServerId& server) const;
 
   /// The servers of a plain service that are not leaving, own zone first.
@@ -85,7 +92,8 @@
   ZoneId own_zone_;
   Duration report_interval_;
   mutable std::mutex mutex_;
-  Router router_;
+  RoutingState routing_;
+  Router& router_ = routing_.router;
   std::unordered_map<ServerId, Server> servers_;
   MonoTime list_as_of_;
   std::jthread thread_;
--- a/include/mangoport/entryhost/completion_stream.h
+++ b/include/mangoport/entryhost/completion_stream.h
@@ -2,18 +2,21 @@
 #define MANGOPORT_ENTRYHOST_COMPLETION_STREAM_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
+#include <unordered_map>
 
 #include "mangoport/core/error.h"
 #include "mangoport/core/ids.h"
 #include "mangoport/core/time.h"
+#include "mangoport/entryhost/attempt_inbox.h"
 #include "mangoport/entryhost/backend_directory.h"
-#include "mangoport/entryhost/event_channel.h"
+#include "mangoport/entryhost/quarantine_service.h"
 #include "mangoport/ports/engine.h"
+#include "mangoport/routing/request_supervisor.h"
 #include "mangoport/settings/host_settings.h"
 
 namespace mangoport {
@@ -48,21 +51,21 @@
 struct CompletionContext {
   std::shared_ptr<EngineClient> engines;
   BackendDirectory* backends = nullptr;
+  QuarantineService* quarantine = nullptr;
   HostMetrics* metrics = nullptr;
   BackendTimeouts timeouts;
 };
 
 /// One caller's answer, pulled token by token.
 ///
-/// The answer comes from one attempt at a time. An attempt that breaks off or
-/// goes silent is dropped and another engine goes on at the next token, so the
-/// caller gets every token once and in order, or an error. An answer is whole
-/// only if the engine's final event counts the tokens that were handed on.
+/// A `RequestSupervisor` decides; this class carries its actions out, with one
+/// reading thread per attempt, and hands the engines' events to it.
 class CompletionStream {
  public:
   CompletionStream(CompletionContext context, CompletionRequest request);
 
-  /// Cancels what is still running.
+  /// Cancels what is still running. Waits for a moment if the request could
+  /// still crash its backend server.
   ~CompletionStream();
 
   CompletionStream(const CompletionStream&) = delete;
@@ -71,26 +74,41 @@
   /// Waits for the next step. After an end or an error there is none.
   CompletionStep Next();
 
-  std::uint32_t tokens() const { return next_index_; }
+  std::uint32_t tokens() const { return supervisor_.delivered(); }
 
  private:
-  std::optional<CompletionStep> StartAttempt(MonoTime now);
-  std::optional<CompletionStep> TakeEvent(MonoTime now,
-                                          const TokenEvent& event);
-  void EndAttempt(MonoTime now, AttemptOutcome outcome);
-  CompletionStep Fail(ErrorCode code, std::string message);
-  MonoTime ProgressDeadline(MonoTime now) const;
+  using Decision = std::function<SupervisorActions(SupervisorStep)>;
+
+  void Decide(const Decision& decision);
+  /// Waits for one event or timer and decides on it.
+  void Advance();
+  bool AnswerClaim();
+  void OnEvent(std::uint32_t attempt, const TokenEvent& event);
+  void OnEnded(std::uint32_t attempt, const CompletionResult& result);
+  AttemptOutcome OutcomeOf(std::uint32_t attempt,
+                           const CompletionResult& result) const;
+
+  void Do(const StartAttempt& action);
+  void Do(const CancelAttempt& action);
+  void Do(const DeliverToken& action);
+  void Do(const AskIsolation& action);
+  void Do(const EndIsolation& action);
+  void Do(const ClearSuspicion& action);
+  void Do(const SendCrashReport& action);
+  void Do(const FinishRequest& action);
 
   CompletionContext context_;
   CompletionRequest request_;
-  std::shared_ptr<EventChannel> attempt_;
-  ServerId server_;
-  MonoTime attempt_started_;
-  std::uint32_t attempts_ = 0;
-  std::uint32_t next_index_ = 0;
-  /// True once an ended attempt may have run on a backend server.
-  bool may_have_run_ = false;
-  std::vector<ServerId> excluded_;
+  Fingerprint fingerprint_;
+  RequestSupervisor supervisor_;
+  /// Shared with reading threads, which may outlive the stream.
+  std::shared_ptr<AttemptInbox> inbox_ = std::make_shared<AttemptInbox>();
+  std::unordered_map<std::uint32_t, Endpoint> endpoints_;
+  std::deque<CompletionStep> steps_;
+  bool started_ = false;
+  /// The isolation claim asked for; zero if none is held or asked for.
+  std::uint64_t claim_ = 0;
+  bool claim_answered_ = false;
 };
 
 }  // namespace mangoport
--- a/include/mangoport/entryhost/log_appender.h
+++ b/include/mangoport/entryhost/log_appender.h
@@ -42,6 +42,7 @@
   void SetObserver(std::function<void(const AppendResult&)> observer);
 
   const StreamId& stream() const { return stream_; }
+  const WriterId& writer() const { return writer_.writer(); }
 
  private:
   struct Pending {
--- a/include/mangoport/routing/request_supervisor.h
+++ b/include/mangoport/routing/request_supervisor.h
@@ -40,6 +40,7 @@
   Duration retry_backoff = std::chrono::milliseconds(20);
   /// Tokens after which a request is an unlikely cause of a crash.
   std::uint32_t proven_tokens = 5;
+  /// Attempts in a row without a token; the retry budget bounds the others.
   std::uint32_t max_attempts = 5;
 };
 
@@ -248,6 +249,7 @@
   MonoTime hedge_at_ = MonoTime::max();
   std::uint32_t delivered_ = 0;
   std::uint32_t attempts_started_ = 0;
+  std::uint32_t fruitless_attempts_ = 0;
   /// Attempts of which it is not proven that nothing ran.
   std::uint32_t maybe_run_ = 0;
   bool fresh_connection_ = false;
--- a/lib/entryhost/backend_directory.cc
+++ b/lib/entryhost/backend_directory.cc
@@ -79,6 +79,13 @@
   router_.OnLeaving(since, server);
 }
 
+void BackendDirectory::WithRouting(
+    const std::function<void(SupervisorStep)>& step) {
+  const std::lock_guard lock(mutex_);
+  step({std::chrono::steady_clock::now(), std::chrono::system_clock::now(),
+        routing_});
+}
+
 RouteChoice BackendDirectory::Choose(MonoTime now, RouteRequest request) {
   const std::lock_guard lock(mutex_);
   request.own_zone = own_zone_;
--- a/lib/entryhost/completion_stream.cc
+++ b/lib/entryhost/completion_stream.cc
@@ -12,24 +12,10 @@
 
 using std::chrono::steady_clock;
 
-/// Attempts of one request, over all backend servers.
-constexpr std::uint32_t kMaxAttempts = 3;
-
-AttemptOutcome OutcomeOf(const CompletionResult& result) {
-  switch (result.status) {
-    case CompletionStatus::kComplete:
-      return AttemptOutcome::kCompleted;
-    case CompletionStatus::kNotSent:
-      return AttemptOutcome::kConnectFailed;
-    case CompletionStatus::kRefused:
-      return AttemptOutcome::kRefusedBusy;
-    case CompletionStatus::kBroken:
-      return AttemptOutcome::kConnectionLost;
-    case CompletionStatus::kCancelled:
-      return AttemptOutcome::kCancelled;
-  }
-  return AttemptOutcome::kConnectionLost;
-}
+/// Between two looks at whether an isolation claim was read back.
+constexpr Duration kClaimPoll = std::chrono::milliseconds(20);
+/// A server whose stream broke and that does not answer within this is dead.
+constexpr Duration kAliveProbe = std::chrono::milliseconds(300);
 
 std::string_view OutcomeName(AttemptOutcome outcome) {
   switch (outcome) {
@@ -55,87 +41,166 @@
   return "unknown";
 }
 
-/// Reads one engine's stream into the channel on a thread of its own. The
-/// thread ends by itself at the latest when the connection has been silent for
-/// the longer of the call's timeouts.
+/// Reads one engine's stream into the inbox on a thread of its own. The thread
+/// ends by itself at the latest when the connection has been silent for the
+/// longer of the call's timeouts.
 void StartReader(std::shared_ptr<EngineClient> engines,
                  Endpoint endpoint,
                  CompletionCall call,
-                 std::shared_ptr<EventChannel> channel) {
+                 std::shared_ptr<AttemptInbox> inbox,
+                 std::uint32_t attempt) {
   std::thread([engines = std::move(engines), endpoint = std::move(endpoint),
-               call = std::move(call), channel = std::move(channel)] {
-    channel->End(engines->Complete(
-        endpoint, call,
-        [&channel](const TokenEvent& event) { return channel->Push(event); }));
+               call = std::move(call), inbox = std::move(inbox), attempt] {
+    inbox->End(attempt,
+               engines->Complete(endpoint, call, [&](const TokenEvent& event) {
+                 return inbox->Push(attempt, event);
+               }));
   }).detach();
 }
 
+SupervisorSettings SettingsFrom(const BackendTimeouts& timeouts) {
+  SupervisorSettings settings;
+  settings.first_token_timeout = timeouts.first_token;
+  settings.between_tokens_timeout = timeouts.between_tokens;
+  return settings;
+}
+
+SupervisedRequest SupervisedFrom(const CompletionContext& context,
+                                 const CompletionRequest& request) {
+  SupervisedRequest supervised;
+  supervised.route.request = request.request;
+  supervised.route.account = request.account;
+  supervised.route.model = request.model;
+  supervised.route.adapter = request.adapter;
+  supervised.route.prefix_hash = request.prefix_hash;
+  supervised.route.own_zone = context.backends->own_zone();
+  supervised.route.deadline = request.deadline;
+  supervised.fingerprint = FingerprintOf(
+      {request.account, request.model, request.adapter, request.prompt});
+  supervised.sketch = SketchOf(request.prompt);
+  supervised.deadline = request.deadline;
+  return supervised;
+}
+
 }  // namespace
 
 CompletionStream::CompletionStream(CompletionContext context,
                                    CompletionRequest request)
-    : context_(std::move(context)), request_(std::move(request)) {}
+    : context_(std::move(context)),
+      request_(std::move(request)),
+      fingerprint_(FingerprintOf({request_.account, request_.model,
+                                  request_.adapter, request_.prompt})),
+      supervisor_(SettingsFrom(context_.timeouts),
+                  SupervisedFrom(context_, request_)) {}
 
 CompletionStream::~CompletionStream() {
-  if (attempt_)
-    EndAttempt(steady_clock::now(), AttemptOutcome::kCancelled);
+  if (!started_)
+    return;
+  Decide(
+      [this](SupervisorStep step) { return supervisor_.OnCallerGone(step); });
+  while (!supervisor_.finished())
+    Advance();
 }
 
 CompletionStep CompletionStream::Next() {
-  while (true) {
-    MonoTime now = steady_clock::now();
-    if (now >= request_.deadline) {
-      if (attempt_)
-        EndAttempt(now, AttemptOutcome::kTimedOut);
-      return Fail(ErrorCode::kDeadlineExceeded, "the request's time is over");
-    }
-    if (!attempt_) {
-      if (std::optional<CompletionStep> step = StartAttempt(now))
-        return *step;
-    }
-    const EventChannel::Item item = attempt_->WaitUntil(ProgressDeadline(now));
-    now = steady_clock::now();
-    if (item.status == EventChannel::WaitStatus::kTimeout) {
-      EndAttempt(now, AttemptOutcome::kTimedOut);
-      continue;
-    }
-    if (item.status == EventChannel::WaitStatus::kEnded) {
-      EndAttempt(now, OutcomeOf(item.result));
-      continue;
-    }
-    if (std::optional<CompletionStep> step = TakeEvent(now, item.event))
-      return *step;
+  if (!started_) {
+    started_ = true;
+    Decide([this](SupervisorStep step) { return supervisor_.Start(step); });
   }
+  while (steps_.empty())
+    Advance();
+  CompletionStep step = std::move(steps_.front());
+  steps_.pop_front();
+  return step;
+}
+
+void CompletionStream::Decide(const Decision& decision) {
+  SupervisorActions actions;
+  context_.backends->WithRouting(
+      [&](SupervisorStep step) { actions = decision(step); });
+  for (const SupervisorAction& it : actions)
+    std::visit([this](const auto& action) { Do(action); }, it);
+}
+
+void CompletionStream::Advance() {
+  const bool awaits_claim = claim_ != 0 && !claim_answered_;
+  if (awaits_claim && AnswerClaim())
+    return;
+  MonoTime wake = supervisor_.NextTimer();
+  if (awaits_claim)
+    wake = std::min(wake, steady_clock::now() + kClaimPoll);
+  const AttemptInbox::Item item = inbox_->WaitUntil(wake);
+  if (item.kind == AttemptInbox::Kind::kEvent)
+    return OnEvent(item.attempt, item.event);
+  if (item.kind == AttemptInbox::Kind::kEnded)
+    return OnEnded(item.attempt, item.result);
+  if (steady_clock::now() >= supervisor_.NextTimer())
+    Decide([this](SupervisorStep step) { return supervisor_.OnTimer(step); });
+}
+
+bool CompletionStream::AnswerClaim() {
+  const std::optional<bool> holds = context_.quarantine->ClaimAnswer(claim_);
+  if (!holds)
+    return false;
+  claim_answered_ = true;
+  Decide([this, granted = *holds](SupervisorStep step) {
+    return supervisor_.OnIsolation(step, granted);
+  });
+  return true;
 }
 
-std::optional<CompletionStep> CompletionStream::StartAttempt(MonoTime now) {
-  if (attempts_ >= kMaxAttempts)
-    return Fail(ErrorCode::kUnavailable,
-                "no backend server gave a whole answer");
-  RouteRequest route;
-  route.request = request_.request;
-  route.account = request_.account;
-  route.model = request_.model;
-  route.adapter = request_.adapter;
-  route.prefix_hash = request_.prefix_hash;
-  route.excluded = excluded_;
-  route.deadline = request_.deadline;
-  RouteChoice choice = context_.backends->Choose(now, route);
-  if (!choice.server && !excluded_.empty()) {
-    // A connection may have gone silent while new ones to the same server
-    // work, so a server that failed is better than none.
-    route.excluded.clear();
-    choice = context_.backends->Choose(now, route);
+void CompletionStream::OnEvent(std::uint32_t attempt, const TokenEvent& event) {
+  Decide([&](SupervisorStep step) {
+    return event.finished
+               ? supervisor_.OnFinal(step, attempt, event.request, event.tokens)
+               : supervisor_.OnToken(step, attempt, event.request, event.index,
+                                     event.text);
+  });
+  if (event.finished && supervisor_.finished()) {
+    inbox_->Close(attempt);
+    context_.metrics->CountAttempt(OutcomeName(AttemptOutcome::kCompleted));
   }
-  if (!choice.server) {
-    CompletionStep step = Fail(choice.refusal.code, choice.refusal.message);
-    step.retry_after = choice.retry_after;
-    return step;
+}
+
+void CompletionStream::OnEnded(std::uint32_t attempt,
+                               const CompletionResult& result) {
+  const AttemptOutcome outcome = OutcomeOf(attempt, result);
+  inbox_->Close(attempt);
+  context_.metrics->CountAttempt(OutcomeName(outcome));
+  Decide([&](SupervisorStep step) {
+    return supervisor_.OnAttemptFailed(step, attempt, outcome);
+  });
+}
+
+AttemptOutcome CompletionStream::OutcomeOf(
+    std::uint32_t attempt,
+    const CompletionResult& result) const {
+  switch (result.status) {
+    case CompletionStatus::kNotSent:
+      return AttemptOutcome::kConnectFailed;
+    case CompletionStatus::kRefused:
+      return AttemptOutcome::kRefusedBusy;
+    case CompletionStatus::kCancelled:
+      return AttemptOutcome::kCancelled;
+    case CompletionStatus::kComplete:
+    case CompletionStatus::kBroken:
+      break;
   }
+  const bool alive =
+      context_.engines->Report(endpoints_.at(attempt), kAliveProbe).has_value();
+  return alive ? AttemptOutcome::kConnectionLost : AttemptOutcome::kServerDied;
+}
+
+void CompletionStream::Do(const StartAttempt& action) {
+  inbox_->Open(action.attempt);
   const std::optional<Endpoint> endpoint =
-      context_.backends->EndpointOf(*choice.server);
-  if (!endpoint)
-    return Fail(ErrorCode::kUnavailable, "the chosen backend server is gone");
+      context_.backends->EndpointOf(action.server);
+  if (!endpoint) {
+    inbox_->End(action.attempt,
+                {CompletionStatus::kNotSent, "the backend server is gone"});
+    return;
+  }
+  endpoints_[action.attempt] = *endpoint;
   CompletionCall call;
   call.request = request_.request;
   call.model = request_.model;
@@ -143,61 +208,59 @@
   call.prompt = request_.prompt;
   call.max_tokens = request_.max_tokens;
   call.priority = request_.priority;
-  call.resume_from = next_index_;
+  call.resume_from = action.resume_from;
   call.connect_timeout = context_.timeouts.connect;
   call.first_token_timeout = context_.timeouts.first_token;
   call.between_tokens_timeout = context_.timeouts.between_tokens;
-  server_ = *choice.server;
-  ++attempts_;
-  attempt_started_ = now;
-  attempt_ = std::make_shared<EventChannel>();
-  context_.backends->OnDispatched(now, server_);
-  StartReader(context_.engines, *endpoint, std::move(call), attempt_);
-  return std::nullopt;
-}
-
-std::optional<CompletionStep> CompletionStream::TakeEvent(
-    MonoTime now,
-    const TokenEvent& event) {
-  const bool matches = event.request == request_.request &&
-                       (event.finished ? event.tokens == next_index_
-                                       : event.index == next_index_);
-  if (!matches) {
-    EndAttempt(now, AttemptOutcome::kInvalidAnswer);
-    return std::nullopt;
-  }
-  if (event.finished) {
-    EndAttempt(now, AttemptOutcome::kCompleted);
-    return CompletionStep{CompletionStep::Kind::kEnd, "", {}, {}};
-  }
-  if (next_index_ == 0)
-    context_.backends->OnFirstToken(now, server_);
-  ++next_index_;
-  return CompletionStep{CompletionStep::Kind::kToken, event.text, {}, {}};
+  StartReader(context_.engines, *endpoint, std::move(call), inbox_,
+              action.attempt);
 }
 
-void CompletionStream::EndAttempt(MonoTime now, AttemptOutcome outcome) {
-  attempt_->Abandon();
-  attempt_.reset();
-  context_.metrics->CountAttempt(OutcomeName(outcome));
-  context_.backends->OnFinished(now, server_, outcome, now - attempt_started_);
-  if (outcome == AttemptOutcome::kCompleted)
+void CompletionStream::Do(const CancelAttempt& action) {
+  inbox_->Close(action.attempt);
+  context_.metrics->CountAttempt(OutcomeName(action.drop_connection
+                                                 ? AttemptOutcome::kTimedOut
+                                                 : AttemptOutcome::kCancelled));
+  const auto endpoint = endpoints_.find(action.attempt);
+  if (endpoint == endpoints_.end())
     return;
-  may_have_run_ = may_have_run_ || !ProvesNotRun(outcome);
-  excluded_.push_back(server_);
+  // By its id, since the connection that carries the stream may be silent.
+  std::thread([engines = context_.engines, endpoint = endpoint->second,
+               request = request_.request] {
+    engines->Cancel(endpoint, request);
+  }).detach();
 }
 
-CompletionStep CompletionStream::Fail(ErrorCode code, std::string message) {
-  CompletionStep step;
-  step.kind = CompletionStep::Kind::kError;
-  step.error = {code, std::move(message), !may_have_run_};
-  return step;
+void CompletionStream::Do(const DeliverToken& action) {
+  steps_.push_back({CompletionStep::Kind::kToken, action.text, {}, {}});
+}
+
+void CompletionStream::Do(const AskIsolation& action) {
+  claim_ =
+      context_.quarantine->Claim(fingerprint_, action.server, action.lease);
+  claim_answered_ = false;
 }
 
-MonoTime CompletionStream::ProgressDeadline(MonoTime now) const {
-  const Duration silence = next_index_ == 0 ? context_.timeouts.first_token
-                                            : context_.timeouts.between_tokens;
-  return std::min(now + silence, request_.deadline);
+void CompletionStream::Do(const EndIsolation& action) {
+  context_.quarantine->End(fingerprint_, claim_, action.survived);
+  claim_ = 0;
+}
+
+void CompletionStream::Do(const ClearSuspicion& /*action*/) {
+  context_.quarantine->End(fingerprint_, /*number=*/0, /*survived=*/true);
+}
+
+void CompletionStream::Do(const SendCrashReport& action) {
+  context_.quarantine->Report(action.report);
+}
+
+void CompletionStream::Do(const FinishRequest& action) {
+  CompletionStep step;
+  step.kind = action.complete ? CompletionStep::Kind::kEnd
+                              : CompletionStep::Kind::kError;
+  step.error = action.error;
+  step.retry_after = action.retry_after;
+  steps_.push_back(std::move(step));
 }
 
 }  // namespace mangoport
--- a/lib/entryhost/entry_host.cc
+++ b/lib/entryhost/entry_host.cc
@@ -22,6 +22,7 @@
 #include "mangoport/entryhost/config_service.h"
 #include "mangoport/entryhost/operator_api.h"
 #include "mangoport/entryhost/plain_proxy.h"
+#include "mangoport/entryhost/quarantine_service.h"
 #include "mangoport/entryhost/request_tracker.h"
 #include "mangoport/metrics/host_metrics.h"
 
@@ -83,6 +84,7 @@
       MakeHttpPlainServiceClient();
   AuditTrail audit;
   BackendDirectory backends;
+  QuarantineService quarantine;
   PlainProxy plain;
   ConfigService config;
   OperatorApi operator_api;
@@ -100,6 +102,10 @@
                host_list.get(),
                settings.zone,
                settings.backends.report_interval),
+      quarantine(*log,
+                 NewWriter(settings.id, "quarantine"),
+                 settings.id,
+                 &backends),
       plain(plain_client, &backends, settings.backends),
       config(
           *log,
@@ -116,7 +122,8 @@
   services.audit = &audit;
   services.metrics = &metrics;
   services.tracker = &tracker;
-  services.completions = {engines, &backends, &metrics, settings.backends};
+  services.completions = {engines, &backends, &quarantine, &metrics,
+                          settings.backends};
   services.run_plain = [this](const PlainRequest& request) {
     return plain.Run(request);
   };
--- a/lib/routing/request_supervisor.cc
+++ b/lib/routing/request_supervisor.cc
@@ -134,6 +134,7 @@
   attempt.ticket = step.state.watch.Begin(
       step.now, {server, request_.fingerprint, request_.sketch, isolated});
   ++maybe_run_;
+  ++fruitless_attempts_;
   step.state.router.OnDispatched(step.now, server);
   actions.emplace_back(StartAttempt{.attempt = attempt.id,
                                     .server = server,
@@ -256,6 +257,7 @@
   if (live->tokens == 0)
     step.state.router.OnFirstToken(step.now, live->server);
   ++live->tokens;
+  fruitless_attempts_ = 0;
   live->progress_due = step.now + settings_.between_tokens_timeout;
   if (live->tokens == settings_.proven_tokens)
     MarkProven(step, *live, actions);
@@ -414,7 +416,7 @@
   }
   // A graceful leave is nobody's overload: it costs no budget.
   const bool free = outcome == AttemptOutcome::kRefusedLeaving;
-  if (attempts_started_ >= settings_.max_attempts ||
+  if (fruitless_attempts_ >= settings_.max_attempts ||
       (!free &&
        !step.state.retries.TryTake(step.now, request_.route.account))) {
     const bool busy = outcome == AttemptOutcome::kRefusedBusy;
@@ -424,7 +426,7 @@
     return;
   }
   next_step_at_ = step.now + settings_.retry_backoff *
-                                 (1 << std::min(attempts_started_ - 1, 4U));
+                                 (1 << std::min(fruitless_attempts_, 4U));
 }
 
 void RequestSupervisor::Refuse(SupervisorStep& step,
--- a/unittests/support/fleet.cc
+++ b/unittests/support/fleet.cc
@@ -163,6 +163,14 @@
   client.Put("/v1/hosts/" + host.id, entry.dump(), "application/json");
 }
 
+void Fleet::ListServer(const std::string& name,
+                       const std::string& zone,
+                       const std::string& state) {
+  const nlohmann::json entry = {{"zone", zone}, {"state", state}};
+  httplib::Client client("127.0.0.1", standin("hosts").port);
+  client.Put("/v1/servers/" + name, entry.dump(), "application/json");
+}
+
 TestHost& Fleet::host(const std::string& id) {
   for (const auto& it : hosts_) {
     if (it->id == id)
--- a/unittests/support/fleet.h
+++ b/unittests/support/fleet.h
@@ -78,6 +78,11 @@
   /// Sends a host's entry to the stand-in for the platform's host list.
   void ListHost(const TestHost& host, const std::string& state);
 
+  /// Sends a backend server's entry there.
+  void ListServer(const std::string& name,
+                  const std::string& zone,
+                  const std::string& state);
+
   TestHost& host(const std::string& id);
   TestStandin& standin(const std::string& name);
   const std::vector<std::unique_ptr<TestHost>>& hosts() const { return hosts_; }
