--- a/lib/placement/placement_controller.cc
+++ b/lib/placement/placement_controller.cc
@@ -33,6 +33,25 @@
              [&b](const PlacedItem& it) { return Contains(b.preloaded, it); });
 }
 
+/// What a report says of an order in flight, or UNSPECIFIED.
+wire::PlacementOutcomeKind OutcomeOf(const PlacementReport& report,
+                                     const RecordedOrder& order,
+                                     bool honours_fencing) {
+  const EngineOrderReport* listed = FindOrder(report, order.position);
+  if (listed == nullptr) {
+    const bool fenced =
+        honours_fencing && report.highest_epoch > FencingNumber(order.epoch);
+    return fenced ? wire::PLACEMENT_OUTCOME_KIND_FENCED
+                  : wire::PLACEMENT_OUTCOME_KIND_UNSPECIFIED;
+  }
+  if (listed->state == EngineOrderState::kFailed)
+    return wire::PLACEMENT_OUTCOME_KIND_FAILED;
+  const bool done = listed->state == EngineOrderState::kDone ||
+                    MutantEnabled("order_answer_taken_for_done");
+  return done ? wire::PLACEMENT_OUTCOME_KIND_DONE
+              : wire::PLACEMENT_OUTCOME_KIND_UNSPECIFIED;
+}
+
 }  // namespace
 
 PlacementController::PlacementController(PlacementConfig config, WriterId self)
@@ -134,18 +153,8 @@
                                         const PlacementReport& report,
                                         const RecordedOrder& order,
                                         PlacementActions& out) {
-  const EngineAccount* account = ledger_.Find(order.engine);
-  const EngineOrderReport* listed = FindOrder(report, order.position);
-  auto kind = wire::PLACEMENT_OUTCOME_KIND_UNSPECIFIED;
-  if (listed != nullptr && listed->state == EngineOrderState::kDone)
-    kind = wire::PLACEMENT_OUTCOME_KIND_DONE;
-  else if (listed != nullptr && listed->state == EngineOrderState::kFailed)
-    kind = wire::PLACEMENT_OUTCOME_KIND_FAILED;
-  else if (listed == nullptr && account->spec.honours_fencing &&
-           report.highest_epoch > FencingNumber(order.epoch))
-    kind = wire::PLACEMENT_OUTCOME_KIND_FENCED;
-  else if (MutantEnabled("order_answer_taken_for_done") && listed != nullptr)
-    kind = wire::PLACEMENT_OUTCOME_KIND_DONE;
+  const bool honours = ledger_.Find(order.engine)->spec.honours_fencing;
+  const wire::PlacementOutcomeKind kind = OutcomeOf(report, order, honours);
   if (kind == wire::PLACEMENT_OUTCOME_KIND_UNSPECIFIED)
     return;
   AppendOnce(now, "outcome " + ToString(order.position),
--- a/unittests/placement/placement_soak.cc
+++ b/unittests/placement/placement_soak.cc
@@ -538,7 +538,6 @@
   EngineLedger ledger_;
   RecordReader observer_;
   double load_level_ = 0;
-  unsigned long held_ = 0;
   std::uint64_t executed_ = 0;
 };
 
