--- a/include/mangoport/placement/planner.h
+++ b/include/mangoport/placement/planner.h
@@ -38,7 +38,7 @@
   /// Tokens a second that one engine produces with a full batch.
   double engine_tokens_per_second = 2000;
   /// Share of an engine's rate above which its models get further copies.
-  double high_water = 0.6;
+  double high_water = 0.8;
   /// Least difference in load between two engines, as a share of an engine's
   /// rate, for which a copy pays.
   double least_gain = 0.15;
