--- a/lib/entryhost/caller_api.cc
+++ b/lib/entryhost/caller_api.cc
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "caller_response.h"
+#include "lib/adapters/http_server.h"
 #include "mangoport/entryhost/access.h"
 #include "mangoport/entryhost/audit_trail.h"
 #include "mangoport/entryhost/config_service.h"
@@ -55,6 +56,9 @@
   std::string surface;
   Identity identity;
   RequestTracker::Scope scope;
+  /// The caller names a request that an earlier copy may have run already, so
+  /// a refusal of this copy says nothing of whether it ran.
+  bool may_be_repeat = false;
 };
 
 }  // namespace
@@ -174,20 +178,20 @@
   server.new_task_queue = [threads] {
     return new httplib::ThreadPool(threads);
   };
-  server.set_exception_handler([](const httplib::Request& /*request*/,
-                                  httplib::Response& response,
-                                  const std::exception_ptr& /*thrown*/) {
-    SetError(response, RequestId(),
+  server.set_exception_handler([this](const httplib::Request& /*request*/,
+                                      httplib::Response& response,
+                                      const std::exception_ptr& /*thrown*/) {
+    SetError(response, names.Next(),
              {ErrorCode::kInternal, "the request could not be handled", false},
              Duration::zero());
   });
-  server.set_error_handler([](const httplib::Request& /*request*/,
-                              httplib::Response& response) {
+  server.set_error_handler([this](const httplib::Request& /*request*/,
+                                  httplib::Response& response) {
     if (!response.body.empty())
       return;
     const bool large = response.status == 413;
     const int status = response.status;
-    SetError(response, RequestId(),
+    SetError(response, names.Next(),
              {large ? ErrorCode::kPayloadTooLarge : ErrorCode::kInvalidRequest,
               large ? "the body is too large"
                     : "the request is not valid HTTP for this path",
@@ -227,22 +231,22 @@
 }
 
 KeyEvidence CallerApi::State::Evidence() const {
-  return {services.config->evidence_time(), services.settings.max_staleness};
+  return {services.config->evidence_time(), services.settings.max_staleness,
+          services.config->withdrawn_keys()};
 }
 
 Exchange CallerApi::State::Begin(const char* surface) {
-  return {names.Next(),
-          steady_clock::now(),
-          surface,
-          {},
-          services.tracker->Begin()};
+  return {names.Next(), steady_clock::now(),       surface,
+          {},           services.tracker->Begin(), false};
 }
 
 void CallerApi::State::Refuse(const Exchange& exchange,
                               const Error& error,
                               Duration retry_after,
                               httplib::Response& response) {
-  SetError(response, exchange.request, error, retry_after);
+  Error told = error;
+  told.not_run = error.not_run && !exchange.may_be_repeat;
+  SetError(response, exchange.request, told, retry_after);
   services.metrics->CountRequest(exchange.identity.account, exchange.surface,
                                  ErrorCodeName(error.code));
   AuditEvent event;
@@ -305,7 +309,8 @@
     return Refuse(exchange, *error, Duration::zero(), response);
   auto completion = std::get<CallerCompletion>(std::move(parsed));
   const std::shared_ptr<const ConfigView> view = services.config->view();
-  const AccountPolicy* policy = view->FindAccount(exchange.identity.account);
+  const std::optional<AccountPolicy> policy =
+      view->FindAccount(exchange.identity.account);
   if (!policy) {
     return Refuse(exchange,
                   {ErrorCode::kForbidden, "the client account is closed", true},
@@ -402,9 +407,10 @@
   if (!Identify(request, exchange, response))
     return;
   const std::shared_ptr<const ConfigView> view = services.config->view();
-  const AccountPolicy* policy = view->FindAccount(exchange.identity.account);
+  const std::optional<AccountPolicy> policy =
+      view->FindAccount(exchange.identity.account);
   nlohmann::json data = nlohmann::json::array();
-  for (const wire::ModelConfig* it : view->models()) {
+  for (const wire::ModelConfig* it : view->Models()) {
     if (policy && policy->AllowsModel(it->name()))
       data.push_back({{"id", it->name()}, {"object", "model"}});
   }
@@ -421,6 +427,8 @@
   response.set_header("X-Request-Id", exchange.request.value());
   const std::shared_ptr<const ConfigView> view = services.config->view();
   const wire::RouteConfig* route = view->FindRoute(request.path);
+  exchange.may_be_repeat =
+      request.has_header("Idempotency-Key") && !(route && route->idempotent());
   if (!route) {
     return Refuse(
         exchange,
@@ -430,7 +438,8 @@
   if (!route->open()) {
     if (!Identify(request, exchange, response))
       return;
-    const AccountPolicy* policy = view->FindAccount(exchange.identity.account);
+    const std::optional<AccountPolicy> policy =
+        view->FindAccount(exchange.identity.account);
     if (!policy || !policy->AllowsRoute(route->path())) {
       return Refuse(exchange,
                     {ErrorCode::kForbidden,
@@ -455,6 +464,8 @@
                   Duration::zero(), response);
   }
   const PlainAnswer answer = services.run_plain(call);
+  // From here on the answer speaks of the key and not only of this copy.
+  exchange.may_be_repeat = false;
   if (!answer.answered)
     return Refuse(exchange, answer.error, Duration::zero(), response);
   response.status = answer.http_status;
@@ -477,16 +488,11 @@
 
 std::uint16_t CallerApi::Start() {
   const Endpoint& endpoint = state_->services.settings.callers;
-  int port = endpoint.port;
-  if (port == 0) {
-    port = state_->server.bind_to_any_port(endpoint.ip);
-  } else if (!state_->server.bind_to_port(endpoint.ip, port)) {
-    port = 0;
-  }
-  if (port <= 0)
+  const std::uint16_t port = BindServer(state_->server, endpoint);
+  if (port == 0)
     return 0;
   state_->thread = std::thread([this] { state_->server.listen_after_bind(); });
-  return static_cast<std::uint16_t>(port);
+  return port;
 }
 
 void CallerApi::Stop() {
--- a/lib/entryhost/config_service.cc
+++ b/lib/entryhost/config_service.cc
@@ -1,5 +1,6 @@
 #include "mangoport/entryhost/config_service.h"
 
+#include <algorithm>
 #include <chrono>
 #include <random>
 #include <utility>
@@ -9,10 +10,13 @@
 
 using std::chrono::milliseconds;
 
-/// A snapshot is written back once this many changes have been read since the
-/// last one. It must stay well below what the log keeps.
+/// A snapshot is written back once this many changes are covered by none.
 constexpr std::uint64_t kChangesPerSnapshot = 256;
 
+/// A log that drops entries early gets its snapshots when the changes that
+/// none covers fill this part of what it keeps.
+constexpr std::uint64_t kRetainedPart = 4;
+
 /// Every host may write the snapshot, since all of them would write the same.
 /// Each waits a random part of this first, and leaves it if another was there
 /// before.
@@ -34,6 +38,7 @@
                              OnVerdict on_verdict)
     : on_change_(std::move(on_change)),
       on_verdict_(std::move(on_verdict)),
+      withdrawn_keys_(std::make_shared<const KeySet>()),
       view_(fold_.view()),
       appender_(log, kConfigStream, std::move(writer)),
       follower_(
@@ -73,29 +78,68 @@
   return fold_.MakeSnapshot();
 }
 
+std::uint64_t ConfigService::read_from() const {
+  const std::lock_guard lock(mutex_);
+  return fold_.read_from();
+}
+
+void ConfigService::SetPageObserver(OnLogPage observer) {
+  const std::lock_guard lock(observer_mutex_);
+  page_observer_ = std::move(observer);
+}
+
+void ConfigService::SetWithdrawnKeys(KeySet keys) {
+  withdrawn_keys_.store(std::make_shared<const KeySet>(std::move(keys)),
+                        std::memory_order_release);
+}
+
+void ConfigService::Publish(const wire::ConfigChange& change) {
+  appender_.Append(wire::RECORD_KIND_CONFIG_CHANGE, change.SerializeAsString(),
+                   nullptr);
+}
+
+void ConfigService::ReadPeerEntries(std::uint64_t first_retained,
+                                    const std::vector<EntryView>& entries) {
+  Fold(first_retained, entries);
+}
+
 void ConfigService::OnPage(MonoTime asked_at, const LogPage& page) {
   std::vector<EntryView> entries;
   for (const LogEntry& it : page.entries)
     entries.push_back({it.offset, it.payload});
+  const FoldStatus status = Fold(page.first_retained, entries);
+  if (status == FoldStatus::kCurrent && page.entries.size() < kMaxPageEntries)
+    RaiseEvidence(asked_at);
+  if (status == FoldStatus::kCurrent)
+    ready_.store(true);
+  {
+    // Only a page of the log tells how much the log still keeps.
+    const std::lock_guard lock(mutex_);
+    MaybeWriteSnapshotLocked(std::chrono::steady_clock::now(),
+                             page.first_retained);
+  }
+  const std::lock_guard lock(observer_mutex_);
+  if (page_observer_)
+    page_observer_(asked_at, page);
+}
+
+FoldStatus ConfigService::Fold(std::uint64_t first_retained,
+                               const std::vector<EntryView>& entries) {
   std::vector<ChangeVerdict> verdicts;
   FoldStatus status = FoldStatus::kCurrent;
   bool changed = false;
   {
     const std::lock_guard lock(mutex_);
-    status = fold_.ReadEntries(page.first_retained, entries);
+    status = fold_.ReadEntries(first_retained, entries);
     verdicts = fold_.TakeVerdicts();
     changed = fold_.view() != view();
     PublishLocked();
-    MaybeWriteSnapshotLocked(std::chrono::steady_clock::now());
   }
-  if (status == FoldStatus::kCurrent && page.entries.size() < kMaxPageEntries)
-    RaiseEvidence(asked_at);
-  if (status == FoldStatus::kCurrent)
-    ready_.store(true);
   if (changed)
     on_change_(*view());
   for (const ChangeVerdict& it : verdicts)
     on_verdict_(it);
+  return status;
 }
 
 void ConfigService::RaiseEvidence(MonoTime evidence) {
@@ -111,8 +155,14 @@
     ready_.store(true);
 }
 
-void ConfigService::MaybeWriteSnapshotLocked(MonoTime now) {
-  if (fold_.changes_since_snapshot() < kChangesPerSnapshot) {
+void ConfigService::MaybeWriteSnapshotLocked(MonoTime now,
+                                             std::uint64_t first_retained) {
+  std::uint64_t limit = kChangesPerSnapshot;
+  if (first_retained > 0 && first_retained < fold_.next_offset()) {
+    const std::uint64_t retained = fold_.next_offset() - first_retained;
+    limit = std::clamp<std::uint64_t>(retained / kRetainedPart, 1, limit);
+  }
+  if (fold_.changes_since_snapshot() < limit) {
     snapshot_due_.reset();
     return;
   }
--- a/lib/entryhost/entry_host.cc
+++ b/lib/entryhost/entry_host.cc
@@ -20,8 +20,11 @@
 #include "mangoport/entryhost/backend_directory.h"
 #include "mangoport/entryhost/caller_api.h"
 #include "mangoport/entryhost/config_service.h"
+#include "mangoport/entryhost/once_service.h"
 #include "mangoport/entryhost/operator_api.h"
+#include "mangoport/entryhost/peer_service.h"
 #include "mangoport/entryhost/plain_proxy.h"
+#include "mangoport/entryhost/quarantine_service.h"
 #include "mangoport/entryhost/request_tracker.h"
 #include "mangoport/metrics/host_metrics.h"
 
@@ -66,7 +69,9 @@
   OperatorServices MakeOperatorServices();
   void OnConfigChange(const ConfigView& view);
   void OnVerdict(const ChangeVerdict& verdict);
-  bool IsReady() const { return !draining.load() && config.ready(); }
+  bool IsReady() const {
+    return !draining.load() && config.ready() && peers.ready();
+  }
   void Drain();
 
   HostSettings settings;
@@ -83,8 +88,11 @@
       MakeHttpPlainServiceClient();
   AuditTrail audit;
   BackendDirectory backends;
+  QuarantineService quarantine;
   PlainProxy plain;
+  OnceService once;
   ConfigService config;
+  PeerService peers;
   OperatorApi operator_api;
   CallerApi caller_api;
 };
@@ -100,12 +108,21 @@
                host_list.get(),
                settings.zone,
                settings.backends.report_interval),
+      quarantine(*log,
+                 NewWriter(settings.id, "quarantine"),
+                 settings.id,
+                 &backends),
       plain(plain_client, &backends, settings.backends),
+      once(*log,
+           NewWriter(settings.id, "once"),
+           settings.claims,
+           [this](const PlainRequest& request) { return plain.Run(request); }),
       config(
           *log,
           NewWriter(settings.id, "config"),
           [this](const ConfigView& view) { OnConfigChange(view); },
           [this](const ChangeVerdict& verdict) { OnVerdict(verdict); }),
+      peers(settings, config, host_list.get()),
       operator_api(MakeOperatorServices()),
       caller_api(MakeCallerServices()) {}
 
@@ -116,9 +133,10 @@
   services.audit = &audit;
   services.metrics = &metrics;
   services.tracker = &tracker;
-  services.completions = {engines, &backends, &metrics, settings.backends};
+  services.completions = {engines, &backends, &quarantine, &metrics,
+                          settings.backends};
   services.run_plain = [this](const PlainRequest& request) {
-    return plain.Run(request);
+    return request.route.idempotent() ? plain.Run(request) : once.Run(request);
   };
   services.ready = [this] { return IsReady(); };
   return services;
@@ -134,6 +152,11 @@
   services.tracker = &tracker;
   services.ready = [this] { return IsReady(); };
   services.drain = [this] { Drain(); };
+  services.withdraw = [this](const KeyId& key, const std::string& reason) {
+    peers.Withdraw(key, reason);
+  };
+  services.sections.push_back({"peers", [this] { return peers.StatusJson(); }});
+  services.sections.push_back({"claims", [this] { return once.StatusJson(); }});
   return services;
 }
 
@@ -151,6 +174,7 @@
 }
 
 void EntryHost::State::Drain() {
+  peers.AnnounceLeaving();
   const std::lock_guard lock(mutex);
   draining.store(true);
   shutdown_requested.notify_all();
@@ -163,6 +187,8 @@
 
 Result<void> EntryHost::Start() {
   BoundPorts ports;
+  // Operators withdraw keys through the peers, which therefore come first.
+  ports.peers = state_->peers.Start();
   ports.operators = state_->operator_api.Start();
   ports.callers = state_->caller_api.Start();
   const auto fail = [](std::string message) {
@@ -173,6 +199,8 @@
     return fail("cannot bind " + ToString(state_->settings.operators));
   if (ports.callers == 0)
     return fail("cannot bind " + ToString(state_->settings.callers));
+  if (ports.peers == 0)
+    return fail("cannot bind " + ToString(state_->settings.peers));
   if (!state_->settings.ports_file.empty() &&
       !WritePortsFile(state_->settings.ports_file, ports))
     return fail("cannot write " + state_->settings.ports_file);
--- a/unittests/process/demo.cc
+++ b/unittests/process/demo.cc
@@ -123,10 +123,8 @@
     const auto stats = nlohmann::json::parse(fleet.Stats(it), nullptr, false);
     if (!stats.contains("runs"))
       Die("no runs in the stats of " + it);
-    for (const auto& [name, count] : stats["runs"].items()) {
-      if (name.find(reference) != std::string::npos)
-        runs += count.get<int>();
-    }
+    for (const auto& [path, references] : stats["runs"].items())
+      runs += references.value(reference, 0);
   }
   return runs;
 }
@@ -135,7 +133,7 @@
   const TestHost& host = *fleet.hosts().front();
   const TestReply reply = HttpPost(
       host.callers, "/v1/chat/completions",
-      R"({"model":"draft-01:gallery-01","stream":true,"max_tokens":12,)"
+      R"({"model":"draft-01","stream":true,"max_tokens":12,)"
       R"("messages":[{"role":"user","content":"who lent the work?"}]})",
       Bearer(key));
   const StreamedText answer = ParseStream(reply.body);
@@ -252,20 +250,9 @@
 }
 
 /// No log, metric, audit record or backend server may hold a key's secret.
-void SearchForKey(Fleet& fleet,
-                  const Deployment& deployment,
-                  const std::string& key,
-                  Report& report) {
+void SearchForKey(Fleet& fleet, const std::string& key, Report& report) {
   const std::string secret = key.substr(key.rfind('_') + 1);
-  std::string everything = fleet.HostLogs() + fleet.Run({"audit"}).output;
-  for (const auto& it : fleet.hosts()) {
-    if (it->process->running())
-      everything += HttpGet(it->operators, "/metrics").body;
-  }
-  for (const std::string& it : deployment.engines)
-    everything += fleet.Stats(it);
-  for (const std::string& it : deployment.plain_servers)
-    everything += fleet.Stats(it);
+  const std::string everything = fleet.EverythingWritten();
   report.Step(everything.find(secret) == std::string::npos,
               "the key was searched for in " +
                   std::to_string(everything.size()) +
@@ -296,7 +283,7 @@
   FreezeEngines(fleet, deployment, key, report);
   KillHost(fleet, key, report);
   DrainHost(fleet, key, report);
-  SearchForKey(fleet, deployment, key, report);
+  SearchForKey(fleet, key, report);
   std::printf("%s\n", report.failed() == 0 ? "all of it held"
                                            : "something did not hold");
   return report.failed() == 0 ? 0 : 1;
--- a/unittests/support/fleet.cc
+++ b/unittests/support/fleet.cc
@@ -33,8 +33,10 @@
 TestReply ToReply(const httplib::Result& result, MonoTime start) {
   TestReply reply;
   reply.took = steady_clock::now() - start;
-  if (!result)
+  if (!result) {
+    reply.body = httplib::to_string(result.error());
     return reply;
+  }
   reply.status = result->status;
   reply.body = result->body;
   reply.retry_after = result->get_header_value("Retry-After");
@@ -161,6 +163,14 @@
   client.Put("/v1/hosts/" + host.id, entry.dump(), "application/json");
 }
 
+void Fleet::ListServer(const std::string& name,
+                       const std::string& zone,
+                       const std::string& state) {
+  const nlohmann::json entry = {{"zone", zone}, {"state", state}};
+  httplib::Client client("127.0.0.1", standin("hosts").port);
+  client.Put("/v1/servers/" + name, entry.dump(), "application/json");
+}
+
 TestHost& Fleet::host(const std::string& id) {
   for (const auto& it : hosts_) {
     if (it->id == id)
@@ -179,7 +189,10 @@
 
 std::string Fleet::WriteFile(const std::string& name, const std::string& text) {
   const std::string path = directory_ + "/" + name;
-  std::ofstream(path) << text;
+  // Commands may read the file while another thread replaces it.
+  const std::string partial = path + "." + std::to_string(++commands_);
+  std::ofstream(partial) << text;
+  std::filesystem::rename(partial, path);
   return path;
 }
 
@@ -201,8 +214,8 @@
   command.insert(command.end(), arguments.begin(), arguments.end());
   if (arguments.front() != "check" && arguments.front() != "version")
     command.insert(command.end(), {"--config", directory_ + "/operator.toml"});
-  const std::string output = directory_ + "/command.out";
-  std::filesystem::remove(output);
+  const std::string output =
+      directory_ + "/command-" + std::to_string(++commands_) + ".out";
   Process process(command, output);
   CommandResult result;
   result.exit_code = process.Wait(seconds(60));
@@ -252,6 +265,17 @@
   return all;
 }
 
+std::string Fleet::EverythingWritten() {
+  std::string all = HostLogs() + Run({"audit"}).output;
+  for (const auto& it : hosts_) {
+    if (it->process->running())
+      all += HttpGet(it->operators, "/metrics").body;
+  }
+  for (const auto& it : standins_)
+    all += Stats(it->name);
+  return all;
+}
+
 TestReply HttpGet(std::uint16_t port,
                   const std::string& path,
                   const std::vector<TestHeader>& headers) {
--- a/unittests/support/fleet.h
+++ b/unittests/support/fleet.h
@@ -1,6 +1,7 @@
 #ifndef MANGOPORT_UNITTESTS_SUPPORT_FLEET_H_
 #define MANGOPORT_UNITTESTS_SUPPORT_FLEET_H_
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -19,7 +20,8 @@
   std::string value;
 };
 
-/// What came back; a status of 0 means that no whole answer came.
+/// What came back; a status of 0 means that no whole answer came, and the body
+/// then says why.
 struct TestReply {
   int status = 0;
   std::string body;
@@ -77,6 +79,11 @@
   /// Sends a host's entry to the stand-in for the platform's host list.
   void ListHost(const TestHost& host, const std::string& state);
 
+  /// Sends a backend server's entry there.
+  void ListServer(const std::string& name,
+                  const std::string& zone,
+                  const std::string& state);
+
   TestHost& host(const std::string& id);
   TestStandin& standin(const std::string& name);
   const std::vector<std::unique_ptr<TestHost>>& hosts() const { return hosts_; }
@@ -108,12 +115,17 @@
   /// The texts of all logs of hosts, for searching.
   std::string HostLogs() const;
 
+  /// Logs, metrics and audit trail of every host and what every backend server
+  /// saw of requests: all places in which no key may stand.
+  std::string EverythingWritten();
+
  private:
   void WriteOperatorSettings();
   void AwaitPorts(TestHost& host);
   void Spawn(TestHost& host);
 
   std::string directory_;
+  std::atomic<int> commands_{0};
   std::vector<std::unique_ptr<TestStandin>> standins_;
   std::vector<std::unique_ptr<TestHost>> hosts_;
 };
