--- a/include/mangoport/limits/account_limit.h
+++ b/include/mangoport/limits/account_limit.h
@@ -39,10 +39,10 @@
   int zones = 3;
 
   /// How long a request may wait for a grant before it is refused.
-  Duration max_wait = std::chrono::milliseconds(200);
+  Duration max_wait = std::chrono::milliseconds(250);
   /// Shortest time between two requests of one taker, and the usual one.
   Duration ask_interval = std::chrono::milliseconds(10);
-  Duration report_interval = std::chrono::milliseconds(500);
+  Duration report_interval = std::chrono::milliseconds(200);
   /// A taker holds the demand of this time.
   Duration demand_horizon = std::chrono::milliseconds(500);
 
--- a/lib/limits/budget_dealer.cc
+++ b/lib/limits/budget_dealer.cc
@@ -582,7 +582,7 @@
   const std::int64_t available =
       std::max<std::int64_t>(0, Available(account, pool));
   std::int64_t taken = uplink_->balance(account);
-  need.wanted = 2 * pool.wanted + pool.unmet;
+  need.wanted = pool.wanted + pool.unmet;
   const std::int64_t keep =
       std::min(need.wanted, uplink_->ceiling(account).value_or(need.wanted));
   if (taken > keep + keep / 2) {
--- a/lib/limits/host_budget.cc
+++ b/lib/limits/host_budget.cc
@@ -194,12 +194,16 @@
   SpendDecision decision;
   const MonoTime dry =
       current_ ? current_->dry_until(request.account) : MonoTime::min();
+  const MonoTime patience = request.arrived + settings_.max_wait;
   if (now < dry) {
+    // Worth waiting for only if tokens may come in time.
+    if (dry < patience)
+      decision.verdict = SpendVerdict::kWait;
     decision.retry_after = dry - now;
     return decision;
   }
   NoteWaiting(demand, request.tokens);
-  if (now - request.arrived < settings_.max_wait) {
+  if (now < patience) {
     decision.verdict = SpendVerdict::kWait;
     return decision;
   }
