--- a/lib/limits/budget_dealer.cc
+++ b/lib/limits/budget_dealer.cc
@@ -30,6 +30,9 @@
 constexpr std::int64_t kShortestDryMs = 5;
 constexpr std::int64_t kLongestDryMs = 1000;
 
+/// How soon tokens that other takers hold may be back.
+constexpr std::int64_t kRecallMs = 50;
+
 /// One demand-driven grant takes at most this part of what is free.
 constexpr std::int64_t kGrantDivisor = 4;
 
@@ -506,8 +509,11 @@
   if (may_come)
     return;
   const std::int64_t rate = pool.tokens.limit().tokens_per_second;
-  const std::int64_t wait_ms =
+  std::int64_t wait_ms =
       rate > 0 ? (smallest - free) * 1000 / rate : kLongestDryMs;
+  // Takers with more than they need give it back with their next report.
+  if (free + pool.dealt >= smallest)
+    wait_ms = std::min(wait_ms, kRecallMs);
   grant.set_dry(true);
   grant.set_retry_after_ms(static_cast<std::uint64_t>(
       std::clamp(wait_ms, kShortestDryMs, kLongestDryMs)));
