Budget claims name the holder's peer address

Hosts find the dealer of a stream from its claim alone, so that asking for tokens needs no membership view.

--- a/include/mangoport/limits/holder_lease.h
+++ b/include/mangoport/limits/holder_lease.h
@@ -43,6 +43,8 @@
   const std::optional<LogPosition>& last_valid() const { return last_valid_; }
   /// Empty after a release.
   const std::string& holder() const { return holder_; }
+  /// Where takers reach the holder.
+  const std::string& holder_address() const { return holder_address_; }
   /// What the holder of the present epoch took over.
   const BudgetInheritance& inheritance() const { return inheritance_; }
 
@@ -55,6 +57,7 @@
   std::optional<LogPosition> epoch_;
   std::optional<LogPosition> last_valid_;
   std::string holder_;
+  std::string holder_address_;
   std::uint64_t nonce_ = 0;
   std::unordered_map<AccountId, std::int64_t> reserves_;
   BudgetInheritance inheritance_;
@@ -67,8 +70,11 @@
 /// for that long and the greatest drift of two clocks.
 class HolderLease {
  public:
-  /// `self` names one run of one process.
-  HolderLease(std::string self, const BudgetSettings& settings, Duration lease);
+  /// `self` names one run of one process; `address` is where it answers peers.
+  HolderLease(std::string self,
+              std::string address,
+              const BudgetSettings& settings,
+              Duration lease);
 
   /// Takes a record in the order of the stream; returns whether it is valid.
   bool OnRecord(MonoTime now,
@@ -103,6 +109,7 @@
   bool MayClaim(MonoTime now) const;
 
   std::string self_;
+  std::string address_;
   BudgetSettings settings_;
   Duration lease_;
   /// Differs between hosts, so that not all claim at once.
--- a/lib/limits/holder_lease.cc
+++ b/lib/limits/holder_lease.cc
@@ -53,6 +53,7 @@
   epoch_ = position;
   last_valid_ = position;
   holder_ = record.holder();
+  holder_address_ = record.address();
   nonce_ = record.nonce();
   return true;
 }
@@ -65,14 +66,17 @@
     return;
   epoch_ = epoch;
   holder_ = record.holder();
+  holder_address_ = record.address();
   nonce_ = 0;
   reserves_.clear();
 }
 
 HolderLease::HolderLease(std::string self,
+                         std::string address,
                          const BudgetSettings& settings,
                          Duration lease)
     : self_(std::move(self)),
+      address_(std::move(address)),
       settings_(settings),
       lease_(lease),
       claim_delay_(std::chrono::milliseconds(std::hash<std::string>{}(self_) %
@@ -146,6 +150,7 @@
   wire::BudgetRecord record;
   record.set_kind(kind);
   record.set_holder(self_);
+  record.set_address(address_);
   record.set_nonce(++nonce_);
   sent_.push_back({nonce_, now});
   last_sent_ = now;
--- a/unittests/limits/budget_fleet.h
+++ b/unittests/limits/budget_fleet.h
@@ -229,9 +229,9 @@
     const BudgetSettings& s = options_.settings;
     it.budget = std::make_unique<HostBudget>(it.name, s);
     it.leases[0] =
-        std::make_unique<HolderLease>(it.name, s, s.pool_holder_lease);
+        std::make_unique<HolderLease>(it.name, "", s, s.pool_holder_lease);
     it.leases[1] =
-        std::make_unique<HolderLease>(it.name, s, s.floor_holder_lease);
+        std::make_unique<HolderLease>(it.name, "", s, s.floor_holder_lease);
     it.dealers[0] = std::make_unique<BudgetDealer>(it.name + ":pool", s,
                                                    s.zone_grant_lease);
     it.dealers[1] = std::make_unique<BudgetDealer>(it.name + ":zone", s,
