--- a/lib/entryhost/backend_directory.cc
+++ b/lib/entryhost/backend_directory.cc
@@ -57,6 +57,11 @@
 
 void BackendDirectory::SetConfig(MonoTime now, const ConfigView& view) {
   const std::lock_guard lock(mutex_);
+  // Views come from the log's thread and from peers'; an older one may come
+  // last.
+  if (view.next_offset() < config_offset_)
+    return;
+  config_offset_ = view.next_offset();
   std::unordered_map<ServerId, Server> next;
   for (const wire::ServerConfig* it : view.Servers()) {
     const ServerId id(it->name());
@@ -79,6 +84,13 @@
   router_.OnLeaving(since, server);
 }
 
+void BackendDirectory::WithRouting(
+    const std::function<void(SupervisorStep)>& step) {
+  const std::lock_guard lock(mutex_);
+  step({std::chrono::steady_clock::now(), std::chrono::system_clock::now(),
+        routing_});
+}
+
 RouteChoice BackendDirectory::Choose(MonoTime now, RouteRequest request) {
   const std::lock_guard lock(mutex_);
   request.own_zone = own_zone_;
--- a/lib/entryhost/entry_host.cc
+++ b/lib/entryhost/entry_host.cc
@@ -20,9 +20,11 @@
 #include "mangoport/entryhost/backend_directory.h"
 #include "mangoport/entryhost/caller_api.h"
 #include "mangoport/entryhost/config_service.h"
+#include "mangoport/entryhost/once_service.h"
 #include "mangoport/entryhost/operator_api.h"
 #include "mangoport/entryhost/peer_service.h"
 #include "mangoport/entryhost/plain_proxy.h"
+#include "mangoport/entryhost/quarantine_service.h"
 #include "mangoport/entryhost/request_tracker.h"
 #include "mangoport/metrics/host_metrics.h"
 
@@ -86,7 +88,9 @@
       MakeHttpPlainServiceClient();
   AuditTrail audit;
   BackendDirectory backends;
+  QuarantineService quarantine;
   PlainProxy plain;
+  OnceService once;
   ConfigService config;
   PeerService peers;
   OperatorApi operator_api;
@@ -104,7 +108,15 @@
                host_list.get(),
                settings.zone,
                settings.backends.report_interval),
+      quarantine(*log,
+                 NewWriter(settings.id, "quarantine"),
+                 settings.id,
+                 &backends),
       plain(plain_client, &backends, settings.backends),
+      once(*log,
+           NewWriter(settings.id, "once"),
+           settings.claims,
+           [this](const PlainRequest& request) { return plain.Run(request); }),
       config(
           *log,
           NewWriter(settings.id, "config"),
@@ -121,9 +133,10 @@
   services.audit = &audit;
   services.metrics = &metrics;
   services.tracker = &tracker;
-  services.completions = {engines, &backends, &metrics, settings.backends};
+  services.completions = {engines, &backends, &quarantine, &metrics,
+                          settings.backends};
   services.run_plain = [this](const PlainRequest& request) {
-    return plain.Run(request);
+    return request.route.idempotent() ? plain.Run(request) : once.Run(request);
   };
   services.ready = [this] { return IsReady(); };
   return services;
@@ -143,6 +156,7 @@
     peers.Withdraw(key, reason);
   };
   services.sections.push_back({"peers", [this] { return peers.StatusJson(); }});
+  services.sections.push_back({"claims", [this] { return once.StatusJson(); }});
   return services;
 }
 
