--- a/include/mangoport/entryhost/backend_directory.h
+++ b/include/mangoport/entryhost/backend_directory.h
@@ -45,7 +45,7 @@
   BackendDirectory(const BackendDirectory&) = delete;
   BackendDirectory& operator=(const BackendDirectory&) = delete;
 
-  /// Takes over the servers of a new configuration.
+  /// Takes over the servers of a configuration, unless a newer one is known.
   void SetConfig(MonoTime now, const ConfigView& view);
 
   /// Evidence that a server is leaving, from a peer or the server itself.
@@ -69,7 +69,7 @@
   /// The servers of a plain service that are not leaving, own zone first.
   std::vector<ServerId> PlainServers(std::string_view service) const;
 
-  /// Whether any reachable engine holds the model.
+  /// Every backend server, by name.
   std::vector<ServerStatus> Status() const;
 
  private:
@@ -96,6 +96,7 @@
   Router& router_ = routing_.router;
   std::unordered_map<ServerId, Server> servers_;
   MonoTime list_as_of_;
+  std::uint64_t config_offset_ = 0;
   std::jthread thread_;
 };
 
--- a/lib/entryhost/backend_directory.cc
+++ b/lib/entryhost/backend_directory.cc
@@ -57,6 +57,11 @@
 
 void BackendDirectory::SetConfig(MonoTime now, const ConfigView& view) {
   const std::lock_guard lock(mutex_);
+  // Views come from the log's thread and from peers'; an older one may come
+  // last.
+  if (view.next_offset() < config_offset_)
+    return;
+  config_offset_ = view.next_offset();
   std::unordered_map<ServerId, Server> next;
   for (const wire::ServerConfig* it : view.Servers()) {
     const ServerId id(it->name());
--- a/unittests/routing/routing_soak.cc
+++ b/unittests/routing/routing_soak.cc
@@ -958,7 +958,37 @@
   progress.Note("bad company done");
 }
 
+/// Failures of all kinds on a few servers: some server is always chosen.
+void RunEjection(const SoakOptions& options, SoakProgress& progress) {
+  constexpr int kRounds = 2000;
+  std::mt19937_64 random(options.seed);
+  MonoTime now = MonoTime() + std::chrono::hours(1);
+  Router router;
+  ServerList list{.as_of = now, .servers = {}};
+  for (const char* it : {"s0", "s1", "s2", "s3"})
+    list.servers.push_back({.id = ServerId(it),
+                            .zone = ZoneId("z"),
+                            .models = {kModel},
+                            .adapters = {}});
+  router.SetServers(now, list);
+  RouteRequest request;
+  request.model = kModel;
+  request.own_zone = ZoneId("z");
+  for (int round = 0; round < kRounds; ++round) {
+    now += milliseconds(random() % 300);
+    const RouteChoice choice = router.Choose(now, request);
+    CheckInvariant(choice.server.has_value(), "ejection never empties the pool",
+                   [round] { return "round " + std::to_string(round); });
+    router.OnDispatched(now, *choice.server);
+    router.OnFinished(now, *choice.server,
+                      random() % 4 == 0 ? AttemptOutcome::kCompleted
+                                        : AttemptOutcome::kConnectFailed);
+  }
+  progress.Note("ejection done");
+}
+
 void Run(const SoakOptions& options, SoakProgress& progress) {
+  RunEjection(options, progress);
   RunFairQueue(options, progress);
   RunBadCompany(options, progress);
   RunOneCulprit(options, progress);
