Charge callers' completions to their client account over all hosts

Cause: the budgets were decided and soaked, but serve charged nobody. Ruled out: a reply only on the next tick (waiting requests are woken by the dealer's reply); an own peer transport (methods are added to the peers'). Before: every request was admitted (not measured).

--- a/include/mangoport/entryhost/caller_api.h
+++ b/include/mangoport/entryhost/caller_api.h
@@ -19,26 +19,30 @@
 class AuditTrail;
 class ConfigService;
 
+/// What a request has been charged.
+class BudgetCharge {
+ public:
+  virtual ~BudgetCharge() = default;
+
+  /// Whether the charge still stands; asked right before the request is sent.
+  virtual bool MayDispatch(MonoTime now) const = 0;
+
+  /// Gives back the tokens that were not used. Only the first call counts.
+  virtual void Settle(std::uint64_t unused) = 0;
+};
+
 /// Whether a request's worst case fits the client account's budget.
 struct BudgetDecision {
-  bool granted = true;
+  bool granted = false;
   /// When a refused request may be worth repeating.
   Duration retry_after{};
+  std::shared_ptr<BudgetCharge> charge;
 };
 
-/// How requests are charged. The default charges nothing.
-struct BudgetHooks {
-  std::function<BudgetDecision(MonoTime now,
-                               const AccountId& account,
-                               std::uint64_t tokens)>
-      charge;
-  /// Gives back what a request that was charged `charged` did not use.
-  std::function<void(MonoTime now,
-                     const AccountId& account,
-                     std::uint64_t charged,
-                     std::uint64_t used)>
-      settle;
-};
+/// Charges a request that arrived at `arrived` with its worst case.
+using ChargeBudget = std::function<BudgetDecision(MonoTime arrived,
+                                                  const AccountId& account,
+                                                  std::uint64_t tokens)>;
 
 /// A caller's request to a plain service.
 struct PlainRequest {
@@ -71,7 +75,7 @@
   HostMetrics* metrics = nullptr;
   RequestTracker* tracker = nullptr;
   CompletionContext completions;
-  BudgetHooks budgets;
+  ChargeBudget charge;
   std::function<PlainAnswer(const PlainRequest&)> run_plain;
   /// Whether the balancer should send requests here.
   std::function<bool()> ready;
--- a/include/mangoport/entryhost/peer_service.h
+++ b/include/mangoport/entryhost/peer_service.h
@@ -4,8 +4,10 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "mangoport/core/ids.h"
+#include "mangoport/ports/peer.h"
 #include "mangoport/settings/host_settings.h"
 
 namespace mangoport {
@@ -30,6 +32,13 @@
   /// Binds and starts. Returns the port, or 0 if that failed.
   std::uint16_t Start();
 
+  /// Answers another part's method; to be called before `Start`. The handler
+  /// runs on a thread of the peers' server.
+  void AddMethod(std::string_view method, PeerHandler handler);
+
+  /// Calls to peers, for other parts. Good as long as this object is.
+  PeerClient& client();
+
   /// Withdraws a key here at once and at every peer in reach soon; the log
   /// records it when it can.
   void Withdraw(const KeyId& key, const std::string& reason);
--- a/include/mangoport/settings/host_settings.h
+++ b/include/mangoport/settings/host_settings.h
@@ -92,6 +92,9 @@
   BackendTimeouts backends;
   ShutdownSettings shutdown;
   ClaimSettings claims;
+  /// The number of availability zones of the whole fleet; the same on every
+  /// host, since each zone's share of the budgets follows from it.
+  int zone_count = 3;
   LogSettings log;
   /// How long keys are honoured without fresh evidence from the log or from a
   /// peer that has it.
--- /dev/null
+++ b/lib/entryhost/budget_service.cc
@@ -0,0 +1,370 @@
+#include "mangoport/entryhost/budget_service.h"
+
+#include <algorithm>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <utility>
+
+#include "interruptible_sleep.h"
+#include "mangoport/settings/host_settings.h"
+
+namespace mangoport {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+constexpr Duration kTick = milliseconds(10);
+constexpr Duration kPeerTimeout = milliseconds(500);
+
+/// A host without an answer from any dealer serves after this time: it may be
+/// cut off, and then refuses what is beyond what it holds.
+constexpr Duration kReadyWithoutDealer = seconds(5);
+
+/// A zone whose dealer has been silent for this time is served by the shared
+/// pool's.
+constexpr Duration kDealerSilence = seconds(2);
+
+/// The longest wait for the log to take a release.
+constexpr Duration kReleaseWait = milliseconds(1000);
+
+/// Records of one stream that may wait for the log at once.
+constexpr int kMaxAppendsUnderWay = 4;
+
+std::string NewName(const HostId& host) {
+  std::random_device random;
+  return host.value() + "/" + std::to_string(random()) +
+         std::to_string(random());
+}
+
+BudgetSettings SettingsFor(int zone_count) {
+  BudgetSettings settings;
+  settings.zones = zone_count;
+  return settings;
+}
+
+AccountLimit LimitOf(const AccountPolicy& policy) {
+  return {policy.id(), static_cast<std::int64_t>(policy.rate()),
+          static_cast<std::int64_t>(policy.burst())};
+}
+
+}  // namespace
+
+/// One charge on its way; gives back what was not used, once.
+class BudgetService::ChargeHandle final : public BudgetCharge {
+ public:
+  ChargeHandle(BudgetService& service, SpendReceipt receipt)
+      : service_(service), receipt_(std::move(receipt)) {}
+
+  bool MayDispatch(MonoTime now) const override {
+    return mangoport::MayDispatch(receipt_, now);
+  }
+
+  void Settle(std::uint64_t unused) override {
+    if (!std::exchange(settled_, true))
+      service_.Refund(receipt_, unused);
+  }
+
+ private:
+  BudgetService& service_;
+  SpendReceipt receipt_;
+  bool settled_ = false;
+};
+
+BudgetService::BudgetService(LogService& log,
+                             const HostId& host,
+                             const ZoneId& zone,
+                             int zone_count)
+    : log_(log),
+      name_(NewName(host)),
+      settings_(SettingsFor(zone_count)),
+      started_at_(steady_clock::now()),
+      budget_(name_, settings_) {
+  pool_.stream = StreamId("budget");
+  floor_.stream = StreamId("budget." + zone.value());
+  pool_.dealer = std::make_unique<BudgetDealer>(name_ + ":pool", settings_,
+                                                settings_.zone_grant_lease);
+  floor_.dealer = std::make_unique<BudgetDealer>(name_ + ":zone", settings_,
+                                                 settings_.host_grant_lease);
+}
+
+BudgetService::~BudgetService() {
+  Stop();
+  // The followers call back into this object, the appenders' callbacks too.
+  for (Level* it : {&pool_, &floor_}) {
+    it->follower.reset();
+    it->appender.reset();
+  }
+}
+
+void BudgetService::SetConfig(const ConfigView& view) {
+  std::vector<AccountLimit> limits;
+  std::vector<AccountLimit> pool;
+  std::vector<AccountLimit> floor;
+  for (const AccountPolicy& it : view.Accounts()) {
+    limits.push_back(LimitOf(it));
+    pool.push_back(SharedPool(limits.back(), settings_));
+    floor.push_back(ZoneFloor(limits.back(), settings_));
+  }
+  const std::lock_guard lock(mutex_);
+  if (view.next_offset() < config_offset_)
+    return;
+  config_offset_ = view.next_offset();
+  const MonoTime now = steady_clock::now();
+  pool_.dealer->SetLimits(now, pool);
+  floor_.dealer->SetLimits(now, floor);
+  budget_.SetLimits(limits);
+}
+
+void BudgetService::Start(const std::string& address, PeerClient& peers) {
+  peers_ = &peers;
+  pool_.lease = std::make_unique<HolderLease>(name_, address, settings_,
+                                              settings_.pool_holder_lease);
+  floor_.lease = std::make_unique<HolderLease>(name_, address, settings_,
+                                               settings_.floor_holder_lease);
+  for (Level* level : {&pool_, &floor_}) {
+    level->reader = std::make_unique<RecordReader>(
+        [this, level](const LogPosition& position,
+                      const wire::Envelope& envelope) {
+          OnRecord(*level, position, envelope);
+        });
+    level->appender = std::make_unique<LogAppender>(
+        log_, level->stream, WriterId(name_ + "/" + level->stream.value()));
+  }
+  for (Level* level : {&pool_, &floor_}) {
+    level->follower = std::make_unique<LogFollower>(
+        log_, level->stream,
+        [this, level] {
+          const std::lock_guard lock(mutex_);
+          return level->reader->next_offset();
+        },
+        [this, level](MonoTime /*asked_at*/, const LogPage& page) {
+          OnPage(*level, page);
+        });
+  }
+  ticker_ = std::jthread([this](const std::stop_token& stop) { Tick(stop); });
+}
+
+void BudgetService::OnPage(Level& level, const LogPage& page) {
+  const std::lock_guard lock(mutex_);
+  if (page.first_retained > level.reader->next_offset())
+    level.lease->StartAfterGap();
+  for (const LogEntry& it : page.entries)
+    level.reader->ReadEntry(it.offset, it.payload);
+  if (page.entries.size() < kMaxPageEntries)
+    level.lease->OnCaughtUp(steady_clock::now());
+}
+
+void BudgetService::OnRecord(Level& level,
+                             const LogPosition& position,
+                             const wire::Envelope& envelope) {
+  wire::BudgetRecord record;
+  if (envelope.kind() != wire::RECORD_KIND_BUDGET ||
+      !record.ParseFromString(envelope.body()))
+    return;
+  // The time is read after the page has arrived: an earlier one would let a
+  // challenger count the holder's silence from too early.
+  const MonoTime now = steady_clock::now();
+  if (!level.lease->OnRecord(now, position, record) || record.holder() != name_)
+    return;
+  if (record.kind() == wire::BudgetRecord::CLAIM) {
+    level.dealer->StartEpoch(now, {level.stream, position},
+                             level.lease->fold().inheritance());
+    return;
+  }
+  level.dealer->OnReservesRecorded(record.nonce());
+}
+
+void BudgetService::Tick(const std::stop_token& stop) {
+  while (!stop.stop_requested()) {
+    std::vector<Outgoing> outgoing;
+    {
+      const std::lock_guard lock(mutex_);
+      const MonoTime now = steady_clock::now();
+      RunHolderLocked(now, pool_);
+      const auto& pool_epoch = pool_.lease->fold().epoch();
+      if (pool_epoch)
+        floor_.dealer->SetUplink(now, DealerId{pool_.stream, *pool_epoch});
+      RunHolderLocked(now, floor_);
+      ChooseDealerLocked(now);
+      if (const auto request = budget_.MakeRequest(now))
+        AddRequestLocked(*request, /*from_zone=*/false, outgoing);
+      if (const auto request = floor_.dealer->MakeUplinkRequest(now))
+        AddRequestLocked(*request, /*from_zone=*/true, outgoing);
+    }
+    for (Outgoing& it : outgoing)
+      Send(std::move(it));
+    SleepUnlessStopped(stop, kTick);
+  }
+}
+
+void BudgetService::RunHolderLocked(MonoTime now, Level& level) {
+  level.dealer->SetHeldUntil(level.lease->held_until());
+  level.dealer->Tick(now);
+  if (level.appends_under_way >= kMaxAppendsUnderWay)
+    return;
+  std::optional<wire::BudgetRecord> record =
+      level.lease->MakeRecord(now, level.dealer->wants_record());
+  if (!record)
+    return;
+  if (record->kind() == wire::BudgetRecord::RENEWAL) {
+    for (auto& it : level.dealer->ReservesToRecord(record->nonce()))
+      *record->add_reserves() = std::move(it);
+  }
+  AppendLocked(level, std::move(*record));
+}
+
+void BudgetService::AppendLocked(Level& level, wire::BudgetRecord record) {
+  const auto done = [this, &level](const AppendResult&) {
+    const std::lock_guard lock(mutex_);
+    --level.appends_under_way;
+    appended_.notify_all();
+  };
+  if (level.appender->Append(wire::RECORD_KIND_BUDGET,
+                             record.SerializeAsString(), done))
+    ++level.appends_under_way;
+}
+
+void BudgetService::ChooseDealerLocked(MonoTime now) {
+  const BudgetFold& zone = floor_.lease->fold();
+  const BudgetFold& pool = pool_.lease->fold();
+  const bool zone_silent =
+      budget_.last_reply() && now - *budget_.last_reply() > kDealerSilence;
+  if (zone.epoch() && !zone.holder().empty() && !zone_silent) {
+    budget_.SetDealer(now, {floor_.stream, *zone.epoch()});
+    return;
+  }
+  if (pool.epoch())
+    budget_.SetDealer(now, {pool_.stream, *pool.epoch()});
+}
+
+void BudgetService::AddRequestLocked(const wire::BudgetRequest& request,
+                                     bool from_zone,
+                                     std::vector<Outgoing>& outgoing) const {
+  const DealerId dealer = FromWire(request.dealer());
+  const Level& level = dealer.stream == pool_.stream ? pool_ : floor_;
+  const BudgetFold& fold = level.lease->fold();
+  Endpoint holder;
+  if (fold.epoch() != dealer.epoch || fold.holder().empty() ||
+      !ParseEndpoint(fold.holder_address(), holder))
+    return;
+  outgoing.push_back(
+      {{holder.ip, holder.port}, request.SerializeAsString(), from_zone});
+}
+
+void BudgetService::Send(Outgoing outgoing) {
+  peers_->Call(outgoing.holder, kBudgetMethod, std::move(outgoing.body),
+               kPeerTimeout,
+               [this, from_zone = outgoing.from_zone](const PeerReply& reply) {
+                 wire::BudgetReply parsed;
+                 if (reply.status == PeerStatus::kOk && !reply.body.empty() &&
+                     parsed.ParseFromString(reply.body))
+                   OnReply(parsed, from_zone);
+               });
+}
+
+void BudgetService::OnReply(const wire::BudgetReply& reply, bool from_zone) {
+  const std::lock_guard lock(mutex_);
+  const MonoTime now = steady_clock::now();
+  if (from_zone) {
+    floor_.dealer->OnUplinkReply(now, reply);
+    return;
+  }
+  budget_.OnReply(now, reply);
+  replied_.notify_all();
+}
+
+void BudgetService::OnPeerRequest(
+    const std::string& body,
+    const std::function<void(std::string)>& respond) {
+  wire::BudgetRequest request;
+  std::string answer;
+  if (request.ParseFromString(body)) {
+    const DealerId dealer = FromWire(request.dealer());
+    const std::lock_guard lock(mutex_);
+    for (Level* it : {&pool_, &floor_}) {
+      if (it->dealer->id() != dealer)
+        continue;
+      if (const auto reply =
+              it->dealer->OnRequest(steady_clock::now(), request))
+        answer = reply->SerializeAsString();
+    }
+  }
+  respond(std::move(answer));
+}
+
+BudgetDecision BudgetService::Charge(MonoTime arrived,
+                                     const AccountId& account,
+                                     std::uint64_t tokens) {
+  SpendRequest request{account, static_cast<std::int64_t>(tokens), arrived,
+                       false};
+  std::unique_lock lock(mutex_);
+  while (true) {
+    SpendDecision decision = budget_.TrySpend(steady_clock::now(), request);
+    if (decision.verdict == SpendVerdict::kAdmitted)
+      return {
+          true,
+          {},
+          std::make_shared<ChargeHandle>(*this, std::move(decision.receipt))};
+    if (decision.verdict != SpendVerdict::kWait)
+      return {false, decision.retry_after, nullptr};
+    request.retried = true;
+    replied_.wait_for(lock, kTick);
+  }
+}
+
+void BudgetService::Refund(SpendReceipt receipt, std::uint64_t unused) {
+  const std::lock_guard lock(mutex_);
+  budget_.Refund(steady_clock::now(), receipt,
+                 static_cast<std::int64_t>(unused));
+}
+
+bool BudgetService::ready() const {
+  const std::lock_guard lock(mutex_);
+  return budget_.last_reply() ||
+         steady_clock::now() - started_at_ > kReadyWithoutDealer;
+}
+
+void BudgetService::Stop() {
+  ticker_ = {};
+}
+
+void BudgetService::Release() {
+  std::unique_lock lock(mutex_);
+  if (!pool_.lease)
+    return;
+  for (Level* it : {&floor_, &pool_}) {
+    std::optional<wire::BudgetRecord> record =
+        it->lease->MakeRelease(steady_clock::now());
+    it->dealer->SetHeldUntil(MonoTime::min());
+    if (!record)
+      continue;
+    for (auto& reserve : it->dealer->ReservesToRecord(record->nonce()))
+      *record->add_reserves() = std::move(reserve);
+    AppendLocked(*it, std::move(*record));
+  }
+  appended_.wait_for(lock, kReleaseWait, [this] {
+    return pool_.appends_under_way == 0 && floor_.appends_under_way == 0;
+  });
+}
+
+std::string BudgetService::StatusJson() const {
+  const std::lock_guard lock(mutex_);
+  const MonoTime now = steady_clock::now();
+  nlohmann::json status = nlohmann::json::object();
+  for (const Level* it : {&pool_, &floor_}) {
+    if (!it->lease)
+      continue;
+    const BudgetFold& fold = it->lease->fold();
+    status[it->stream.value()] = {
+        {"holder", fold.holder()},
+        {"epoch", fold.epoch() ? ToString(*fold.epoch()) : ""},
+        {"held_here", it->lease->holds(now)},
+        {"takers", it->dealer->taker_count()}};
+  }
+  return status.dump();
+}
+
+}  // namespace mangoport
--- a/lib/entryhost/caller_api.cc
+++ b/lib/entryhost/caller_api.cc
@@ -102,22 +102,23 @@
 
 /// A completion on its way to its caller; settles its budget when it ends.
 struct OpenAnswer {
-  OpenAnswer(CallerServices& given, Exchange opened, CallerCompletion asked)
+  OpenAnswer(CallerServices& given,
+             Exchange opened,
+             CallerCompletion asked,
+             std::shared_ptr<BudgetCharge> paid)
       : services(given),
         exchange(std::move(opened)),
         completion(std::move(asked)),
-        charged(WorstCaseTokens(completion)) {}
+        charged(WorstCaseTokens(completion)),
+        charge(std::move(paid)) {}
 
   ~OpenAnswer() {
     const std::uint64_t tokens = stream ? stream->tokens() : 0;
     services.metrics->CountTokens(exchange.identity.account, tokens);
     services.metrics->CountRequest(exchange.identity.account, exchange.surface,
                                    outcome);
-    if (services.budgets.settle) {
-      const std::uint64_t prompt = charged - completion.max_tokens;
-      services.budgets.settle(steady_clock::now(), exchange.identity.account,
-                              charged, ran ? prompt + tokens : 0);
-    }
+    const std::uint64_t prompt = charged - completion.max_tokens;
+    charge->Settle(ran ? charged - prompt - tokens : charged);
   }
 
   OpenAnswer(const OpenAnswer&) = delete;
@@ -157,6 +158,7 @@
   Exchange exchange;
   CallerCompletion completion;
   std::uint64_t charged;
+  std::shared_ptr<BudgetCharge> charge;
   std::unique_ptr<CompletionStream> stream;
   std::string_view outcome = "cancelled";
   bool ran = false;
@@ -318,19 +320,16 @@
   }
   if (const std::optional<Error> error = CheckAccess(*policy, completion))
     return Refuse(exchange, *error, Duration::zero(), response);
-  if (services.budgets.charge) {
-    const BudgetDecision decision =
-        services.budgets.charge(exchange.arrived, exchange.identity.account,
-                                WorstCaseTokens(completion));
-    if (!decision.granted) {
-      return Refuse(exchange,
-                    {ErrorCode::kRateLimited,
-                     "the client account's budget is spent", true},
-                    decision.retry_after, response);
-    }
+  const BudgetDecision decision = services.charge(
+      exchange.arrived, exchange.identity.account, WorstCaseTokens(completion));
+  if (!decision.granted || !decision.charge->MayDispatch(steady_clock::now())) {
+    return Refuse(
+        exchange,
+        {ErrorCode::kRateLimited, "the client account's budget is spent", true},
+        decision.retry_after, response);
   }
-  auto answer = std::make_shared<OpenAnswer>(services, std::move(exchange),
-                                             std::move(completion));
+  auto answer = std::make_shared<OpenAnswer>(
+      services, std::move(exchange), std::move(completion), decision.charge);
   CompletionRequest run;
   run.request = answer->exchange.request;
   run.account = answer->exchange.identity.account;
--- a/lib/entryhost/entry_host.cc
+++ b/lib/entryhost/entry_host.cc
@@ -18,6 +18,7 @@
 #include "mangoport/adapters/logging.h"
 #include "mangoport/entryhost/audit_trail.h"
 #include "mangoport/entryhost/backend_directory.h"
+#include "mangoport/entryhost/budget_service.h"
 #include "mangoport/entryhost/caller_api.h"
 #include "mangoport/entryhost/config_service.h"
 #include "mangoport/entryhost/once_service.h"
@@ -70,7 +71,8 @@
   void OnConfigChange(const ConfigView& view);
   void OnVerdict(const ChangeVerdict& verdict);
   bool IsReady() const {
-    return !draining.load() && config.ready() && peers.ready();
+    return !draining.load() && config.ready() && peers.ready() &&
+           budgets.ready();
   }
   void Drain();
 
@@ -91,6 +93,7 @@
   QuarantineService quarantine;
   PlainProxy plain;
   OnceService once;
+  BudgetService budgets;
   ConfigService config;
   PeerService peers;
   OperatorApi operator_api;
@@ -117,6 +120,7 @@
            NewWriter(settings.id, "once"),
            settings.claims,
            [this](const PlainRequest& request) { return plain.Run(request); }),
+      budgets(*log, settings.id, settings.zone, settings.zone_count),
       config(
           *log,
           NewWriter(settings.id, "config"),
@@ -138,6 +142,10 @@
   services.run_plain = [this](const PlainRequest& request) {
     return request.route.idempotent() ? plain.Run(request) : once.Run(request);
   };
+  services.charge = [this](MonoTime arrived, const AccountId& account,
+                           std::uint64_t tokens) {
+    return budgets.Charge(arrived, account, tokens);
+  };
   services.ready = [this] { return IsReady(); };
   return services;
 }
@@ -157,11 +165,14 @@
   };
   services.sections.push_back({"peers", [this] { return peers.StatusJson(); }});
   services.sections.push_back({"claims", [this] { return once.StatusJson(); }});
+  services.sections.push_back(
+      {"budgets", [this] { return budgets.StatusJson(); }});
   return services;
 }
 
 void EntryHost::State::OnConfigChange(const ConfigView& view) {
   backends.SetConfig(steady_clock::now(), view);
+  budgets.SetConfig(view);
   logger.Info("Configuration up to offset " +
               std::to_string(view.next_offset()) + " is in force.");
 }
@@ -183,12 +194,24 @@
 EntryHost::EntryHost(HostSettings settings)
     : state_(std::make_unique<State>(std::move(settings))) {}
 
-EntryHost::~EntryHost() = default;
+EntryHost::~EntryHost() {
+  // It calls peers from a thread of its own.
+  state_->budgets.Stop();
+}
 
 Result<void> EntryHost::Start() {
   BoundPorts ports;
   // Operators withdraw keys through the peers, which therefore come first.
+  state_->peers.AddMethod(
+      kBudgetMethod,
+      [state = state_.get()](std::string_view /*method*/,
+                             const std::string& body, const auto& respond) {
+        state->budgets.OnPeerRequest(body, respond);
+      });
   ports.peers = state_->peers.Start();
+  state_->budgets.Start(
+      ToString(Endpoint{state_->settings.peers.ip, ports.peers}),
+      state_->peers.client());
   ports.operators = state_->operator_api.Start();
   ports.callers = state_->caller_api.Start();
   const auto fail = [](std::string message) {
@@ -226,6 +249,7 @@
   state_->logger.Info(idle ? "Every request is finished; stopping."
                            : "The drain timeout passed; stopping with "
                              "requests under way.");
+  state_->budgets.Release();
   state_->caller_api.Stop();
   state_->operator_api.Stop();
   return idle;
--- a/lib/entryhost/peer_service.cc
+++ b/lib/entryhost/peer_service.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <functional>
+#include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -86,6 +88,7 @@
   std::uint64_t withdrawals_digest = 0;
   std::atomic<bool> stopping{false};
   std::atomic<bool> ready{false};
+  std::map<std::string, PeerHandler, std::less<>> methods;
   std::unique_ptr<Nghttp2PeerServer> server;
   Nghttp2PeerClient client;
   std::jthread ticker;
@@ -169,6 +172,11 @@
     std::string_view method,
     const std::string& body,
     const std::function<void(std::string)>& respond) {
+  const auto it = methods.find(method);
+  if (it != methods.end()) {
+    it->second(method, body, respond);
+    return;
+  }
   wire::SyncRequest request;
   if (method != kSyncMethod || !request.ParseFromString(body)) {
     logger.Warn("A peer sent a request that can't be read.");
@@ -321,6 +329,14 @@
   return state_->Start();
 }
 
+void PeerService::AddMethod(std::string_view method, PeerHandler handler) {
+  state_->methods.emplace(method, std::move(handler));
+}
+
+PeerClient& PeerService::client() {
+  return state_->client;
+}
+
 void PeerService::Withdraw(const KeyId& key, const std::string& reason) {
   wire::KeyWithdrawal withdrawal;
   withdrawal.set_key(key.value());
--- a/lib/settings/host_settings.cc
+++ b/lib/settings/host_settings.cc
@@ -164,6 +164,8 @@
   settings.id = HostId(table.RequiredString("host"));
   settings.zone = ZoneId(table.RequiredString("availability_zone"));
   settings.operator_token = table.RequiredString("operator_token");
+  settings.zone_count =
+      static_cast<int>(table.Unsigned("availability_zones", 3, 1, 64));
   settings.max_staleness = table.Milliseconds(
       "max_staleness_ms", settings.max_staleness, seconds(1), hours(24 * 7));
   ReadListen(table.Table("listen"), settings);
--- a/unittests/process/demo.cc
+++ b/unittests/process/demo.cc
@@ -86,6 +86,8 @@
 
   int whole() const { return whole_.load(); }
   int broken() const { return broken_.load(); }
+  /// Refused for want of budget, before anything ran.
+  int refused() const { return refused_.load(); }
 
  private:
   bool IsSpared(std::uint16_t port) {
@@ -98,6 +100,12 @@
     while (!stop_.load() && !IsSpared(port)) {
       const TestReply reply =
           HttpPost(port, "/v1/completions", body, Bearer(key));
+      if (reply.status == 429 &&
+          reply.body.find("\"not_run\":true") != std::string::npos) {
+        refused_.fetch_add(1);
+        std::this_thread::sleep_for(milliseconds(50));
+        continue;
+      }
       const bool whole = reply.status == 200 && ParseStream(reply.body).whole;
       (whole ? whole_ : broken_).fetch_add(1);
       if (!whole && !IsSpared(port))
@@ -109,6 +117,7 @@
   std::atomic<bool> stop_{false};
   std::atomic<int> whole_{0};
   std::atomic<int> broken_{0};
+  std::atomic<int> refused_{0};
   std::mutex mutex_;
   std::map<std::uint16_t, bool> spared_;
   std::vector<std::thread> threads_;
@@ -218,7 +227,8 @@
   report.Step(load.whole() > 0 && load.broken() == 0,
               "host " + victim.id + " was killed; the others gave " +
                   std::to_string(load.whole()) + " whole answers, " +
-                  std::to_string(load.broken()) + " broken");
+                  std::to_string(load.broken()) + " broken, " +
+                  std::to_string(load.refused()) + " refused by budget");
   fleet.RestartHost(victim.id);
   fleet.AwaitReady();
   const bool serves =
@@ -246,7 +256,8 @@
               "host " + leaving.id + " was drained under load: exit code " +
                   std::to_string(code) + ", " + std::to_string(load.whole()) +
                   " whole answers, " + std::to_string(load.broken()) +
-                  " broken");
+                  " broken, " + std::to_string(load.refused()) +
+                  " refused by budget");
 }
 
 /// No log, metric, audit record or backend server may hold a key's secret.
