Hosts that can't read the log learn the budgets' dealers from peers

Cause: peer_exchange_test failed after the budgets were wired: a host that starts while the log is out never reads who deals, holds no tokens and refuses every caller. Ruled out: carrying the streams' fold in gossip (the dealer's name and address are enough, and a dealer answers only requests that name its own epoch, so a stale word harms nobody).

--- a/include/mangoport/entryhost/budget_service.h
+++ b/include/mangoport/entryhost/budget_service.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -20,12 +21,18 @@
 #include "mangoport/limits/host_budget.h"
 #include "mangoport/ports/log_service.h"
 #include "mangoport/ports/peer.h"
+#include "mangoport/settings/host_settings.h"
 
 namespace mangoport {
 
+class PeerService;
+
 /// The method under which hosts ask each other for tokens.
 inline constexpr std::string_view kBudgetMethod = "budget";
 
+/// The method under which a host that can't read the log asks for the dealers.
+inline constexpr std::string_view kBudgetDealersMethod = "budget-dealers";
+
 /// Keeps this host's token budgets, and deals tokens to others while it holds
 /// a budget stream's lease.
 ///
@@ -49,7 +56,10 @@
 
   /// Starts to follow the streams and to contend for their leases. `address`
   /// is where this host answers peers; `peers` outlives this object.
-  void Start(const std::string& address, PeerClient& peers);
+  void Start(const std::string& address, PeerService& peers);
+
+  /// Answers a peer that asks who deals.
+  void OnDealersRequest(const std::function<void(std::string)>& respond) const;
 
   /// Answers a peer that asks for tokens.
   void OnPeerRequest(const std::string& body,
@@ -76,6 +86,12 @@
  private:
   class ChargeHandle;
 
+  /// A dealer, and where it answers.
+  struct KnownDealer {
+    DealerId id;
+    Endpoint address;
+  };
+
   /// This host's part in one budget stream.
   struct Level {
     StreamId stream;
@@ -85,6 +101,8 @@
     std::unique_ptr<LogAppender> appender;
     std::unique_ptr<LogFollower> follower;
     int appends_under_way = 0;
+    /// What a peer told of the stream's dealer while the log is out.
+    std::optional<KnownDealer> told;
   };
 
   /// A request to a dealer, ready to be sent.
@@ -102,6 +120,11 @@
   void RunHolderLocked(MonoTime now, Level& level);
   void AppendLocked(Level& level, wire::BudgetRecord record);
   void ChooseDealerLocked(MonoTime now);
+  /// The stream's present dealer: from the log, or else as a peer told.
+  std::optional<KnownDealer> DealerOf(const Level& level) const;
+  bool MustAskForDealersLocked(MonoTime now);
+  void AskForDealers();
+  void OnDealers(const wire::BudgetDealers& told);
   void AddRequestLocked(const wire::BudgetRequest& request,
                         bool from_zone,
                         std::vector<Outgoing>& outgoing) const;
@@ -112,7 +135,7 @@
   LogService& log_;
   const std::string name_;
   const BudgetSettings settings_;
-  PeerClient* peers_ = nullptr;
+  PeerService* peers_ = nullptr;
   MonoTime started_at_;
   mutable std::mutex mutex_;
   std::condition_variable replied_;
@@ -121,6 +144,7 @@
   Level pool_;
   Level floor_;
   std::uint64_t config_offset_ = 0;
+  MonoTime asked_for_dealers_at_;
   std::jthread ticker_;
 };
 
--- a/include/mangoport/entryhost/peer_service.h
+++ b/include/mangoport/entryhost/peer_service.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "mangoport/core/ids.h"
 #include "mangoport/ports/peer.h"
@@ -39,6 +40,9 @@
   /// Calls to peers, for other parts. Good as long as this object is.
   PeerClient& client();
 
+  /// Where the peers answer that are taken to be working.
+  std::vector<PeerAddress> LivePeers() const;
+
   /// Withdraws a key here at once and at every peer in reach soon; the log
   /// records it when it can.
   void Withdraw(const KeyId& key, const std::string& reason);
--- a/lib/entryhost/budget_service.cc
+++ b/lib/entryhost/budget_service.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "interruptible_sleep.h"
+#include "mangoport/entryhost/peer_service.h"
 #include "mangoport/settings/host_settings.h"
 
 namespace mangoport {
@@ -27,6 +28,9 @@
 /// pool's.
 constexpr Duration kDealerSilence = seconds(2);
 
+/// How often a host that can't read the log asks a peer for the dealers.
+constexpr Duration kAskForDealers = milliseconds(300);
+
 /// The longest wait for the log to take a release.
 constexpr Duration kReleaseWait = milliseconds(1000);
 
@@ -118,7 +122,7 @@
   budget_.SetLimits(limits);
 }
 
-void BudgetService::Start(const std::string& address, PeerClient& peers) {
+void BudgetService::Start(const std::string& address, PeerService& peers) {
   peers_ = &peers;
   pool_.lease = std::make_unique<HolderLease>(name_, address, settings_,
                                               settings_.pool_holder_lease);
@@ -180,20 +184,23 @@
 void BudgetService::Tick(const std::stop_token& stop) {
   while (!stop.stop_requested()) {
     std::vector<Outgoing> outgoing;
+    bool ask_for_dealers = false;
     {
       const std::lock_guard lock(mutex_);
       const MonoTime now = steady_clock::now();
       RunHolderLocked(now, pool_);
-      const auto& pool_epoch = pool_.lease->fold().epoch();
-      if (pool_epoch)
-        floor_.dealer->SetUplink(now, DealerId{pool_.stream, *pool_epoch});
+      if (const auto pool = DealerOf(pool_))
+        floor_.dealer->SetUplink(now, pool->id);
       RunHolderLocked(now, floor_);
       ChooseDealerLocked(now);
       if (const auto request = budget_.MakeRequest(now))
         AddRequestLocked(*request, /*from_zone=*/false, outgoing);
       if (const auto request = floor_.dealer->MakeUplinkRequest(now))
         AddRequestLocked(*request, /*from_zone=*/true, outgoing);
+      ask_for_dealers = MustAskForDealersLocked(now);
     }
+    if (ask_for_dealers)
+      AskForDealers();
     for (Outgoing& it : outgoing)
       Send(std::move(it));
     SleepUnlessStopped(stop, kTick);
@@ -228,16 +235,80 @@
 }
 
 void BudgetService::ChooseDealerLocked(MonoTime now) {
-  const BudgetFold& zone = floor_.lease->fold();
-  const BudgetFold& pool = pool_.lease->fold();
+  const std::optional<KnownDealer> zone = DealerOf(floor_);
   const bool zone_silent =
       budget_.last_reply() && now - *budget_.last_reply() > kDealerSilence;
-  if (zone.epoch() && !zone.holder().empty() && !zone_silent) {
-    budget_.SetDealer(now, {floor_.stream, *zone.epoch()});
+  if (zone && !zone_silent) {
+    budget_.SetDealer(now, zone->id);
     return;
   }
-  if (pool.epoch())
-    budget_.SetDealer(now, {pool_.stream, *pool.epoch()});
+  if (const auto pool = DealerOf(pool_))
+    budget_.SetDealer(now, pool->id);
+}
+
+std::optional<BudgetService::KnownDealer> BudgetService::DealerOf(
+    const Level& level) const {
+  const BudgetFold& fold = level.lease->fold();
+  if (!fold.epoch())
+    return level.told;
+  KnownDealer dealer{{level.stream, *fold.epoch()}, {}};
+  if (fold.holder().empty() ||
+      !ParseEndpoint(fold.holder_address(), dealer.address))
+    return std::nullopt;
+  return dealer;
+}
+
+bool BudgetService::MustAskForDealersLocked(MonoTime now) {
+  const bool knows = DealerOf(floor_) || DealerOf(pool_);
+  const bool answered =
+      budget_.last_reply() && now - *budget_.last_reply() < kDealerSilence;
+  if ((knows && answered) || now - asked_for_dealers_at_ < kAskForDealers)
+    return false;
+  asked_for_dealers_at_ = now;
+  return true;
+}
+
+void BudgetService::AskForDealers() {
+  const std::vector<PeerAddress> live = peers_->LivePeers();
+  if (live.empty())
+    return;
+  thread_local std::minstd_rand random(std::random_device{}());
+  peers_->client().Call(
+      live[random() % live.size()], kBudgetDealersMethod, "", kPeerTimeout,
+      [this](const PeerReply& reply) {
+        wire::BudgetDealers told;
+        if (reply.status == PeerStatus::kOk && told.ParseFromString(reply.body))
+          OnDealers(told);
+      });
+}
+
+void BudgetService::OnDealers(const wire::BudgetDealers& told) {
+  const std::lock_guard lock(mutex_);
+  KnownDealer floor{FromWire(told.floor()), {}};
+  if (floor.id.stream == floor_.stream &&
+      ParseEndpoint(told.floor_address(), floor.address))
+    floor_.told = floor;
+  KnownDealer pool{FromWire(told.pool()), {}};
+  if (pool.id.stream == pool_.stream &&
+      ParseEndpoint(told.pool_address(), pool.address))
+    pool_.told = pool;
+}
+
+void BudgetService::OnDealersRequest(
+    const std::function<void(std::string)>& respond) const {
+  wire::BudgetDealers known;
+  {
+    const std::lock_guard lock(mutex_);
+    if (const auto floor = floor_.lease ? DealerOf(floor_) : std::nullopt) {
+      *known.mutable_floor() = ToWire(floor->id);
+      known.set_floor_address(ToString(floor->address));
+    }
+    if (const auto pool = pool_.lease ? DealerOf(pool_) : std::nullopt) {
+      *known.mutable_pool() = ToWire(pool->id);
+      known.set_pool_address(ToString(pool->address));
+    }
+  }
+  respond(known.SerializeAsString());
 }
 
 void BudgetService::AddRequestLocked(const wire::BudgetRequest& request,
@@ -245,24 +316,23 @@
                                      std::vector<Outgoing>& outgoing) const {
   const DealerId dealer = FromWire(request.dealer());
   const Level& level = dealer.stream == pool_.stream ? pool_ : floor_;
-  const BudgetFold& fold = level.lease->fold();
-  Endpoint holder;
-  if (fold.epoch() != dealer.epoch || fold.holder().empty() ||
-      !ParseEndpoint(fold.holder_address(), holder))
+  const std::optional<KnownDealer> known = DealerOf(level);
+  if (!known || known->id != dealer)
     return;
-  outgoing.push_back(
-      {{holder.ip, holder.port}, request.SerializeAsString(), from_zone});
+  outgoing.push_back({{known->address.ip, known->address.port},
+                      request.SerializeAsString(),
+                      from_zone});
 }
 
 void BudgetService::Send(Outgoing outgoing) {
-  peers_->Call(outgoing.holder, kBudgetMethod, std::move(outgoing.body),
-               kPeerTimeout,
-               [this, from_zone = outgoing.from_zone](const PeerReply& reply) {
-                 wire::BudgetReply parsed;
-                 if (reply.status == PeerStatus::kOk && !reply.body.empty() &&
-                     parsed.ParseFromString(reply.body))
-                   OnReply(parsed, from_zone);
-               });
+  peers_->client().Call(
+      outgoing.holder, kBudgetMethod, std::move(outgoing.body), kPeerTimeout,
+      [this, from_zone = outgoing.from_zone](const PeerReply& reply) {
+        wire::BudgetReply parsed;
+        if (reply.status == PeerStatus::kOk && !reply.body.empty() &&
+            parsed.ParseFromString(reply.body))
+          OnReply(parsed, from_zone);
+      });
 }
 
 void BudgetService::OnReply(const wire::BudgetReply& reply, bool from_zone) {
--- a/lib/entryhost/entry_host.cc
+++ b/lib/entryhost/entry_host.cc
@@ -208,10 +208,16 @@
                              const std::string& body, const auto& respond) {
         state->budgets.OnPeerRequest(body, respond);
       });
+  state_->peers.AddMethod(
+      kBudgetDealersMethod,
+      [state = state_.get()](std::string_view /*method*/,
+                             const std::string& /*body*/, const auto& respond) {
+        state->budgets.OnDealersRequest(respond);
+      });
   ports.peers = state_->peers.Start();
   state_->budgets.Start(
       ToString(Endpoint{state_->settings.peers.ip, ports.peers}),
-      state_->peers.client());
+      state_->peers);
   ports.operators = state_->operator_api.Start();
   ports.callers = state_->caller_api.Start();
   const auto fail = [](std::string message) {
--- a/lib/entryhost/peer_service.cc
+++ b/lib/entryhost/peer_service.cc
@@ -333,6 +333,21 @@
   state_->methods.emplace(method, std::move(handler));
 }
 
+std::vector<PeerAddress> PeerService::LivePeers() const {
+  const std::lock_guard lock(state_->mutex);
+  std::vector<PeerAddress> live;
+  if (state_->gossip == nullptr)
+    return live;
+  for (const auto& [id, it] : state_->gossip->directory().hosts()) {
+    Endpoint endpoint;
+    if (id != state_->settings.id &&
+        it.condition == wire::HOST_CONDITION_LIVE &&
+        ParseEndpoint(it.address, endpoint))
+      live.push_back({endpoint.ip, endpoint.port});
+  }
+  return live;
+}
+
 PeerClient& PeerService::client() {
   return state_->client;
 }
--- a/unittests/ledger/config_soak.cc
+++ b/unittests/ledger/config_soak.cc
@@ -250,10 +250,11 @@
         "hosts at one offset hold one configuration", [&] {
           return "host " + std::to_string(i) + " at " + std::to_string(offset);
         });
-    for (const auto& [id, withdrawn_at] : withdrawn_at_) {
-      const wire::KeyConfig* key = host.fold->view()->FindKey(KeyId(id));
-      CheckInvariant(offset <= withdrawn_at || !key || key->withdrawn(),
-                     "a withdrawn key stays withdrawn", [&id] { return id; });
+    for (const auto& it : withdrawn_at_) {
+      const wire::KeyConfig* key = host.fold->view()->FindKey(KeyId(it.first));
+      CheckInvariant(offset <= it.second || !key || key->withdrawn(),
+                     "a withdrawn key stays withdrawn",
+                     [&it] { return it.first; });
     }
   }
 
--- a/unittests/support/fleet.cc
+++ b/unittests/support/fleet.cc
@@ -188,7 +188,7 @@
 }
 
 std::string Fleet::WriteFile(const std::string& name, const std::string& text) {
-  const std::string path = directory_ + "/" + name;
+  std::string path = directory_ + "/" + name;
   // Commands may read the file while another thread replaces it.
   const std::string partial = path + "." + std::to_string(++commands_);
   std::ofstream(partial) << text;
