A zone whose budget dealer dies is served by the shared pool for good

Cause: the silence of the zone's dealer was judged by the last answer of whichever dealer was asked. Asking the shared pool cleared it, so a host went back to the dead dealer at the next tick, and a new host never left it. Ruled out: the decision part; its hosts ask whomever they are told to. Conclusion: the zone's dealer is judged by its own answers and tried again each 30 s.

--- a/include/mangoport/entryhost/budget_service.h
+++ b/include/mangoport/entryhost/budget_service.h
@@ -118,8 +118,11 @@
                 const wire::Envelope& envelope);
   void Tick(const std::stop_token& stop);
   void RunHolderLocked(MonoTime now, Level& level);
-  void AppendLocked(Level& level, wire::BudgetRecord record);
+  void AppendLocked(Level& level, const wire::BudgetRecord& record);
   void ChooseDealerLocked(MonoTime now);
+  /// Whether the zone's dealer is worth asking: it answers, or has not yet been
+  /// asked for long.
+  bool ZoneAnswersLocked(MonoTime now, const DealerId& zone);
   /// The stream's present dealer: from the log, or else as a peer told.
   std::optional<KnownDealer> DealerOf(const Level& level) const;
   bool MustAskForDealersLocked(MonoTime now);
@@ -143,6 +146,10 @@
   HostBudget budget_;
   Level pool_;
   Level floor_;
+  /// The zone's dealer as it was last asked; since when; its last answer.
+  std::optional<DealerId> zone_dealer_;
+  MonoTime zone_asked_since_;
+  MonoTime zone_replied_at_;
   std::uint64_t config_offset_ = 0;
   MonoTime asked_for_dealers_at_;
   std::jthread ticker_;
--- a/lib/entryhost/budget_service.cc
+++ b/lib/entryhost/budget_service.cc
@@ -28,6 +28,9 @@
 /// pool's.
 constexpr Duration kDealerSilence = seconds(2);
 
+/// A silent dealer of the zone is tried again after this time.
+constexpr Duration kRetryZoneDealer = seconds(30);
+
 /// How often a host that can't read the log asks a peer for the dealers.
 constexpr Duration kAskForDealers = milliseconds(300);
 
@@ -220,10 +223,11 @@
     for (auto& it : level.dealer->ReservesToRecord(record->nonce()))
       *record->add_reserves() = std::move(it);
   }
-  AppendLocked(level, std::move(*record));
+  AppendLocked(level, *record);
 }
 
-void BudgetService::AppendLocked(Level& level, wire::BudgetRecord record) {
+void BudgetService::AppendLocked(Level& level,
+                                 const wire::BudgetRecord& record) {
   const auto done = [this, &level](const AppendResult&) {
     const std::lock_guard lock(mutex_);
     --level.appends_under_way;
@@ -236,9 +240,7 @@
 
 void BudgetService::ChooseDealerLocked(MonoTime now) {
   const std::optional<KnownDealer> zone = DealerOf(floor_);
-  const bool zone_silent =
-      budget_.last_reply() && now - *budget_.last_reply() > kDealerSilence;
-  if (zone && !zone_silent) {
+  if (zone && ZoneAnswersLocked(now, zone->id)) {
     budget_.SetDealer(now, zone->id);
     return;
   }
@@ -246,6 +248,17 @@
     budget_.SetDealer(now, pool->id);
 }
 
+bool BudgetService::ZoneAnswersLocked(MonoTime now, const DealerId& zone) {
+  const bool is_new = zone_dealer_ != zone;
+  const bool try_again = now - zone_asked_since_ > kRetryZoneDealer;
+  const bool answers = now - zone_replied_at_ <= kDealerSilence;
+  if (is_new || (try_again && !answers)) {
+    zone_dealer_ = zone;
+    zone_asked_since_ = now;
+  }
+  return answers || now - zone_asked_since_ <= kDealerSilence;
+}
+
 std::optional<BudgetService::KnownDealer> BudgetService::DealerOf(
     const Level& level) const {
   const BudgetFold& fold = level.lease->fold();
@@ -342,6 +355,8 @@
     floor_.dealer->OnUplinkReply(now, reply);
     return;
   }
+  if (zone_dealer_ == FromWire(reply.dealer()))
+    zone_replied_at_ = now;
   budget_.OnReply(now, reply);
   replied_.notify_all();
 }
@@ -413,7 +428,7 @@
       continue;
     for (auto& reserve : it->dealer->ReservesToRecord(record->nonce()))
       *record->add_reserves() = std::move(reserve);
-    AppendLocked(*it, std::move(*record));
+    AppendLocked(*it, *record);
   }
   appended_.wait_for(lock, kReleaseWait, [this] {
     return pool_.appends_under_way == 0 && floor_.appends_under_way == 0;
--- a/unittests/process/budget_process_test.cc
+++ b/unittests/process/budget_process_test.cc
@@ -121,5 +121,58 @@
   cr_assert_gt(made, kBurst + kRate * elapsed / 4, "%f", made);
 }
 
+/// The host that holds a budget stream, as its own status says.
+TestHost* HolderOf(Fleet& fleet, const std::string& stream) {
+  for (const auto& it : fleet.hosts()) {
+    const auto status =
+        nlohmann::json::parse(fleet.StatusOf(*it), nullptr, false);
+    if (status.is_object() && status.contains("budgets") &&
+        status["budgets"].contains(stream) &&
+        status["budgets"][stream].value("held_here", false))
+      return it.get();
+  }
+  return nullptr;
+}
+
+// NOLINTNEXTLINE
+Test(budget_process, zone_serves_after_its_dealer_dies, .timeout = 180) {
+  Fleet fleet;
+  const Deployment deployment = StartDeployment(fleet, SmallFleetFile());
+  for (int i = 1; i <= 6; ++i) {
+    fleet.StartHost("entry-" + std::to_string(i),
+                    "zone-" + std::to_string(i % 3 + 1));
+    fleet.ListHost(*fleet.hosts().back(), "live");
+  }
+  fleet.Publish(deployment.fleet_file);
+  fleet.AwaitReady();
+  const std::string key = fleet.IssueKey("small");
+  TestHost* holder = nullptr;
+  cr_assert(Eventually([&] {
+    holder = HolderOf(fleet, "budget.zone-1");
+    return holder != nullptr;
+  }));
+  const std::string dead = holder->id;
+  holder->process->Signal(SIGKILL);
+  fleet.StartHost("entry-7", "zone-1");
+  const auto serves = [&](const TestHost& it) {
+    return HttpPost(it.callers, "/v1/completions",
+                    R"({"model":"m1","prompt":"x","max_tokens":3})",
+                    {{"Authorization", "Bearer " + key}})
+               .status == 200;
+  };
+  for (const auto& it : fleet.hosts()) {
+    if (it->id == dead)
+      continue;
+    cr_assert(Eventually([&] { return serves(*it); }), "%s", it->id.c_str());
+    // It goes on: the shared pool's dealer is asked for good, not in turns.
+    int refused = 0;
+    for (int i = 0; i < 20; ++i) {
+      refused += serves(*it) ? 0 : 1;
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    cr_assert_eq(refused, 0, "%s refused %d of 20", it->id.c_str(), refused);
+  }
+}
+
 }  // namespace
 }  // namespace mangoport
--- a/unittests/support/fleet.cc
+++ b/unittests/support/fleet.cc
@@ -249,6 +249,12 @@
   return HttpGet(standin(name).port, "/standin/stats").body;
 }
 
+std::string Fleet::StatusOf(const TestHost& host) const {
+  return HttpGet(host.operators, "/operator/v1/status",
+                 {{"Authorization", std::string("Bearer ") + kOperatorToken}})
+      .body;
+}
+
 void Fleet::AwaitReady() {
   for (const auto& it : hosts_) {
     const bool ready = Eventually(
--- a/unittests/support/fleet.h
+++ b/unittests/support/fleet.h
@@ -107,6 +107,9 @@
   /// A stand-in's own account of what it has seen.
   std::string Stats(const std::string& standin);
 
+  /// A host's status page, as JSON; empty if it does not answer.
+  std::string StatusOf(const TestHost& host) const;
+
   /// Waits until every host says that it is ready.
   void AwaitReady();
 
