make fuzz takes SECONDS, as the issue names it

Cause: the issue's command is make fuzz SECONDS=n. Ruled out: renaming nothing else. Measured: make -n shows 3 for SECONDS=3 and 10 without.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 # Everyday commands; each installs what it needs first.
 SEEDS ?= 5
 STEPS ?= 20000
-SECONDS_PER_TARGET ?= 10
+# Seconds for each fuzz target: make fuzz SECONDS=30
+SECONDS_PER_TARGET = $(if $(SECONDS),$(SECONDS),10)
 CMAKE = cmake -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache
 
 .PHONY: all install build check demo format lint soak soak-mutants soak-tsan bench fuzz clean
