--- a/benchmarks/host_process_benchmark.cc
+++ b/benchmarks/host_process_benchmark.cc
@@ -1,4 +1,4 @@
-// DEPENDS: fleet
+// DEPENDS: test_fleet
 // Slopes of a real entry host process on loopback: memory and threads by open
 // streams, processor time by tokens and by idle control work, and the time for
 // a change to be in force by the number of hosts. Absolute times belong to the
--- a/include/mangoport/core/time.h
+++ b/include/mangoport/core/time.h
@@ -14,6 +14,20 @@
 
 using Duration = std::chrono::nanoseconds;
 
+/// A monotonic clock that also counts the time for which the machine was
+/// suspended. What other machines may take over meanwhile is judged by it.
+struct BootClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() noexcept;
+};
+
+using BootTime = BootClock::time_point;
+
 }  // namespace mangoport
 
 #endif  // MANGOPORT_CORE_TIME_H_
--- /dev/null
+++ b/include/mangoport/edge/order_service.h
@@ -0,0 +1,133 @@
+#ifndef MANGOPORT_EDGE_ORDER_SERVICE_H_
+#define MANGOPORT_EDGE_ORDER_SERVICE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "mangoport/core/ids.h"
+#include "mangoport/core/time.h"
+#include "mangoport/fleet/fleet_config.h"
+#include "mangoport/forward/backend_table.h"
+#include "mangoport/forward/forward_metrics.h"
+#include "mangoport/forward/timer_queue.h"
+#include "mangoport/membership/order_lease.h"
+#include "mangoport/placement/copy_planner.h"
+#include "mangoport/placement/order_book.h"
+#include "mangoport/ports/fleet_platform.h"
+#include "mangoport/telemetry/decision_log.h"
+
+namespace mangoport {
+
+/// What each host's callers ask of the models, summed up for the planner.
+class DemandTable {
+ public:
+  /// What `host` says now; counters run since its start.
+  void Set(MonoTime now, const HostId& host, const std::vector<ModelUse>& uses);
+
+  /// The sum over all hosts that were heard lately.
+  std::map<ModelId, CopyDemand> Sum(MonoTime now);
+
+ private:
+  struct Use {
+    ModelUse use;
+    double arrivals_per_second = 0;
+  };
+  struct Host {
+    MonoTime heard_at;
+    std::map<ModelId, Use> uses;
+  };
+
+  std::map<HostId, Host> hosts_;
+};
+
+/// Contends for the right to give engines orders, and with it keeps the copies
+/// of models and adapters where callers need them.
+class OrderService {
+ public:
+  struct Parts {
+    FleetPlatform& platform;
+    TimerQueue& timers;
+    ForwardMetrics& metrics;
+    DecisionLog& log;
+  };
+
+  OrderService(Parts parts,
+               const HostId& self,
+               std::uint64_t incarnation,
+               const OrderLeaseSettings& lease,
+               Duration claim_delay);
+
+  OrderService(const OrderService&) = delete;
+  OrderService& operator=(const OrderService&) = delete;
+
+  void Start();
+
+  void SetConfig(FleetConfigPtr config) { config_ = std::move(config); }
+  void SetServers(const std::map<ServerId, ServerEntry>& servers);
+
+  /// What this host's callers ask for; called at each step.
+  void set_own_uses(std::function<std::vector<ModelUse>()> hook) {
+    own_uses_ = std::move(hook);
+  }
+  /// Called when engines' copies have changed.
+  void set_on_changes(std::function<void()> hook) {
+    on_changes_ = std::move(hook);
+  }
+
+  /// A peer's demand. Plans at once if the peer has requests that wait.
+  void OnPeerUses(MonoTime now,
+                  const HostId& host,
+                  const std::vector<ModelUse>& uses);
+  void OnHolderHeard(const HostId& host, std::uint64_t term);
+  void OnHolderResigned(const HostId& host,
+                        std::uint64_t term,
+                        Duration last_order_age);
+
+  /// This host's own callers wait for a copy.
+  void OnOwnWaiting();
+
+  /// The term that this host holds, or zero.
+  std::uint64_t held_term() const;
+  std::uint64_t resigned_term() const { return lease_.resigned_term(); }
+  /// How long ago the last order was given.
+  Duration last_order_age() const;
+  std::vector<OrderBook::Residency> Changes(MonoTime now) const {
+    return book_.RecentChanges(now);
+  }
+
+  /// Gives the lease up; calls `done` once that is written or has failed.
+  void Release(std::function<void()> done);
+
+ private:
+  void Tick(MonoTime now);
+  void StepLease();
+  void Perform(const OrderLeaseStep& step);
+  void Plan(MonoTime now);
+  void PlanService(MonoTime now, const ServiceSpec& service);
+  void Give(MonoTime now, EngineOrder order, std::string_view reason);
+  void AskReport(const ServerId& engine);
+  void NoteRole();
+
+  Parts parts_;
+  HostId self_;
+  OrderLease lease_;
+  OrderBook book_;
+  std::map<ServiceId, CopyPlanner> planners_;
+  DemandTable demand_;
+  FleetConfigPtr config_;
+  std::map<ServerId, ServerEntry> servers_;
+  std::function<std::vector<ModelUse>()> own_uses_;
+  std::function<void()> on_changes_;
+  BootTime last_order_at_;
+  MonoTime planned_at_;
+  bool was_holder_ = false;
+  bool plan_soon_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace mangoport
+
+#endif  // MANGOPORT_EDGE_ORDER_SERVICE_H_
--- /dev/null
+++ b/include/mangoport/edge/soft_state_service.h
@@ -0,0 +1,84 @@
+#ifndef MANGOPORT_EDGE_SOFT_STATE_SERVICE_H_
+#define MANGOPORT_EDGE_SOFT_STATE_SERVICE_H_
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "mangoport/core/time.h"
+#include "mangoport/forward/timer_queue.h"
+#include "mangoport/gossip/soft_state.h"
+#include "mangoport/ports/fleet_platform.h"
+#include "mangoport/settings/host_settings.h"
+#include "mangoport/telemetry/decision_log.h"
+
+namespace mangoport {
+
+struct SoftStateHooks {
+  /// Fills in this host's state for one peer.
+  std::function<void(MonoTime now,
+                     const PeerHost& peer,
+                     wire::HostState& message)>
+      fill;
+  /// A peer's newest state.
+  std::function<void(MonoTime now, const wire::HostState& message)> on_state;
+};
+
+/// Tells the other hosts this host's soft state in datagrams and takes theirs.
+class SoftStateService {
+ public:
+  SoftStateService(asio::io_context& io,
+                   TimerQueue& timers,
+                   DecisionLog& log,
+                   const HostId& host,
+                   const ZoneId& zone,
+                   const Endpoint& address,
+                   SoftStateHooks hooks);
+
+  SoftStateService(const SoftStateService&) = delete;
+  SoftStateService& operator=(const SoftStateService&) = delete;
+
+  void Start();
+
+  void OnHosts(const std::vector<HostAddress>& hosts);
+
+  /// Tells one peer now, out of turn.
+  void TellNow(const HostId& host);
+
+  /// Tells all peers within a few milliseconds, however often it is asked for.
+  void TellAllSoon();
+
+  /// Tells every peer that this host stops.
+  void TellLeaving();
+
+  std::uint64_t incarnation() const { return incarnation_; }
+  const PeerTable& peers() const { return peers_; }
+
+ private:
+  void Receive();
+  void ReadAll();
+  void OnDatagram(MonoTime now, std::size_t bytes);
+  void TellDue(MonoTime now);
+  void Send(MonoTime now, const PeerHost& peer, bool leaving);
+
+  TimerQueue& timers_;
+  DecisionLog& log_;
+  HostId host_;
+  ZoneId zone_;
+  Endpoint address_;
+  SoftStateHooks hooks_;
+  asio::ip::udp::socket socket_;
+  PeerTable peers_;
+  std::uint64_t incarnation_;
+  std::uint64_t sequence_ = 0;
+  bool tell_all_pending_ = false;
+  std::array<char, 65536> buffer_;
+};
+
+}  // namespace mangoport
+
+#endif  // MANGOPORT_EDGE_SOFT_STATE_SERVICE_H_
--- /dev/null
+++ b/include/mangoport/forward/backend_table.h
@@ -0,0 +1,131 @@
+#ifndef MANGOPORT_FORWARD_BACKEND_TABLE_H_
+#define MANGOPORT_FORWARD_BACKEND_TABLE_H_
+
+#include <asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "mangoport/core/ids.h"
+#include "mangoport/core/time.h"
+#include "mangoport/fleet/fleet_config.h"
+#include "mangoport/fleet/server_directory.h"
+#include "mangoport/routing/router.h"
+
+namespace mangoport {
+
+/// Requests under way at one backend server.
+struct ServerLoad {
+  ServerId server;
+  std::uint32_t running = 0;
+};
+
+/// A server begins or ceases to hold a model or adapter.
+struct ResidencyChange {
+  ServerId server;
+  ModelId item;
+  /// Orders that the server had accepted by then.
+  std::uint64_t orders_accepted = 0;
+  bool gone = false;
+};
+
+/// What callers of this host ask of one model, an adapter's counted apart.
+struct ModelUse {
+  ModelId model;
+  /// Requests since the host started.
+  std::uint64_t arrivals = 0;
+  /// Requests at backend servers, and such as wait for a copy.
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+};
+
+/// The backend servers of all services as this host routes to them: what each
+/// holds, how loaded it is by all hosts' accounts, and how healthy it looks.
+class BackendTable {
+ public:
+  explicit BackendTable(ZoneId own_zone) : own_zone_(std::move(own_zone)) {}
+
+  BackendTable(const BackendTable&) = delete;
+  BackendTable& operator=(const BackendTable&) = delete;
+
+  /// Takes the servers as they are now.
+  void SetServers(MonoTime now, const std::map<ServerId, ServerEntry>& servers);
+
+  /// Takes in a change of what a server holds, by word of the host that gives
+  /// engines orders. Believed until the server's own entry counts as many.
+  void NoteResidency(MonoTime now, const ResidencyChange& change);
+
+  /// `server` has denied that it holds `model`.
+  void NoteMissing(MonoTime now, const ServerId& server, const ModelId& model);
+
+  /// Requests of another host at a server.
+  void SetPeerLoads(MonoTime now,
+                    const HostId& host,
+                    const std::vector<ServerLoad>& loads);
+
+  RouteChoice Choose(MonoTime now,
+                     const ServiceId& service,
+                     RouteRequest request);
+
+  /// True if some server of the service holds the model.
+  bool HasModel(const ServiceId& service, const ModelId& model) const;
+
+  /// Where the server listens; none if it is not listed.
+  std::optional<asio::ip::tcp::endpoint> AddressOf(
+      const ServerId& server) const;
+
+  void OnDispatched(MonoTime now, const ServerId& server);
+  /// Bytes have arrived from the server.
+  void OnActivity(MonoTime now, const ServerId& server);
+  void OnFirstToken(MonoTime now, const ServerId& server);
+  void OnFinished(MonoTime now,
+                  const ServerId& server,
+                  AttemptOutcome outcome,
+                  Duration ran_for);
+
+  /// For how long the server, which has work from this host, has sent nothing.
+  Duration SilentFor(MonoTime now, const ServerId& server) const;
+
+  /// Requests of this host at each server that has any.
+  std::vector<ServerLoad> OwnLoads() const;
+
+  const std::map<ServerId, ServerEntry>& servers() const { return servers_; }
+
+  /// Called when a server begins to hold a model.
+  void set_on_resident(std::function<void(const ModelId&)> hook) {
+    on_resident_ = std::move(hook);
+  }
+
+ private:
+  struct Backend {
+    ServiceId service;
+    asio::ip::tcp::endpoint address;
+    MonoTime last_activity;
+    std::uint32_t own_running = 0;
+    /// Changes beyond the server's own entry, the newest of each item.
+    std::map<ModelId, ResidencyChange> told;
+    std::set<ModelId> denied;
+    std::uint64_t entry_orders = 0;
+  };
+
+  static std::vector<ModelId> ModelsOf(const ServerEntry& entry,
+                                       const Backend& backend);
+  void Rebuild(MonoTime now, const ServiceId& service);
+  void ReportLoad(MonoTime now, const ServerId& server);
+
+  ZoneId own_zone_;
+  std::map<ServerId, ServerEntry> servers_;
+  std::unordered_map<ServerId, Backend> backends_;
+  std::map<ServiceId, Router> routers_;
+  std::map<HostId, std::map<ServerId, std::uint32_t>> peer_loads_;
+  std::function<void(const ModelId&)> on_resident_;
+};
+
+}  // namespace mangoport
+
+#endif  // MANGOPORT_FORWARD_BACKEND_TABLE_H_
--- /dev/null
+++ b/include/mangoport/forward/client_session.h
@@ -0,0 +1,143 @@
+#ifndef MANGOPORT_FORWARD_CLIENT_SESSION_H_
+#define MANGOPORT_FORWARD_CLIENT_SESSION_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "mangoport/fleet/fleet_config.h"
+#include "mangoport/forward/tcp_stream.h"
+#include "mangoport/forward/timer_queue.h"
+#include "mangoport/http/message.h"
+#include "mangoport/http/message_parser.h"
+
+namespace mangoport {
+
+/// A caller's request, read whole.
+struct HttpRequest {
+  HttpHead head;
+  std::string body;
+  MonoTime arrived;
+};
+
+/// An answer that this host makes itself.
+struct OwnAnswer {
+  int status = 503;
+  HttpFields fields = {};
+  std::string content_type = "application/json";
+  std::string body = {};
+};
+
+class ClientSession;
+
+/// What a session tells the host.
+struct ClientSessionHooks {
+  /// A request has arrived whole. The receiver answers it through the session,
+  /// sooner or later, exactly once.
+  std::function<void(std::shared_ptr<ClientSession>, HttpRequest)> on_request;
+  /// The session refused a request that was malformed or too slow.
+  std::function<void(int status, std::string_view reason)> on_refused;
+  /// The connection is gone, and the session with it.
+  std::function<void(const ClientSession*)> on_closed;
+};
+
+/// The callers' side of one connection: reads requests, one at a time, and
+/// writes their answers.
+class ClientSession : public std::enable_shared_from_this<ClientSession> {
+ public:
+  ClientSession(TcpStream::Ptr stream,
+                TimerQueue& timers,
+                const IngressLimits& limits,
+                ClientSessionHooks hooks);
+
+  ClientSession(const ClientSession&) = delete;
+  ClientSession& operator=(const ClientSession&) = delete;
+
+  void Start(MonoTime now);
+
+  /// Called once if the caller leaves before its answer has ended.
+  void set_on_gone(std::function<void()> on_gone) {
+    on_gone_ = std::move(on_gone);
+  }
+
+  /// Called whenever everything written so far has left. Optional.
+  void set_on_drained(std::function<void()> on_drained) {
+    on_drained_ = std::move(on_drained);
+  }
+
+  /// Writes a whole answer of this host's own.
+  void Answer(const OwnAnswer& answer);
+
+  /// Writes a whole answer from a backend server; `fields` are its end-to-end
+  /// fields.
+  void AnswerWhole(int status,
+                   std::string_view reason,
+                   const HttpFields& fields,
+                   std::string_view body);
+
+  /// Writes the head of an answer whose body comes in pieces, with the first
+  /// piece, which may be empty.
+  void BeginAnswer(int status,
+                   std::string_view reason,
+                   const HttpFields& fields,
+                   std::string_view first_piece);
+  void SendPiece(std::string_view piece);
+  /// Ends a body that came in pieces.
+  void EndAnswer();
+
+  /// Ends the connection without an end of the answer. The body is chunked, so
+  /// that the caller can't take it for a complete one.
+  void Break();
+
+  /// From now on each answer asks the caller to close the connection.
+  void Drain() { draining_ = true; }
+
+  /// Closes the connection if no request is under way or partly read.
+  bool CloseIfIdle();
+
+  bool busy() const { return busy_; }
+  std::size_t unsent() const { return stream_->unsent(); }
+
+ private:
+  void OnData(std::string_view data);
+  void OnEnd();
+  void OnError();
+  void Parse();
+  void Refuse(int status, std::string_view reason);
+  void FinishAnswer();
+  void ArmTimer(MonoTime now);
+  void OnTimer(MonoTime now);
+  void EndConnection();
+  void Shut();
+  bool ShouldClose() const;
+  void AppendHead(std::string& out,
+                  int status,
+                  std::string_view reason,
+                  const HttpFields& fields) const;
+
+  TcpStream::Ptr stream_;
+  TimerQueue& timers_;
+  IngressLimits limits_;
+  ClientSessionHooks hooks_;
+  std::function<void()> on_gone_;
+  std::function<void()> on_drained_;
+  MessageParser parser_;
+  std::string body_;
+  /// Bytes behind the request that is being answered.
+  std::string ahead_;
+  TimerQueue::Ticket timer_ = TimerQueue::kNoTicket;
+  bool busy_ = false;
+  bool keep_alive_ = true;
+  bool bodyless_ = false;
+  bool draining_ = false;
+  bool ending_ = false;
+  bool continue_sent_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace mangoport
+
+#endif  // MANGOPORT_FORWARD_CLIENT_SESSION_H_
--- /dev/null
+++ b/include/mangoport/forward/forwarder.h
@@ -0,0 +1,111 @@
+#ifndef MANGOPORT_FORWARD_FORWARDER_H_
+#define MANGOPORT_FORWARD_FORWARDER_H_
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+#include "mangoport/core/ids.h"
+#include "mangoport/core/time.h"
+#include "mangoport/fleet/fleet_config.h"
+#include "mangoport/fleet/key_evidence.h"
+#include "mangoport/forward/backend_table.h"
+#include "mangoport/forward/client_session.h"
+#include "mangoport/forward/connection_pool.h"
+#include "mangoport/forward/dialect.h"
+#include "mangoport/forward/forward_metrics.h"
+#include "mangoport/forward/timer_queue.h"
+#include "mangoport/limits/shared_quota.h"
+#include "mangoport/routing/retry_budget.h"
+#include "mangoport/telemetry/decision_log.h"
+
+namespace mangoport {
+
+/// Bounds on the repeats that all hosts together may cause at one service.
+struct RepeatLimits {
+  /// Repeats for each request of the callers.
+  double ratio = 0.2;
+  /// Repeats beyond those, over all hosts.
+  double extra = 100;
+};
+
+class RequestExchange;
+
+/// Takes callers' requests and brings them to backend servers and the answers
+/// back. Holds what all requests of this host share.
+class Forwarder {
+ public:
+  /// The parts that the forwarder works with; all outlive it.
+  struct Parts {
+    asio::io_context& io;
+    TimerQueue& timers;
+    ConnectionPool& pool;
+    BackendTable& backends;
+    SharedQuota& quota;
+    KeyEvidence& key_evidence;
+    ForwardMetrics& metrics;
+    DecisionLog& log;
+  };
+
+  Forwarder(Parts parts, ForwardDialect dialect, const RepeatLimits& limits);
+  ~Forwarder();
+
+  Forwarder(const Forwarder&) = delete;
+  Forwarder& operator=(const Forwarder&) = delete;
+
+  /// Takes a configuration that is newer than the present one.
+  void SetConfig(MonoTime now, FleetConfigPtr config);
+
+  /// The hook for `ClientSessionHooks::on_request`.
+  void OnRequest(const std::shared_ptr<ClientSession>& session,
+                 HttpRequest request);
+
+  /// Called when a request waits for a model that no server holds, so that it
+  /// is told to the host that orders engines without delay.
+  void set_on_missing(std::function<void()> hook) {
+    on_missing_ = std::move(hook);
+  }
+
+  /// The demand for each model that callers asked for.
+  std::vector<ModelUse> ModelUses() const;
+
+  const FleetConfigPtr& config() const { return config_; }
+  std::size_t active() const { return active_; }
+
+  /// Hosts that share the limit on repeats.
+  void SetHostCount(MonoTime now, std::size_t hosts);
+
+ private:
+  friend class RequestExchange;
+
+  struct ServiceState {
+    RetryBudget budget;
+  };
+
+  ServiceState& StateOf(const ServiceId& service);
+  RetryBudgetSettings BudgetSettingsFor(std::size_t hosts) const;
+  /// Lets requests that wait for `model` choose again.
+  void WakeWaiting(const ModelId& model);
+
+  Parts parts_;
+  ForwardDialect dialect_;
+  RepeatLimits repeat_limits_;
+  FleetConfigPtr config_;
+  std::size_t hosts_ = 1;
+  std::map<ServiceId, ServiceState> services_;
+  std::unordered_map<ModelId, ModelUse> uses_;
+  std::unordered_map<ModelId, std::vector<std::weak_ptr<RequestExchange>>>
+      waiting_;
+  std::function<void()> on_missing_;
+  std::mt19937_64 random_;
+  std::size_t active_ = 0;
+};
+
+}  // namespace mangoport
+
+#endif  // MANGOPORT_FORWARD_FORWARDER_H_
--- /dev/null
+++ b/include/mangoport/forward/http_caller.h
@@ -0,0 +1,61 @@
+#ifndef MANGOPORT_FORWARD_HTTP_CALLER_H_
+#define MANGOPORT_FORWARD_HTTP_CALLER_H_
+
+#include <asio/ip/tcp.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "mangoport/core/time.h"
+#include "mangoport/forward/connection_pool.h"
+#include "mangoport/forward/timer_queue.h"
+#include "mangoport/http/message.h"
+
+namespace mangoport {
+
+/// A small call of this host's own, such as to the store or to an engine's
+/// interface.
+struct HttpCall {
+  /// The called process, for kept connections.
+  std::string peer;
+  asio::ip::tcp::endpoint endpoint;
+  std::string method = "GET";
+  /// Path and query.
+  std::string target;
+  HttpFields fields = {};
+  std::string content_type = {};
+  std::string body = {};
+  Duration timeout = std::chrono::seconds(1);
+};
+
+/// How a call ended: `status` is zero if there was no answer.
+struct HttpCallResult {
+  int status = 0;
+  HttpFields fields;
+  std::string body;
+  /// With no answer: true if the call may have reached the peer.
+  bool sent = false;
+};
+
+using HttpCallDone = std::function<void(HttpCallResult result)>;
+
+/// Makes whole calls over the kept connections of a pool.
+class HttpCaller {
+ public:
+  HttpCaller(ConnectionPool& pool, TimerQueue& timers)
+      : pool_(pool), timers_(timers) {}
+
+  HttpCaller(const HttpCaller&) = delete;
+  HttpCaller& operator=(const HttpCaller&) = delete;
+
+  /// Calls `done` once, when the answer is there or the time has passed.
+  void Call(MonoTime now, HttpCall call, HttpCallDone done);
+
+ private:
+  ConnectionPool& pool_;
+  TimerQueue& timers_;
+};
+
+}  // namespace mangoport
+
+#endif  // MANGOPORT_FORWARD_HTTP_CALLER_H_
--- /dev/null
+++ b/include/mangoport/limits/shared_quota.h
@@ -0,0 +1,115 @@
+#ifndef MANGOPORT_LIMITS_SHARED_QUOTA_H_
+#define MANGOPORT_LIMITS_SHARED_QUOTA_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "mangoport/core/ids.h"
+#include "mangoport/core/time.h"
+#include "mangoport/limits/account_limit.h"
+
+namespace mangoport {
+
+/// Answers a request to spend from an account's quota.
+struct QuotaDecision {
+  bool admitted = false;
+  /// If refused: when so much will probably be there.
+  Duration retry_after{};
+};
+
+/// What one host has spent of one account since it started.
+struct AccountUse {
+  AccountId account;
+  std::int64_t total = 0;
+};
+
+/// Keeps a client account to its rate and burst over all hosts together,
+/// without a host that deals them out.
+///
+/// Each host tells the others how much it has spent in all; each keeps a token
+/// bucket for the account from which it takes its own and their spending. What
+/// others have spent and not told yet is bounded by two rules. While the bucket
+/// is nearly empty, a host spends no more than its share of the rate. A host
+/// that was not heard from lately may be spending on the other side of a cut,
+/// so its share of rate and burst is left to it.
+///
+/// Answers the load of one account that sends many times its rate at once
+/// through all hosts.
+class SharedQuota {
+ public:
+  struct Settings {
+    /// Below this part of the burst a host spends only its share.
+    double reserve = 0.25;
+    /// A host that was silent for longer is counted as cut off.
+    Duration silence = std::chrono::milliseconds(1200);
+    /// A silent host is forgotten after this time.
+    Duration forget = std::chrono::seconds(60);
+    /// The longest time for which a share is saved up.
+    Duration share_horizon = std::chrono::milliseconds(1000);
+  };
+
+  explicit SharedQuota(const Settings& settings) : settings_(settings) {}
+  SharedQuota() : SharedQuota(Settings{}) {}
+
+  /// Takes new limits. Accounts that are not named have none.
+  void SetLimits(MonoTime now, const std::vector<AccountLimit>& limits);
+
+  QuotaDecision TrySpend(MonoTime now,
+                         const AccountId& account,
+                         std::int64_t amount);
+
+  /// Gives back what was charged for a request that did not run.
+  void Refund(MonoTime now, const AccountId& account, std::int64_t amount);
+
+  /// Another host is there; `zone` and load play no part.
+  void OnHostHeard(MonoTime now, const HostId& host);
+  /// Another host has stopped in order and spends no more.
+  void OnHostLeft(const HostId& host);
+  /// What `host` has spent since it started as `incarnation`.
+  void OnPeerUse(MonoTime now,
+                 const HostId& host,
+                 std::uint64_t incarnation,
+                 const AccountUse& use);
+
+  /// This host's spending of accounts that changed since `since`.
+  std::vector<AccountUse> UseSince(MonoTime since) const;
+
+  /// Hosts that count towards the shares, this one among them.
+  std::size_t host_count() const { return hosts_.size() + 1; }
+
+ private:
+  struct Bucket {
+    AccountLimit limit;
+    bool limited = false;
+    double level = 0;
+    /// What this host may spend while the level is low.
+    double share = 0;
+    MonoTime filled_at;
+    std::int64_t own_total = 0;
+    MonoTime own_changed_at;
+  };
+  struct PeerAccount {
+    std::uint64_t incarnation = 0;
+    std::int64_t total = 0;
+  };
+  struct Host {
+    MonoTime heard_at;
+    std::map<AccountId, PeerAccount> accounts;
+  };
+
+  /// The part of the fleet that is in touch with this host.
+  double HeardPart(MonoTime now) const;
+  void Fill(MonoTime now, Bucket& bucket);
+
+  Settings settings_;
+  std::unordered_map<AccountId, Bucket> buckets_;
+  std::map<HostId, Host> hosts_;
+};
+
+}  // namespace mangoport
+
+#endif  // MANGOPORT_LIMITS_SHARED_QUOTA_H_
--- a/include/mangoport/placement/engine_ledger.h
+++ b/include/mangoport/placement/engine_ledger.h
@@ -10,6 +10,7 @@
 #include "mangoport/core/ids.h"
 #include "mangoport/core/log_position.h"
 #include "mangoport/core/time.h"
+#include "mangoport/fleet/engine_calls.h"
 #include "mangoport/ledger/envelope.h"
 #include "mangoport/membership/lease.h"
 
@@ -47,16 +48,6 @@
   std::vector<PlacedItem> preloaded;
 };
 
-enum class PlacementOrderKind {
-  kLoadModel,
-  kUnloadModel,
-  kLoadAdapter,
-  kUnloadAdapter,
-  kImportKv,
-};
-
-bool IsUnload(PlacementOrderKind kind);
-
 enum class OrderPhase {
   /// May still reach the engine, or is being carried out.
   kInFlight,
--- /dev/null
+++ b/include/mangoport/ports/fleet_platform.h
@@ -0,0 +1,88 @@
+#ifndef MANGOPORT_PORTS_FLEET_PLATFORM_H_
+#define MANGOPORT_PORTS_FLEET_PLATFORM_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "mangoport/core/ids.h"
+#include "mangoport/core/time.h"
+#include "mangoport/fleet/engine_calls.h"
+#include "mangoport/fleet/fleet_config.h"
+#include "mangoport/fleet/server_directory.h"
+#include "mangoport/membership/order_lease.h"
+
+namespace mangoport {
+
+/// Where a read of a feed goes on; none reads the feed's present state.
+using FeedPosition = std::optional<std::uint64_t>;
+
+/// News of the operators' configuration.
+struct ConfigNews {
+  /// The newest valid configuration in what was read, if there was one.
+  std::optional<FleetConfig> newest = std::nullopt;
+  std::uint64_t next = 0;
+  /// The position is no longer kept: read the present state.
+  bool history_lost = false;
+  /// Records that were passed over, and why.
+  std::vector<std::string> problems = {};
+};
+
+/// News of the backend servers.
+struct ServerNews {
+  /// True if `changes` are the whole present state.
+  bool whole = false;
+  std::vector<ServerChange> changes = {};
+  std::uint64_t next = 0;
+  bool history_lost = false;
+  std::vector<std::string> problems = {};
+};
+
+/// Where a host takes datagrams of other hosts.
+struct HostAddress {
+  HostId host;
+  /// "ip:port"
+  std::string address;
+};
+
+struct OrderLeaseState {
+  std::optional<OrderLeaseRecord> record = std::nullopt;
+  std::uint64_t end = 0;
+};
+
+/// The platform under the hosts: its store and its engines' own interface, in
+/// the product's terms. Calls return at once; each result comes in a call of
+/// its own from the event loop.
+class FleetPlatform {
+ public:
+  virtual ~FleetPlatform() = default;
+
+  /// Answers as soon as there is news, or with none after `wait`.
+  virtual void ReadConfig(FeedPosition from,
+                          Duration wait,
+                          CallDone<ConfigNews> done) = 0;
+  virtual void ReadServers(FeedPosition from, CallDone<ServerNews> done) = 0;
+
+  virtual void AnnounceHost(const HostAddress& address,
+                            CallDone<bool> done) = 0;
+  virtual void ReadHosts(CallDone<std::vector<HostAddress>> done) = 0;
+
+  virtual void ReadOrderLease(CallDone<OrderLeaseState> done) = 0;
+  /// Writes only if the log ends at `expected_end`; the result is its new end.
+  virtual void WriteOrderLease(const OrderLeaseRecord& record,
+                               std::uint64_t expected_end,
+                               CallDone<std::uint64_t> done) = 0;
+
+  virtual void SendOrder(const std::string& address,
+                         const EngineOrder& order,
+                         CallDone<EngineOrderAnswer> done) = 0;
+  virtual void ReadReport(const std::string& address,
+                          const ServerId& engine,
+                          CallDone<EngineReport> done) = 0;
+};
+
+}  // namespace mangoport
+
+#endif  // MANGOPORT_PORTS_FLEET_PLATFORM_H_
--- /dev/null
+++ b/lib/edge/edge_host.cc
@@ -0,0 +1,437 @@
+#include "mangoport/edge/edge_host.h"
+
+#include <csignal>
+#include <random>
+#include <utility>
+
+namespace mangoport {
+namespace {
+
+constexpr Duration kLogFlushInterval = std::chrono::milliseconds(250);
+
+/// After SIGTERM: until then the balancer may still send new connections.
+constexpr Duration kBalancerDelay = std::chrono::milliseconds(2500);
+constexpr Duration kStopCheckInterval = std::chrono::milliseconds(100);
+/// Kept of the grace time for what follows the last answer.
+constexpr Duration kStopMargin = std::chrono::milliseconds(600);
+
+/// A host whose key evidence is older sends callers elsewhere.
+constexpr Duration kReadyEvidenceAge = std::chrono::milliseconds(3200);
+
+/// The holder is told of waiting requests at once, but not more often.
+constexpr Duration kTellHolderInterval = std::chrono::milliseconds(15);
+constexpr Duration kHolderLifetime = std::chrono::seconds(2);
+
+/// Spending is told to peers for this long after it changed.
+constexpr Duration kTellSpendingTime = std::chrono::seconds(3);
+
+/// Hosts that see no holder claim the lease at different times.
+constexpr int kClaimSpreadMs = 500;
+
+MonoTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+Duration DrawClaimDelay() {
+  std::random_device random;
+  return std::chrono::milliseconds(random() % kClaimSpreadMs);
+}
+
+OrderLeaseSettings LeaseSettingsFor(const EdgeBounds& bounds) {
+  constexpr Duration kSettleMargin = std::chrono::milliseconds(300);
+  OrderLeaseSettings out;
+  out.settle = bounds.order_lease + kSettleMargin;
+  return out;
+}
+
+Duration KeyMaxAge(const EdgeBounds& bounds) {
+  return bounds.fail_closed ? bounds.key_withdrawal : std::chrono::hours(24);
+}
+
+ModelUse FromWire(const wire::ModelDemandNote& note) {
+  return {.model = ModelId(note.model()),
+          .arrivals = note.arrivals(),
+          .running = note.running(),
+          .waiting = note.waiting()};
+}
+
+void ToWire(const ModelUse& use, wire::ModelDemandNote& note) {
+  note.set_model(use.model.value());
+  note.set_arrivals(use.arrivals);
+  note.set_running(use.running);
+  note.set_waiting(use.waiting);
+}
+
+}  // namespace
+
+EdgeHost::Listener::Listener(asio::io_context& io, const Endpoint& endpoint)
+    : acceptor(io) {
+  const asio::ip::tcp::endpoint address(asio::ip::make_address(endpoint.ip),
+                                        endpoint.port);
+  acceptor.open(address.protocol());
+  acceptor.set_option(asio::socket_base::reuse_address(true));
+  acceptor.bind(address);
+  // A burst of callers must find room in the queue.
+  constexpr int kBacklog = 4096;
+  acceptor.listen(kBacklog);
+  acceptor.non_blocking(true);
+}
+
+EdgeHost::EdgeHost(const EdgeSettings& settings,
+                   ForwardDialect dialect,
+                   const PlatformFactory& make_platform,
+                   SettingsReader read_settings)
+    : settings_(settings),
+      dialect_(std::move(dialect)),
+      read_settings_(std::move(read_settings)),
+      timers_(io_),
+      pool_(io_, timers_),
+      caller_(pool_, timers_),
+      platform_(make_platform(caller_, settings_, metrics_)),
+      key_evidence_(KeyMaxAge(settings_.bounds)),
+      backends_(settings_.zone),
+      forwarder_({.io = io_,
+                  .timers = timers_,
+                  .pool = pool_,
+                  .backends = backends_,
+                  .quota = quota_,
+                  .key_evidence = key_evidence_,
+                  .metrics = metrics_,
+                  .log = log_},
+                 dialect_,
+                 {.ratio = settings_.bounds.repeat_ratio,
+                  .extra = settings_.bounds.repeat_extra}),
+      soft_state_(io_,
+                  timers_,
+                  log_,
+                  settings_.host,
+                  settings_.zone,
+                  settings_.peers,
+                  {.fill =
+                       [this](MonoTime now, const PeerHost& peer,
+                              wire::HostState& message) {
+                         FillState(now, peer, message);
+                       },
+                   .on_state =
+                       [this](MonoTime now, const wire::HostState& message) {
+                         OnPeerState(now, message);
+                       }}),
+      feeds_(*platform_,
+             timers_,
+             key_evidence_,
+             log_,
+             {.host = settings_.host, .address = ToString(settings_.peers)},
+             FeedSettings{},
+             MakeFeedHooks()),
+      orders_({.platform = *platform_,
+               .timers = timers_,
+               .metrics = metrics_,
+               .log = log_},
+              settings_.host,
+              soft_state_.incarnation(),
+              LeaseSettingsFor(settings_.bounds),
+              DrawClaimDelay()),
+      signals_(io_, SIGTERM, SIGINT, SIGHUP) {
+  forwarder_.set_on_missing([this] { TellHolder(); });
+  orders_.set_own_uses([this] { return forwarder_.ModelUses(); });
+  orders_.set_on_changes([this] { TellChanges(); });
+}
+
+EdgeHost::~EdgeHost() = default;
+
+FeedHooks EdgeHost::MakeFeedHooks() {
+  return {.on_config =
+              [this](FleetConfigPtr config) {
+                forwarder_.SetConfig(Now(), config);
+                orders_.SetConfig(std::move(config));
+              },
+          .on_servers =
+              [this](const std::map<ServerId, ServerEntry>& servers,
+                     const std::vector<ServerId>& removed) {
+                backends_.SetServers(Now(), servers);
+                orders_.SetServers(servers);
+                for (const ServerId& it : removed)
+                  pool_.Forget(it.value());
+              },
+          .on_hosts =
+              [this](const std::vector<HostAddress>& hosts) {
+                soft_state_.OnHosts(hosts);
+              }};
+}
+
+void EdgeHost::Run() {
+  log_.Write(LogLine("start")
+                 .Add("host", settings_.host.value())
+                 .Add("zone", settings_.zone.value())
+                 .Add("callers", ToString(settings_.callers))
+                 .Add("store", ToString(settings_.store))
+                 .Add("incarnation", soft_state_.incarnation()));
+  Listen(
+      settings_.callers,
+      [this](const std::shared_ptr<ClientSession>& session,
+             HttpRequest request) {
+        metrics_.SetActive(forwarder_.active() + 1);
+        forwarder_.OnRequest(session, std::move(request));
+      },
+      caller_sessions_);
+  const auto status = [this](const std::shared_ptr<ClientSession>& session,
+                             const HttpRequest& request) {
+    AnswerStatus(session, request);
+  };
+  Listen(settings_.readiness, status, status_sessions_);
+  if (settings_.metrics)
+    Listen(*settings_.metrics, status, status_sessions_);
+  soft_state_.Start();
+  feeds_.Start();
+  orders_.Start();
+  WaitForSignals();
+  FlushLogLater(Now());
+  io_.run();
+  log_.Write(LogLine("stop").Add("host", settings_.host.value()));
+  log_.Flush();
+}
+
+void EdgeHost::Listen(
+    const Endpoint& endpoint,
+    std::function<void(std::shared_ptr<ClientSession>, HttpRequest)> on_request,
+    SessionSet& sessions) {
+  listeners_.push_back(std::make_unique<Listener>(io_, endpoint));
+  listeners_.back()->on_request = std::move(on_request);
+  Accept(*listeners_.back(), sessions);
+}
+
+void EdgeHost::Accept(Listener& listener, SessionSet& sessions) {
+  listener.acceptor.async_accept(
+      [this, &listener, &sessions](const asio::error_code& ec,
+                                   asio::ip::tcp::socket socket) {
+        if (ec == asio::error::operation_aborted)
+          return;
+        if (!ec)
+          OnAccepted(listener, sessions, std::move(socket));
+        Accept(listener, sessions);
+      });
+}
+
+void EdgeHost::OnAccepted(Listener& listener,
+                          SessionSet& sessions,
+                          asio::ip::tcp::socket socket) {
+  const IngressLimits limits = forwarder_.config()
+                                   ? forwarder_.config()->config().limits
+                                   : IngressLimits();
+  const auto session = std::make_shared<ClientSession>(
+      std::make_shared<TcpStream>(std::move(socket)), timers_, limits,
+      ClientSessionHooks{
+          .on_request = listener.on_request,
+          .on_refused =
+              [this](int status, std::string_view reason) {
+                metrics_.OnRefusal("unreadable");
+                log_.Write(LogLine("request_unreadable")
+                               .Add("status", status)
+                               .Add("reason", reason));
+              },
+          .on_closed =
+              [&sessions](const ClientSession* closed) {
+                for (auto it = sessions.begin(); it != sessions.end(); ++it) {
+                  if (it->get() != closed)
+                    continue;
+                  sessions.erase(it);
+                  return;
+                }
+              }});
+  if (stopping_)
+    session->Drain();
+  sessions.insert(session);
+  session->Start(Now());
+}
+
+bool EdgeHost::IsReady() const {
+  if (stopping_ || !feeds_.has_config() || !feeds_.has_servers())
+    return false;
+  const auto age = key_evidence_.Age(BootClock::now());
+  return !settings_.bounds.fail_closed || (age && *age < kReadyEvidenceAge);
+}
+
+void EdgeHost::AnswerStatus(const std::shared_ptr<ClientSession>& session,
+                            const HttpRequest& request) {
+  if (request.head.target == dialect_.ready_path) {
+    session->Answer({.status = IsReady() ? 200 : 503});
+    return;
+  }
+  if (request.head.target == "/metrics") {
+    session->Answer({.status = 200,
+                     .content_type = "text/plain; version=0.0.4",
+                     .body = metrics_.Serialize()});
+    return;
+  }
+  session->Answer({.status = 404});
+}
+
+void EdgeHost::FillState(MonoTime now,
+                         const PeerHost& peer,
+                         wire::HostState& message) {
+  for (const AccountUse& it : quota_.UseSince(now - kTellSpendingTime)) {
+    wire::AccountSpending& spending = *message.add_spendings();
+    spending.set_account(it.account.value());
+    spending.set_total(it.total);
+  }
+  for (const ServerLoad& it : backends_.OwnLoads()) {
+    wire::BackendLoad& load = *message.add_loads();
+    load.set_server(it.server.value());
+    load.set_running(it.running);
+  }
+  const std::uint64_t term = orders_.held_term();
+  message.set_order_term(term);
+  if (orders_.resigned_term() != 0 && term == 0) {
+    message.set_resigned_term(orders_.resigned_term());
+    message.set_last_order_age_ms(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            orders_.last_order_age())
+            .count()));
+  }
+  if (term != 0) {
+    for (const OrderBook::Residency& it : orders_.Changes(now)) {
+      wire::ResidencyNote& note = *message.add_residencies();
+      note.set_server(it.engine.value());
+      note.set_model(it.item.value());
+      note.set_orders_accepted(it.orders_accepted);
+      note.set_gone(it.gone);
+    }
+  }
+  if (holder_ && *holder_ == peer.host) {
+    for (const ModelUse& it : forwarder_.ModelUses())
+      ToWire(it, *message.add_demands());
+  }
+}
+
+void EdgeHost::OnPeerState(MonoTime now, const wire::HostState& message) {
+  const HostId host(message.host());
+  if (message.leaving()) {
+    quota_.OnHostLeft(host);
+    backends_.SetPeerLoads(now, host, {});
+    return;
+  }
+  quota_.OnHostHeard(now, host);
+  forwarder_.SetHostCount(now, quota_.host_count());
+  for (const wire::AccountSpending& it : message.spendings())
+    quota_.OnPeerUse(now, host, message.incarnation(),
+                     {.account = AccountId(it.account()), .total = it.total()});
+  std::vector<ServerLoad> loads;
+  for (const wire::BackendLoad& it : message.loads())
+    loads.push_back({.server = ServerId(it.server()), .running = it.running()});
+  backends_.SetPeerLoads(now, host, loads);
+  if (message.order_term() != 0) {
+    holder_ = host;
+    holder_heard_at_ = now;
+    orders_.OnHolderHeard(host, message.order_term());
+    for (const wire::ResidencyNote& it : message.residencies())
+      backends_.NoteResidency(now, {.server = ServerId(it.server()),
+                                    .item = ModelId(it.model()),
+                                    .orders_accepted = it.orders_accepted(),
+                                    .gone = it.gone()});
+  }
+  if (message.resigned_term() != 0)
+    orders_.OnHolderResigned(
+        host, message.resigned_term(),
+        std::chrono::milliseconds(message.last_order_age_ms()));
+  if (message.demands_size() == 0)
+    return;
+  std::vector<ModelUse> uses;
+  for (const wire::ModelDemandNote& it : message.demands())
+    uses.push_back(FromWire(it));
+  orders_.OnPeerUses(now, host, uses);
+}
+
+void EdgeHost::TellHolder() {
+  if (orders_.held_term() != 0) {
+    orders_.OnOwnWaiting();
+    return;
+  }
+  const MonoTime now = Now();
+  const bool known = holder_ && now - holder_heard_at_ < kHolderLifetime;
+  if (!known || now - told_holder_at_ < kTellHolderInterval)
+    return;
+  told_holder_at_ = now;
+  soft_state_.TellNow(*holder_);
+}
+
+void EdgeHost::TellChanges() {
+  const MonoTime now = Now();
+  for (const OrderBook::Residency& it : orders_.Changes(now))
+    backends_.NoteResidency(now, {.server = it.engine,
+                                  .item = it.item,
+                                  .orders_accepted = it.orders_accepted,
+                                  .gone = it.gone});
+  soft_state_.TellAllSoon();
+}
+
+void EdgeHost::FlushLogLater(MonoTime now) {
+  timers_.Add(now + kLogFlushInterval, [this](MonoTime due) {
+    log_.Flush();
+    FlushLogLater(due);
+  });
+}
+
+void EdgeHost::WaitForSignals() {
+  signals_.async_wait([this](const asio::error_code& ec, int signal) {
+    if (ec)
+      return;
+    OnSignal(signal);
+    WaitForSignals();
+  });
+}
+
+void EdgeHost::OnSignal(int signal) {
+  if (signal == SIGHUP) {
+    Reload();
+    return;
+  }
+  if (!stopping_)
+    BeginStop(Now());
+}
+
+void EdgeHost::Reload() {
+  const std::optional<EdgeSettings> settings = read_settings_();
+  log_.Write(LogLine("reload").Add("usable", settings.has_value()));
+  if (!settings)
+    return;
+  // Addresses can't change while the host runs; the bounds can.
+  settings_.bounds = settings->bounds;
+  key_evidence_.set_max_age(KeyMaxAge(settings_.bounds));
+}
+
+void EdgeHost::BeginStop(MonoTime now) {
+  stopping_ = true;
+  stop_began_ = now;
+  log_.Write(LogLine("stopping")
+                 .Add("active", forwarder_.active())
+                 .Add("connections", caller_sessions_.size()));
+  log_.Flush();
+  for (const auto& it : caller_sessions_)
+    it->Drain();
+  soft_state_.TellLeaving();
+  orders_.Release([this] { released_ = true; });
+  ContinueStop(now);
+}
+
+void EdgeHost::ContinueStop(MonoTime now) {
+  const Duration passed = now - stop_began_;
+  const bool balancer_knows = passed > kBalancerDelay;
+  const bool out_of_time =
+      passed > settings_.bounds.stop_grace - kStopMargin;
+  if (balancer_knows && forwarder_.active() == 0) {
+    const SessionSet sessions = caller_sessions_;
+    for (const auto& it : sessions)
+      it->CloseIfIdle();
+  }
+  const bool done = balancer_knows && forwarder_.active() == 0 &&
+                    caller_sessions_.empty() && released_;
+  if (done || out_of_time) {
+    feeds_.Stop();
+    io_.stop();
+    return;
+  }
+  timers_.Add(now + kStopCheckInterval,
+              [this](MonoTime due) { ContinueStop(due); });
+}
+
+}  // namespace mangoport
--- /dev/null
+++ b/lib/edge/order_service.cc
@@ -0,0 +1,339 @@
+#include "mangoport/edge/order_service.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangoport {
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(250);
+
+/// Least time between two plans, however many hosts ask for one.
+constexpr Duration kLeastPlanInterval = std::chrono::milliseconds(20);
+
+/// A host that was silent for longer asks for nothing.
+constexpr Duration kDemandLifetime = std::chrono::seconds(3);
+
+/// Weight of the newest rate of arrivals in the smoothed one.
+constexpr double kArrivalGain = 0.2;
+
+MonoTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+std::string_view OrderName(PlacementOrderKind kind) {
+  switch (kind) {
+    case PlacementOrderKind::kLoadModel:
+      return "load_model";
+    case PlacementOrderKind::kUnloadModel:
+      return "unload_model";
+    case PlacementOrderKind::kLoadAdapter:
+      return "load_adapter";
+    case PlacementOrderKind::kUnloadAdapter:
+      return "unload_adapter";
+    case PlacementOrderKind::kImportKv:
+      return "import_kv";
+  }
+  return "unknown";
+}
+
+std::string_view AnswerName(EngineOrderAnswer answer) {
+  switch (answer) {
+    case EngineOrderAnswer::kAccepted:
+      return "accepted";
+    case EngineOrderAnswer::kAlreadyDone:
+      return "already_done";
+    case EngineOrderAnswer::kBusyOrOutdated:
+      return "busy_or_outdated";
+    case EngineOrderAnswer::kRejected:
+      return "rejected";
+  }
+  return "unknown";
+}
+
+/// How long the engine needs for what is planned.
+Duration LoadTime(const EngineCapacity& capacity,
+                  const CopyOrder& order,
+                  const ServerEntry& entry) {
+  if (order.kind != PlacementOrderKind::kLoadModel)
+    return Duration::zero();
+  for (const ModelSpec& it : capacity.models) {
+    if (it.model != order.model)
+      continue;
+    if (order.from_store)
+      return it.load_from_store;
+    const bool in_memory =
+        std::find(entry.models_in_memory.begin(), entry.models_in_memory.end(),
+                  order.model) != entry.models_in_memory.end();
+    return in_memory ? it.load_from_memory : it.load_from_disk;
+  }
+  return Duration::zero();
+}
+
+}  // namespace
+
+void DemandTable::Set(MonoTime now,
+                      const HostId& host,
+                      const std::vector<ModelUse>& uses) {
+  Host& entry = hosts_[host];
+  const double seconds =
+      std::chrono::duration<double>(now - entry.heard_at).count();
+  const bool first = entry.heard_at == MonoTime();
+  entry.heard_at = now;
+  for (const ModelUse& it : uses) {
+    Use& use = entry.uses[it.model];
+    const bool counts = !first && it.arrivals >= use.use.arrivals &&
+                        seconds > 0.01;
+    if (counts) {
+      const double rate =
+          static_cast<double>(it.arrivals - use.use.arrivals) / seconds;
+      use.arrivals_per_second +=
+          (rate - use.arrivals_per_second) * kArrivalGain;
+    }
+    use.use = it;
+  }
+}
+
+std::map<ModelId, CopyDemand> DemandTable::Sum(MonoTime now) {
+  std::erase_if(hosts_, [now](const auto& it) {
+    return now - it.second.heard_at > kDemandLifetime;
+  });
+  std::map<ModelId, CopyDemand> out;
+  const auto add = [&out](const ModelId& model, const Use& use) {
+    CopyDemand& sum = out[model];
+    sum.running += use.use.running;
+    sum.waiting += use.use.waiting;
+    sum.arrivals_per_second += use.arrivals_per_second;
+  };
+  for (const auto& [host, entry] : hosts_) {
+    for (const auto& [model, use] : entry.uses) {
+      add(model, use);
+      // What an adapter is asked for is asked of its model too.
+      const std::size_t slash = model.value().find('/');
+      if (slash != std::string::npos)
+        add(ModelId(model.value().substr(0, slash)), use);
+    }
+  }
+  return out;
+}
+
+OrderService::OrderService(Parts parts,
+                           const HostId& self,
+                           std::uint64_t incarnation,
+                           const OrderLeaseSettings& lease,
+                           Duration claim_delay)
+    : parts_(parts),
+      self_(self),
+      lease_(self, incarnation, lease, claim_delay) {}
+
+void OrderService::Start() {
+  Tick(Now());
+}
+
+void OrderService::SetServers(const std::map<ServerId, ServerEntry>& servers) {
+  servers_ = servers;
+  book_.SetServers(servers);
+}
+
+void OrderService::Tick(MonoTime now) {
+  if (stopped_)
+    return;
+  StepLease();
+  Plan(now);
+  parts_.timers.Add(now + kTickInterval,
+                    [this](MonoTime due) { Tick(due); });
+}
+
+void OrderService::StepLease() {
+  Perform(lease_.Next(BootClock::now()));
+  NoteRole();
+}
+
+void OrderService::NoteRole() {
+  const bool holds = lease_.holds(BootClock::now());
+  if (holds == was_holder_)
+    return;
+  was_holder_ = holds;
+  parts_.metrics.SetOrderHolder(holds);
+  parts_.log.Write(LogLine("order_lease")
+                       .Add("change", holds ? "won" : "lost")
+                       .Add("term", lease_.record() ? lease_.record()->term : 0)
+                       .Add("resigned_term", lease_.resigned_term()));
+  book_.Clear();
+  for (auto& [service, planner] : planners_)
+    planner.Restart(Now());
+}
+
+void OrderService::Perform(const OrderLeaseStep& step) {
+  switch (step.kind) {
+    case OrderLeaseStep::Kind::kNone:
+      return;
+    case OrderLeaseStep::Kind::kRead:
+      parts_.platform.ReadOrderLease([this](CallReply<OrderLeaseState> reply) {
+        const BootTime now = BootClock::now();
+        if (reply.status == CallStatus::kOk)
+          lease_.OnRead(now, reply.value.record, reply.value.end);
+        else
+          lease_.OnReadFailed(now);
+      });
+      return;
+    case OrderLeaseStep::Kind::kWrite:
+      parts_.platform.WriteOrderLease(
+          step.record, step.expected_end,
+          [this](CallReply<std::uint64_t> reply) {
+            const BootTime now = BootClock::now();
+            if (reply.status == CallStatus::kOk)
+              lease_.OnWritten(now, reply.value);
+            else if (reply.status == CallStatus::kConflict)
+              lease_.OnConflict(now);
+            else
+              lease_.OnWriteUnknown(now);
+            NoteRole();
+          });
+      return;
+  }
+}
+
+void OrderService::OnPeerUses(MonoTime now,
+                              const HostId& host,
+                              const std::vector<ModelUse>& uses) {
+  demand_.Set(now, host, uses);
+  const bool waits =
+      std::any_of(uses.begin(), uses.end(),
+                  [](const ModelUse& it) { return it.waiting > 0; });
+  if (waits && held_term() != 0)
+    OnOwnWaiting();
+}
+
+void OrderService::OnOwnWaiting() {
+  if (std::exchange(plan_soon_, true))
+    return;
+  const MonoTime now = Now();
+  parts_.timers.Add(std::max(now, planned_at_ + kLeastPlanInterval),
+                    [this](MonoTime due) {
+                      plan_soon_ = false;
+                      if (!stopped_)
+                        Plan(due);
+                    });
+}
+
+void OrderService::OnHolderHeard(const HostId& host, std::uint64_t term) {
+  lease_.OnHolderHeard(BootClock::now(), host, term);
+}
+
+void OrderService::OnHolderResigned(const HostId& host,
+                                    std::uint64_t term,
+                                    Duration last_order_age) {
+  const BootTime now = BootClock::now();
+  lease_.OnHolderResigned(now, host, term, now - last_order_age);
+}
+
+std::uint64_t OrderService::held_term() const {
+  if (!lease_.holds(BootClock::now()))
+    return 0;
+  return lease_.record()->term;
+}
+
+Duration OrderService::last_order_age() const {
+  return BootClock::now() - last_order_at_;
+}
+
+void OrderService::Plan(MonoTime now) {
+  if (!config_ || !lease_.MayOrder(BootClock::now()))
+    return;
+  planned_at_ = now;
+  if (own_uses_)
+    demand_.Set(now, self_, own_uses_());
+  for (const EngineOrder& it : book_.DueRepeats(now))
+    Give(now, it, "unanswered");
+  for (const ServiceSpec& it : config_->config().services) {
+    if (it.engine)
+      PlanService(now, it);
+  }
+  for (const ServerId& it : book_.DueReports(now))
+    AskReport(it);
+}
+
+void OrderService::PlanService(MonoTime now, const ServiceSpec& service) {
+  const std::vector<CopyOrder> orders =
+      planners_[service.id].Plan(now, *service.engine,
+                                 book_.Engines(now, service.id),
+                                 demand_.Sum(now));
+  for (const CopyOrder& it : orders) {
+    const auto entry = servers_.find(it.engine);
+    if (entry == servers_.end())
+      continue;
+    const Duration load_time = LoadTime(*service.engine, it, entry->second);
+    Give(now, book_.Begin(now, it, load_time), it.reason);
+  }
+}
+
+void OrderService::Give(MonoTime now,
+                        EngineOrder order,
+                        std::string_view reason) {
+  const auto entry = servers_.find(order.engine);
+  // The machine may have stood still since the plan was made.
+  const BootTime boot_now = BootClock::now();
+  const std::optional<std::uint64_t> term = lease_.MayOrder(boot_now);
+  if (entry == servers_.end() || !term)
+    return;
+  order.holder = self_;
+  order.fence = *term;
+  last_order_at_ = boot_now;
+  parts_.log.Write(LogLine("order_sent")
+                       .Add("engine", order.engine.value())
+                       .Add("order", OrderName(order.kind))
+                       .Add("model", order.model.value())
+                       .Add("adapter", order.adapter.value())
+                       .Add("expected_orders", order.expected_orders)
+                       .Add("term", order.fence)
+                       .Add("reason", reason));
+  if (IsUnload(order.kind) && on_changes_)
+    on_changes_();
+  parts_.platform.SendOrder(
+      entry->second.address, order,
+      [this, order, sent = now](CallReply<EngineOrderAnswer> reply) {
+        const MonoTime answered = Now();
+        parts_.log.Write(
+            LogLine("order_answered")
+                .Add("engine", order.engine.value())
+                .Add("order", OrderName(order.kind))
+                .Add("model", order.model.value())
+                .Add("adapter", order.adapter.value())
+                .Add("status", CallStatusName(reply.status))
+                .Add("answer", reply.status == CallStatus::kOk
+                                   ? AnswerName(reply.value)
+                                   : std::string_view(reply.error))
+                .Add("after_ms", answered - sent));
+        book_.OnAnswer(answered, order.engine, reply);
+        if (on_changes_)
+          on_changes_();
+        OnOwnWaiting();
+      });
+}
+
+void OrderService::AskReport(const ServerId& engine) {
+  const auto entry = servers_.find(engine);
+  if (entry == servers_.end())
+    return;
+  parts_.platform.ReadReport(entry->second.address, engine,
+                             [this, engine](CallReply<EngineReport> reply) {
+                               book_.OnReport(Now(), engine, reply);
+                               if (on_changes_)
+                                 on_changes_();
+                             });
+}
+
+void OrderService::Release(std::function<void()> done) {
+  stopped_ = true;
+  const std::optional<OrderLeaseStep> step = lease_.Release(BootClock::now());
+  if (!step) {
+    done();
+    return;
+  }
+  parts_.platform.WriteOrderLease(
+      step->record, step->expected_end,
+      [done = std::move(done)](const CallReply<std::uint64_t>&) { done(); });
+}
+
+}  // namespace mangoport
--- /dev/null
+++ b/lib/edge/soft_state_service.cc
@@ -0,0 +1,150 @@
+#include "mangoport/edge/soft_state_service.h"
+
+#include <asio/buffer.hpp>
+#include <utility>
+
+namespace mangoport {
+namespace {
+
+MonoTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+/// News that come close together go out together.
+constexpr Duration kGatherTime = std::chrono::milliseconds(10);
+
+/// Starts of one host rise with the time of day; hosts start seconds apart.
+std::uint64_t NewIncarnation() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+}  // namespace
+
+SoftStateService::SoftStateService(asio::io_context& io,
+                                   TimerQueue& timers,
+                                   DecisionLog& log,
+                                   const HostId& host,
+                                   const ZoneId& zone,
+                                   const Endpoint& address,
+                                   SoftStateHooks hooks)
+    : timers_(timers),
+      log_(log),
+      host_(host),
+      zone_(zone),
+      address_(address),
+      hooks_(std::move(hooks)),
+      socket_(io),
+      peers_(host, SoftStateSettings{}),
+      incarnation_(NewIncarnation()) {}
+
+void SoftStateService::Start() {
+  const asio::ip::udp::endpoint own(asio::ip::make_address(address_.ip),
+                                    address_.port);
+  socket_.open(own.protocol());
+  socket_.bind(own);
+  socket_.non_blocking(true);
+  Receive();
+  TellDue(Now());
+}
+
+void SoftStateService::Receive() {
+  socket_.async_wait(asio::ip::udp::socket::wait_read,
+                     [this](const asio::error_code& ec) {
+                       if (ec)
+                         return;
+                       ReadAll();
+                       Receive();
+                     });
+}
+
+void SoftStateService::ReadAll() {
+  const MonoTime now = Now();
+  while (true) {
+    asio::ip::udp::endpoint sender;
+    asio::error_code ec;
+    const std::size_t n =
+        socket_.receive_from(asio::buffer(buffer_), sender, /*flags=*/0, ec);
+    if (ec == asio::error::would_block)
+      return;
+    // A peer's closed port is reported here too; it is no datagram.
+    if (!ec)
+      OnDatagram(now, n);
+  }
+}
+
+void SoftStateService::OnDatagram(MonoTime now, std::size_t bytes) {
+  wire::HostState message;
+  if (!message.ParseFromArray(buffer_.data(), static_cast<int>(bytes)))
+    return;
+  const auto known = peers_.peers().find(HostId(message.host()));
+  const bool is_new = known == peers_.peers().end() ||
+                      known->second.incarnation != message.incarnation();
+  if (!peers_.OnMessage(now, message))
+    return;
+  if (is_new || message.leaving())
+    log_.Write(LogLine("peer")
+                   .Add("host", message.host())
+                   .Add("change", message.leaving() ? "leaving" : "heard")
+                   .Add("incarnation", message.incarnation()));
+  hooks_.on_state(now, message);
+}
+
+void SoftStateService::OnHosts(const std::vector<HostAddress>& hosts) {
+  const MonoTime now = Now();
+  for (const HostAddress& it : hosts)
+    peers_.OnListed(now, it.host, it.address);
+}
+
+void SoftStateService::TellDue(MonoTime now) {
+  for (const PeerHost& it : peers_.DuePeers(now))
+    Send(now, it, /*leaving=*/false);
+  timers_.Add(peers_.next_due(), [this](MonoTime due) { TellDue(due); });
+}
+
+void SoftStateService::TellNow(const HostId& host) {
+  const auto it = peers_.peers().find(host);
+  if (it != peers_.peers().end())
+    Send(Now(), it->second, /*leaving=*/false);
+}
+
+void SoftStateService::TellAllSoon() {
+  if (std::exchange(tell_all_pending_, true))
+    return;
+  timers_.Add(Now() + kGatherTime, [this](MonoTime now) {
+    tell_all_pending_ = false;
+    for (const auto& [host, peer] : peers_.peers()) {
+      if (!peer.leaving)
+        Send(now, peer, /*leaving=*/false);
+    }
+  });
+}
+
+void SoftStateService::TellLeaving() {
+  for (const auto& [host, peer] : peers_.peers())
+    Send(Now(), peer, /*leaving=*/true);
+}
+
+void SoftStateService::Send(MonoTime now, const PeerHost& peer, bool leaving) {
+  Endpoint endpoint;
+  if (!ParseEndpoint(peer.address, endpoint))
+    return;
+  wire::HostState message;
+  message.set_host(host_.value());
+  message.set_zone(zone_.value());
+  message.set_address(ToString(address_));
+  message.set_incarnation(incarnation_);
+  message.set_sequence(++sequence_);
+  message.set_leaving(leaving);
+  hooks_.fill(now, peer, message);
+  const std::string bytes = message.SerializeAsString();
+  asio::error_code ec;
+  // A datagram that does not leave now is made good by the next one.
+  socket_.send_to(asio::buffer(bytes),
+                  {asio::ip::make_address(endpoint.ip), endpoint.port},
+                  /*flags=*/0, ec);
+}
+
+}  // namespace mangoport
--- /dev/null
+++ b/lib/forward/backend_table.cc
@@ -0,0 +1,246 @@
+#include "mangoport/forward/backend_table.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace mangoport {
+namespace {
+
+std::optional<asio::ip::tcp::endpoint> ParseAddress(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos)
+    return std::nullopt;
+  asio::error_code ec;
+  const asio::ip::address address =
+      asio::ip::make_address(std::string(text.substr(0, colon)), ec);
+  std::uint16_t port = 0;
+  const std::string_view digits = text.substr(colon + 1);
+  const auto parsed =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (ec || parsed.ec != std::errc())
+    return std::nullopt;
+  return asio::ip::tcp::endpoint(address, port);
+}
+
+}  // namespace
+
+std::vector<ModelId> BackendTable::ModelsOf(const ServerEntry& entry,
+                                            const Backend& backend) {
+  std::set<ModelId> held;
+  // A plain service's requests name no model.
+  held.emplace();
+  for (const ResidentModel& it : entry.models) {
+    held.insert(it.model);
+    for (const AdapterId& adapter : it.adapters)
+      held.insert(ModelId(it.model.value() + "/" + adapter.value()));
+  }
+  for (const auto& [item, change] : backend.told) {
+    if (change.orders_accepted <= entry.orders_accepted)
+      continue;
+    if (change.gone)
+      held.erase(item);
+    else
+      held.insert(item);
+  }
+  std::vector<ModelId> out;
+  std::set_difference(held.begin(), held.end(), backend.denied.begin(),
+                      backend.denied.end(), std::back_inserter(out));
+  return out;
+}
+
+void BackendTable::SetServers(MonoTime now,
+                              const std::map<ServerId, ServerEntry>& servers) {
+  std::set<ServiceId> touched;
+  std::vector<ModelId> appeared;
+  for (const auto& [id, entry] : servers_) {
+    if (!servers.contains(id))
+      touched.insert(entry.service);
+  }
+  for (const auto& [id, entry] : servers) {
+    const auto old = servers_.find(id);
+    if (old != servers_.end() && old->second == entry)
+      continue;
+    const auto address = ParseAddress(entry.address);
+    if (!address)
+      continue;
+    touched.insert(entry.service);
+    const auto [it, added] = backends_.try_emplace(id);
+    Backend& backend = it->second;
+    if (added)
+      backend.last_activity = now;
+    backend.service = entry.service;
+    backend.address = *address;
+    if (old != servers_.end() &&
+        old->second.started_at_ms != entry.started_at_ms)
+      backend.told.clear();
+    backend.denied.clear();
+    for (const ResidentModel& model : entry.models)
+      appeared.push_back(model.model);
+  }
+  servers_ = servers;
+  std::erase_if(backends_, [this](const auto& it) {
+    return !servers_.contains(it.first) && it.second.own_running == 0;
+  });
+  for (const ServiceId& it : touched)
+    Rebuild(now, it);
+  if (!on_resident_)
+    return;
+  for (const ModelId& it : appeared)
+    on_resident_(it);
+}
+
+void BackendTable::Rebuild(MonoTime now, const ServiceId& service) {
+  ServerList list;
+  list.as_of = now;
+  for (const auto& [id, entry] : servers_) {
+    const auto backend = backends_.find(id);
+    if (entry.service != service || backend == backends_.end())
+      continue;
+    ServerSpec spec;
+    spec.id = id;
+    spec.zone = entry.zone;
+    spec.models = ModelsOf(entry, backend->second);
+    spec.batch_size = entry.batch_size;
+    spec.leaving = entry.draining;
+    list.servers.push_back(std::move(spec));
+  }
+  routers_[service].SetServers(now, list);
+}
+
+void BackendTable::NoteResidency(MonoTime now, const ResidencyChange& change) {
+  const auto entry = servers_.find(change.server);
+  const auto it = backends_.find(change.server);
+  if (entry == servers_.end() || it == backends_.end() ||
+      change.orders_accepted <= entry->second.orders_accepted)
+    return;
+  ResidencyChange& known = it->second.told[change.item];
+  if (known.orders_accepted >= change.orders_accepted)
+    return;
+  known = change;
+  it->second.denied.erase(change.item);
+  Rebuild(now, entry->second.service);
+  if (on_resident_ && !change.gone)
+    on_resident_(change.item);
+}
+
+void BackendTable::NoteMissing(MonoTime now,
+                               const ServerId& server,
+                               const ModelId& model) {
+  const auto it = backends_.find(server);
+  if (it == backends_.end() || !servers_.contains(server))
+    return;
+  it->second.told.erase(model);
+  it->second.denied.insert(model);
+  Rebuild(now, it->second.service);
+}
+
+void BackendTable::SetPeerLoads(MonoTime now,
+                                const HostId& host,
+                                const std::vector<ServerLoad>& loads) {
+  std::map<ServerId, std::uint32_t>& known = peer_loads_[host];
+  std::map<ServerId, std::uint32_t> next;
+  for (const ServerLoad& it : loads)
+    next.emplace(it.server, it.running);
+  known.swap(next);
+  for (const auto& [server, running] : known)
+    ReportLoad(now, server);
+  for (const auto& [server, running] : next) {
+    if (!known.contains(server))
+      ReportLoad(now, server);
+  }
+}
+
+void BackendTable::ReportLoad(MonoTime now, const ServerId& server) {
+  const auto it = backends_.find(server);
+  if (it == backends_.end())
+    return;
+  std::uint32_t total = it->second.own_running;
+  for (const auto& [host, loads] : peer_loads_) {
+    const auto load = loads.find(server);
+    if (load != loads.end())
+      total += load->second;
+  }
+  routers_[it->second.service].OnReport(
+      now, {.server = server, .measured_at = now, .running = total});
+}
+
+RouteChoice BackendTable::Choose(MonoTime now,
+                                 const ServiceId& service,
+                                 RouteRequest request) {
+  request.own_zone = own_zone_;
+  return routers_[service].Choose(now, request);
+}
+
+bool BackendTable::HasModel(const ServiceId& service,
+                            const ModelId& model) const {
+  for (const auto& [id, entry] : servers_) {
+    const auto backend = backends_.find(id);
+    if (entry.service != service || entry.draining ||
+        backend == backends_.end())
+      continue;
+    const std::vector<ModelId> models = ModelsOf(entry, backend->second);
+    if (std::find(models.begin(), models.end(), model) != models.end())
+      return true;
+  }
+  return false;
+}
+
+std::optional<asio::ip::tcp::endpoint> BackendTable::AddressOf(
+    const ServerId& server) const {
+  const auto it = backends_.find(server);
+  if (it == backends_.end())
+    return std::nullopt;
+  return it->second.address;
+}
+
+void BackendTable::OnDispatched(MonoTime now, const ServerId& server) {
+  const auto it = backends_.find(server);
+  if (it == backends_.end())
+    return;
+  if (it->second.own_running++ == 0)
+    it->second.last_activity = now;
+  routers_[it->second.service].OnDispatched(now, server);
+}
+
+void BackendTable::OnActivity(MonoTime now, const ServerId& server) {
+  const auto it = backends_.find(server);
+  if (it != backends_.end())
+    it->second.last_activity = now;
+}
+
+void BackendTable::OnFirstToken(MonoTime now, const ServerId& server) {
+  const auto it = backends_.find(server);
+  if (it != backends_.end())
+    routers_[it->second.service].OnFirstToken(now, server);
+}
+
+void BackendTable::OnFinished(MonoTime now,
+                              const ServerId& server,
+                              AttemptOutcome outcome,
+                              Duration ran_for) {
+  const auto it = backends_.find(server);
+  if (it == backends_.end())
+    return;
+  if (it->second.own_running > 0)
+    --it->second.own_running;
+  routers_[it->second.service].OnFinished(now, server, outcome, ran_for);
+}
+
+Duration BackendTable::SilentFor(MonoTime now, const ServerId& server) const {
+  const auto it = backends_.find(server);
+  if (it == backends_.end() || it->second.own_running == 0)
+    return Duration::zero();
+  return now - it->second.last_activity;
+}
+
+std::vector<ServerLoad> BackendTable::OwnLoads() const {
+  std::vector<ServerLoad> out;
+  for (const auto& [id, backend] : backends_) {
+    if (backend.own_running > 0)
+      out.push_back({.server = id, .running = backend.own_running});
+  }
+  return out;
+}
+
+}  // namespace mangoport
--- /dev/null
+++ b/lib/forward/client_session.cc
@@ -0,0 +1,284 @@
+#include "mangoport/forward/client_session.h"
+
+#include <cassert>
+#include <utility>
+
+namespace mangoport {
+namespace {
+
+/// Bytes that a caller may send ahead of the answer to its request.
+constexpr std::size_t kMaxAheadBytes = std::size_t{64} * 1024;
+
+/// A kept connection is closed this long after callers have stopped using it.
+constexpr Duration kIdleSlack = std::chrono::milliseconds(500);
+
+/// How long the caller may take to close after the last answer.
+constexpr Duration kLingerTime = std::chrono::seconds(2);
+
+constexpr std::string_view kContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
+
+MonoTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+}  // namespace
+
+ClientSession::ClientSession(TcpStream::Ptr stream,
+                             TimerQueue& timers,
+                             const IngressLimits& limits,
+                             ClientSessionHooks hooks)
+    : stream_(std::move(stream)),
+      timers_(timers),
+      limits_(limits),
+      hooks_(std::move(hooks)),
+      parser_(HttpMessageKind::kRequest, limits.max_head_bytes) {}
+
+void ClientSession::Start(MonoTime now) {
+  ArmTimer(now);
+  stream_->Start({.on_data = [self = shared_from_this()](
+                                 std::string_view data) { self->OnData(data); },
+                  .on_end = [self = shared_from_this()] { self->OnEnd(); },
+                  .on_error = [self = shared_from_this()](
+                                  const asio::error_code&) {
+                    self->OnError();
+                  },
+                  .on_drained =
+                      [self = shared_from_this()] {
+                        if (self->on_drained_)
+                          self->on_drained_();
+                      }});
+}
+
+void ClientSession::ArmTimer(MonoTime now) {
+  timers_.Cancel(timer_);
+  Duration wait = limits_.idle_timeout + kIdleSlack;
+  if (ending_)
+    wait = kLingerTime;
+  else if (parser_.started() && !parser_.head_complete())
+    wait = limits_.head_timeout;
+  timer_ = timers_.Add(now + wait, [weak = weak_from_this()](MonoTime due) {
+    if (const auto self = weak.lock())
+      self->OnTimer(due);
+  });
+}
+
+void ClientSession::OnTimer(MonoTime /*now*/) {
+  timer_ = TimerQueue::kNoTicket;
+  if (busy_)
+    return;
+  if (!ending_ && parser_.started()) {
+    Refuse(408, "the request did not arrive in time");
+    return;
+  }
+  Shut();
+}
+
+void ClientSession::OnData(std::string_view data) {
+  if (ending_)
+    return;
+  ahead_.append(data);
+  if (!busy_) {
+    Parse();
+    return;
+  }
+  if (ahead_.size() > kMaxAheadBytes)
+    stream_->SetReading(false);
+}
+
+void ClientSession::Parse() {
+  const bool had_started = parser_.started();
+  const bool had_head = parser_.head_complete();
+  const std::size_t used = parser_.Feed(ahead_, body_);
+  ahead_.erase(0, used);
+  if (parser_.error() == HttpParseError::kHeadTooLarge) {
+    Refuse(431, "the header fields are too large");
+    return;
+  }
+  if (parser_.error() != HttpParseError::kNone) {
+    Refuse(400, "the request is malformed");
+    return;
+  }
+  const HttpHead& head = parser_.head();
+  const bool too_large =
+      body_.size() > limits_.max_body_bytes ||
+      (parser_.head_complete() &&
+       head.content_length.value_or(0) > limits_.max_body_bytes);
+  if (too_large) {
+    Refuse(413, "the body is too large");
+    return;
+  }
+  if (!parser_.message_complete()) {
+    const std::string* expect =
+        parser_.head_complete() ? FindField(head.fields, "expect") : nullptr;
+    if (expect && !continue_sent_ &&
+        EqualsIgnoringCase(*expect, "100-continue")) {
+      continue_sent_ = true;
+      stream_->Send(kContinueAnswer);
+    }
+    if (parser_.started() != had_started || parser_.head_complete() != had_head)
+      ArmTimer(Now());
+    return;
+  }
+  timers_.Cancel(timer_);
+  busy_ = true;
+  continue_sent_ = false;
+  keep_alive_ = head.keep_alive;
+  bodyless_ = head.method == "HEAD";
+  hooks_.on_request(
+      shared_from_this(),
+      HttpRequest{.head = head, .body = std::move(body_), .arrived = Now()});
+}
+
+void ClientSession::Refuse(int status, std::string_view reason) {
+  if (hooks_.on_refused)
+    hooks_.on_refused(status, reason);
+  keep_alive_ = false;
+  busy_ = true;
+  Answer({.status = status,
+          .body = "{\"error\":{\"message\":\"" + std::string(reason) +
+                  "\",\"not_run\":true}}"});
+}
+
+bool ClientSession::ShouldClose() const {
+  return draining_ || !keep_alive_;
+}
+
+void ClientSession::AppendHead(std::string& out,
+                               int status,
+                               std::string_view reason,
+                               const HttpFields& fields) const {
+  out.append("HTTP/1.1 ");
+  out.append(std::to_string(status));
+  out.push_back(' ');
+  out.append(reason.empty() ? ReasonPhrase(status) : reason);
+  out.append("\r\n");
+  for (const HttpField& it : fields)
+    AppendField(out, it.name, it.value);
+  if (ShouldClose())
+    AppendField(out, "Connection", "close");
+}
+
+void ClientSession::Answer(const OwnAnswer& answer) {
+  HttpFields fields = answer.fields;
+  if (!answer.body.empty())
+    fields.push_back({"Content-Type", answer.content_type});
+  AnswerWhole(answer.status, {}, fields, answer.body);
+}
+
+void ClientSession::AnswerWhole(int status,
+                                std::string_view reason,
+                                const HttpFields& fields,
+                                std::string_view body) {
+  assert(busy_ && "an answer belongs to a request");
+  if (closed_)
+    return;
+  std::string out;
+  out.reserve(512 + body.size());
+  AppendHead(out, status, reason, fields);
+  AppendField(out, "Content-Length", std::to_string(body.size()));
+  out.append("\r\n");
+  if (!bodyless_)
+    out.append(body);
+  stream_->Send(out);
+  FinishAnswer();
+}
+
+void ClientSession::BeginAnswer(int status,
+                                std::string_view reason,
+                                const HttpFields& fields,
+                                std::string_view first_piece) {
+  assert(busy_ && "an answer belongs to a request");
+  if (closed_)
+    return;
+  std::string out;
+  out.reserve(512 + first_piece.size());
+  AppendHead(out, status, reason, fields);
+  AppendField(out, "Transfer-Encoding", "chunked");
+  out.append("\r\n");
+  if (!first_piece.empty())
+    AppendChunk(out, first_piece);
+  stream_->Send(out);
+}
+
+void ClientSession::SendPiece(std::string_view piece) {
+  if (closed_ || piece.empty())
+    return;
+  std::string out;
+  out.reserve(piece.size() + 16);
+  AppendChunk(out, piece);
+  stream_->Send(out);
+}
+
+void ClientSession::EndAnswer() {
+  if (closed_)
+    return;
+  stream_->Send(kLastChunk);
+  FinishAnswer();
+}
+
+void ClientSession::FinishAnswer() {
+  busy_ = false;
+  on_gone_ = nullptr;
+  on_drained_ = nullptr;
+  if (closed_)
+    return;
+  parser_.Reset();
+  body_.clear();
+  if (ShouldClose()) {
+    EndConnection();
+    return;
+  }
+  ArmTimer(Now());
+  stream_->SetReading(true);
+  if (!ahead_.empty())
+    Parse();
+}
+
+void ClientSession::Break() {
+  busy_ = false;
+  on_gone_ = nullptr;
+  on_drained_ = nullptr;
+  if (closed_)
+    return;
+  EndConnection();
+}
+
+void ClientSession::EndConnection() {
+  ending_ = true;
+  stream_->EndAfterWrites();
+  stream_->SetReading(true);
+  ArmTimer(Now());
+}
+
+bool ClientSession::CloseIfIdle() {
+  if (busy_ || parser_.started() || !ahead_.empty())
+    return false;
+  Shut();
+  return true;
+}
+
+void ClientSession::OnEnd() {
+  Shut();
+}
+
+void ClientSession::OnError() {
+  Shut();
+}
+
+void ClientSession::Shut() {
+  if (closed_)
+    return;
+  closed_ = true;
+  const auto self = shared_from_this();
+  timers_.Cancel(timer_);
+  stream_->Close();
+  if (busy_ && on_gone_)
+    std::exchange(on_gone_, nullptr)();
+  busy_ = false;
+  on_gone_ = nullptr;
+  on_drained_ = nullptr;
+  if (hooks_.on_closed)
+    hooks_.on_closed(this);
+}
+
+}  // namespace mangoport
--- /dev/null
+++ b/lib/forward/http_caller.cc
@@ -0,0 +1,85 @@
+#include "mangoport/forward/http_caller.h"
+
+#include <memory>
+#include <utility>
+
+namespace mangoport {
+namespace {
+
+/// A call that is under way.
+struct PendingCall {
+  HttpCallDone done;
+  HttpCallResult result;
+  HttpConnection::Ptr connection;
+  TimerQueue::Ticket timer = TimerQueue::kNoTicket;
+  bool over = false;
+
+  void End(TimerQueue& timers) {
+    if (std::exchange(over, true))
+      return;
+    timers.Cancel(timer);
+    connection.reset();
+    const HttpCallDone hook = std::move(done);
+    hook(std::move(result));
+  }
+};
+
+std::string Serialize(const HttpCall& call) {
+  std::string out;
+  out.reserve(256 + call.body.size());
+  out.append(call.method).append(" ").append(call.target);
+  out.append(" HTTP/1.1\r\n");
+  AppendField(out, "Host",
+              call.endpoint.address().to_string() + ":" +
+                  std::to_string(call.endpoint.port()));
+  for (const HttpField& it : call.fields)
+    AppendField(out, it.name, it.value);
+  if (!call.content_type.empty())
+    AppendField(out, "Content-Type", call.content_type);
+  if (call.method != "GET")
+    AppendField(out, "Content-Length", std::to_string(call.body.size()));
+  out.append("\r\n");
+  out.append(call.body);
+  return out;
+}
+
+}  // namespace
+
+void HttpCaller::Call(MonoTime now, HttpCall call, HttpCallDone done) {
+  const auto pending = std::make_shared<PendingCall>();
+  pending->done = std::move(done);
+  pending->connection =
+      pool_.Acquire(now, call.peer, call.endpoint, /*fresh=*/false);
+  pending->timer = timers_.Add(now + call.timeout, [this, pending](MonoTime) {
+    pending->timer = TimerQueue::kNoTicket;
+    if (pending->over)
+      return;
+    pending->result = HttpCallResult();
+    pending->result.sent = true;
+    const HttpConnection::Ptr connection = pending->connection;
+    connection->Cancel();
+    pending->End(timers_);
+  });
+  const HttpConnection::Ptr connection = pending->connection;
+  connection->Exchange(
+      Serialize(call), /*bodyless=*/false,
+      {.on_head =
+           [pending](const HttpHead& head) {
+             pending->result.status = head.status;
+             pending->result.fields = head.fields;
+             return true;
+           },
+       .on_body =
+           [pending](std::string_view piece) {
+             pending->result.body.append(piece);
+           },
+       .on_complete = [this, pending] { pending->End(timers_); },
+       .on_failed =
+           [this, pending](const HttpFailure& failure) {
+             pending->result = HttpCallResult();
+             pending->result.sent = failure.request_sent;
+             pending->End(timers_);
+           }});
+}
+
+}  // namespace mangoport
--- /dev/null
+++ b/lib/forward/http_connection.cc
@@ -0,0 +1,252 @@
+#include "mangoport/forward/http_connection.h"
+
+#include <algorithm>
+#include <cassert>
+#include <charconv>
+#include <utility>
+
+namespace mangoport {
+namespace {
+
+constexpr std::size_t kMaxAnswerHeadBytes = std::size_t{64} * 1024;
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(600);
+/// Sent bytes that stay unacknowledged for this long end the connection.
+constexpr Duration kUserTimeout = std::chrono::seconds(3);
+/// A peer that names no limit may still close an idle connection.
+constexpr Duration kDefaultIdleLimit = std::chrono::seconds(4);
+/// A kept connection is not used in the last part of the peer's limit, so that
+/// a request does not cross its close.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(700);
+
+MonoTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+/// The seconds of "timeout=5, max=100".
+std::optional<Duration> ParseKeepAlive(std::string_view value) {
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t at = value.find(kName);
+  if (at == std::string_view::npos)
+    return std::nullopt;
+  value.remove_prefix(at + kName.size());
+  std::uint32_t seconds = 0;
+  const auto parsed =
+      std::from_chars(value.data(), value.data() + value.size(), seconds);
+  if (parsed.ec != std::errc())
+    return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+HttpConnection::HttpConnection(asio::io_context& io,
+                               TimerQueue& timers,
+                               asio::ip::tcp::endpoint endpoint,
+                               StateHook on_state)
+    : timers_(timers),
+      endpoint_(std::move(endpoint)),
+      on_state_(std::move(on_state)),
+      stream_(std::make_shared<TcpStream>(asio::ip::tcp::socket(io))),
+      parser_(HttpMessageKind::kResponse, kMaxAnswerHeadBytes) {}
+
+void HttpConnection::Exchange(std::string request,
+                              bool bodyless,
+                              HttpExchangeHooks hooks) {
+  assert((state_ == State::kNew || state_ == State::kIdle) &&
+         "a connection carries one exchange at a time");
+  hooks_ = std::make_shared<HttpExchangeHooks>(std::move(hooks));
+  bodyless_ = bodyless;
+  parser_.Reset();
+  parser_.set_bodyless(bodyless);
+  body_.clear();
+  head_taken_ = false;
+  skipping_ = false;
+  sent_ = false;
+  ++exchanges_;
+  if (state_ == State::kIdle) {
+    state_ = State::kBusy;
+    sent_ = true;
+    stream_->Send(request);
+    return;
+  }
+  state_ = State::kConnecting;
+  request_ = std::move(request);
+  const std::weak_ptr<HttpConnection> weak = weak_from_this();
+  connect_timer_ = timers_.Add(Now() + kConnectTimeout, [weak](MonoTime) {
+    if (const Ptr self = weak.lock())
+      self->Fail(HttpFailure::Kind::kConnect);
+  });
+  stream_->Connect(endpoint_, [weak](const asio::error_code& ec) {
+    if (const Ptr self = weak.lock())
+      self->OnConnected(ec);
+  });
+}
+
+void HttpConnection::OnConnected(const asio::error_code& ec) {
+  if (state_ != State::kConnecting)
+    return;
+  timers_.Cancel(connect_timer_);
+  if (ec) {
+    Fail(HttpFailure::Kind::kConnect);
+    return;
+  }
+  state_ = State::kBusy;
+  const std::weak_ptr<HttpConnection> weak = weak_from_this();
+  stream_->Start({.on_data =
+                      [weak](std::string_view data) {
+                        if (const Ptr self = weak.lock())
+                          self->OnData(data);
+                      },
+                  .on_end =
+                      [weak] {
+                        if (const Ptr self = weak.lock())
+                          self->OnEnd();
+                      },
+                  .on_error =
+                      [weak](const asio::error_code&) {
+                        if (const Ptr self = weak.lock())
+                          self->Fail(self->head_taken_
+                                         ? HttpFailure::Kind::kBrokenAnswer
+                                         : HttpFailure::Kind::kNoAnswer);
+                      },
+                  .on_drained = {}});
+  stream_->SetUserTimeout(kUserTimeout);
+  sent_ = true;
+  stream_->Send(std::exchange(request_, {}));
+}
+
+void HttpConnection::OnData(std::string_view data) {
+  const Ptr self = shared_from_this();
+  const std::shared_ptr<HttpExchangeHooks> running = hooks_;
+  if (state_ != State::kBusy) {
+    // Bytes that nobody asked for.
+    Close();
+    return;
+  }
+  while (!data.empty()) {
+    const std::size_t used = parser_.Feed(data, body_);
+    data.remove_prefix(used);
+    if (parser_.error() != HttpParseError::kNone) {
+      Fail(HttpFailure::Kind::kBrokenAnswer);
+      return;
+    }
+    const bool complete = parser_.message_complete();
+    if (!TakeMessage())
+      return;
+    if (!complete)
+      return;
+    if (skipping_ || parser_.head().status < 200) {
+      parser_.Reset();
+      parser_.set_bodyless(bodyless_);
+      skipping_ = false;
+      head_taken_ = false;
+      body_.clear();
+      continue;
+    }
+    const HttpHead& head = parser_.head();
+    const bool framed = head.chunked || head.content_length || bodyless_ ||
+                        head.status == 204 || head.status == 304;
+    const bool reusable = head.keep_alive && framed && data.empty() &&
+                          stream_->unsent() == 0;
+    if (!reusable)
+      state_ = State::kClosed;
+    Complete();
+    return;
+  }
+}
+
+bool HttpConnection::TakeMessage() {
+  if (!parser_.head_complete() || parser_.head().status < 200)
+    return true;
+  if (!head_taken_) {
+    head_taken_ = true;
+    NoteKeepAlive(parser_.head());
+    skipping_ = !hooks_->on_head(parser_.head());
+    if (state_ != State::kBusy)
+      return false;
+  }
+  if (skipping_) {
+    body_.clear();
+    return true;
+  }
+  if (!body_.empty()) {
+    hooks_->on_body(body_);
+    body_.clear();
+  }
+  return state_ == State::kBusy;
+}
+
+void HttpConnection::NoteKeepAlive(const HttpHead& head) {
+  if (const std::string* value = FindField(head.fields, "keep-alive"))
+    idle_limit_ = ParseKeepAlive(*value);
+}
+
+void HttpConnection::Complete() {
+  const bool reusable = state_ == State::kBusy;
+  const std::shared_ptr<HttpExchangeHooks> hooks = std::move(hooks_);
+  if (reusable) {
+    state_ = State::kIdle;
+    idle_since_ = Now();
+    stream_->SetReading(true);
+  } else {
+    stream_->Close();
+  }
+  on_state_(shared_from_this(), reusable);
+  hooks->on_complete();
+}
+
+void HttpConnection::OnEnd() {
+  const Ptr self = shared_from_this();
+  if (state_ != State::kBusy) {
+    Close();
+    return;
+  }
+  parser_.FeedEnd();
+  if (!parser_.message_complete() || skipping_ || !head_taken_) {
+    Fail(head_taken_ && !skipping_ ? HttpFailure::Kind::kBrokenAnswer
+                                   : HttpFailure::Kind::kNoAnswer);
+    return;
+  }
+  state_ = State::kClosed;
+  Complete();
+}
+
+void HttpConnection::Fail(HttpFailure::Kind kind) {
+  if (state_ == State::kClosed)
+    return;
+  const Ptr self = shared_from_this();
+  const bool had_exchange =
+      state_ == State::kBusy || state_ == State::kConnecting;
+  const std::shared_ptr<HttpExchangeHooks> hooks = std::move(hooks_);
+  Close();
+  if (had_exchange && hooks)
+    hooks->on_failed({.kind = kind, .request_sent = sent_});
+}
+
+void HttpConnection::Cancel() {
+  hooks_.reset();
+  Close();
+}
+
+void HttpConnection::SetReading(bool reading) {
+  if (state_ == State::kBusy)
+    stream_->SetReading(reading);
+}
+
+void HttpConnection::Close() {
+  if (state_ == State::kClosed)
+    return;
+  state_ = State::kClosed;
+  timers_.Cancel(connect_timer_);
+  stream_->Close();
+  on_state_(shared_from_this(), /*reusable=*/false);
+}
+
+bool HttpConnection::UsableAt(MonoTime now) const {
+  if (state_ != State::kIdle)
+    return false;
+  const Duration limit = idle_limit_.value_or(kDefaultIdleLimit);
+  return now - idle_since_ < std::max(limit - kIdleMargin, limit / 4);
+}
+
+}  // namespace mangoport
--- /dev/null
+++ b/lib/forward/request_exchange.cc
@@ -0,0 +1,772 @@
+#include "lib/forward/request_exchange.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <charconv>
+#include <utility>
+
+#include "mangoport/forward/wait_policy.h"
+
+namespace mangoport {
+namespace {
+
+/// A server that has work of this host and sends nothing at all for so long is
+/// taken for dead, as far as a request may run elsewhere.
+constexpr Duration kServerSilence = std::chrono::milliseconds(700);
+/// A stream without an event for so long goes on elsewhere even if its server
+/// answers others.
+constexpr Duration kStreamSilence = std::chrono::milliseconds(1400);
+constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(300);
+
+/// Bytes that a caller has not taken, from which its server is read no more.
+constexpr std::size_t kMaxUnsentBytes = std::size_t{256} * 1024;
+
+/// Least time to which a refused caller is told to come back.
+constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
+/// Spread of the times at which refused callers come back.
+constexpr double kRetrySpread = 0.5;
+
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::uint32_t kLeastUrgent = 9;
+
+MonoTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+std::optional<std::int64_t> ParseInteger(std::string_view text) {
+  std::int64_t value = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
+    return std::nullopt;
+  return value;
+}
+
+/// "prompt,output"
+std::optional<std::int64_t> ParseTokenUsage(std::string_view text) {
+  const std::size_t comma = text.find(',');
+  if (comma == std::string_view::npos)
+    return std::nullopt;
+  const auto prompt = ParseInteger(text.substr(0, comma));
+  const auto output = ParseInteger(text.substr(comma + 1));
+  if (!prompt || !output)
+    return std::nullopt;
+  return *prompt + *output;
+}
+
+/// The parts that requests share: all but the last, which is the request's own.
+std::string_view SharedParts(std::string_view parts) {
+  const std::size_t comma = parts.rfind(',');
+  return comma == std::string_view::npos ? std::string_view()
+                                         : parts.substr(0, comma);
+}
+
+std::string FormatSeconds(Duration time) {
+  const double seconds = std::chrono::duration<double>(time).count();
+  std::array<char, 32> digits;
+  const auto end =
+      std::to_chars(digits.data(), digits.data() + digits.size(), seconds,
+                    std::chars_format::fixed, /*precision=*/2);
+  return std::string(digits.data(), end.ptr);
+}
+
+std::string_view KindName(RouteKind kind) {
+  switch (kind) {
+    case RouteKind::kIdempotent:
+      return "idempotent";
+    case RouteKind::kRunOnce:
+      return "run_once";
+    case RouteKind::kStream:
+      return "stream";
+  }
+  return "unknown";
+}
+
+AttemptOutcome OutcomeOf(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kRefusedFull:
+    case AttemptEnd::kMisdirected:
+      return AttemptOutcome::kRefusedBusy;
+    case AttemptEnd::kNotConnected:
+      return AttemptOutcome::kConnectFailed;
+    case AttemptEnd::kNoAnswer:
+      return AttemptOutcome::kConnectionLost;
+    case AttemptEnd::kBroken:
+    case AttemptEnd::kServerError:
+      return AttemptOutcome::kInvalidAnswer;
+    case AttemptEnd::kSilent:
+      return AttemptOutcome::kTimedOut;
+  }
+  return AttemptOutcome::kInvalidAnswer;
+}
+
+}  // namespace
+
+RequestExchange::RequestExchange(Forwarder& host,
+                                 std::shared_ptr<ClientSession> session,
+                                 HttpRequest request)
+    : host_(host),
+      session_(std::move(session)),
+      request_(std::move(request)),
+      config_(host.config_),
+      deadline_(MonoTime::max()) {
+  ++host_.active_;
+}
+
+RequestExchange::~RequestExchange() {
+  --host_.active_;
+}
+
+void RequestExchange::Start() {
+  const MonoTime now = request_.arrived;
+  if (const std::string* id =
+          FindField(request_.head.fields, host_.dialect_.request_id))
+    request_id_ = *id;
+  const std::weak_ptr<RequestExchange> weak = weak_from_this();
+  session_->set_on_gone([weak] {
+    if (const auto self = weak.lock())
+      self->OnCallerGone();
+  });
+  if (!Admit(now))
+    return;
+  deadline_timer_ =
+      host_.parts_.timers.Add(deadline_, [self = shared_from_this()](
+                                             MonoTime due) {
+        self->deadline_timer_ = TimerQueue::kNoTicket;
+        self->OnDeadline(due);
+      });
+  Dispatch(now);
+}
+
+bool RequestExchange::Admit(MonoTime now) {
+  if (!config_) {
+    Refuse(now, {.status = 503, .reason = "no_configuration"});
+    return false;
+  }
+  const HttpFields& fields = request_.head.fields;
+  const std::string_view target = request_.head.target;
+  const std::string* host = FindField(fields, "host");
+  route_ = config_->FindRoute(host ? std::string_view(*host) : "",
+                              target.substr(0, target.find('?')));
+  if (!route_) {
+    Refuse(now, {.status = 404, .reason = "no_route"});
+    return false;
+  }
+  deadline_ = request_.arrived + route_->timeout;
+  if (const std::string* text = FindField(fields, host_.dialect_.deadline_ms)) {
+    if (const auto ms = ParseInteger(*text))
+      deadline_ = std::min(deadline_, request_.arrived +
+                                          std::chrono::milliseconds(*ms));
+  }
+  if (!route_->is_public && !config_->config().accounts.empty() &&
+      !AdmitKey(now))
+    return false;
+  service_ = PickTarget();
+  ParseRouting();
+  return true;
+}
+
+bool RequestExchange::AdmitKey(MonoTime now) {
+  if (!host_.parts_.key_evidence.MayHonourKeys(BootClock::now())) {
+    Refuse(now, {.status = 503, .reason = "key_evidence_old"});
+    return false;
+  }
+  const std::string* value =
+      FindField(request_.head.fields, "authorization");
+  if (value && value->starts_with(kBearer))
+    account_ = config_->FindAccountByKey(value->substr(kBearer.size()));
+  if (account_)
+    return true;
+  Refuse(now, {.status = 401, .reason = "unknown_key"});
+  return false;
+}
+
+const ServiceId& RequestExchange::PickTarget() {
+  assert(!route_->targets.empty() && "parsed routes have a target");
+  std::uint64_t total = 0;
+  for (const RouteTarget& it : route_->targets)
+    total += it.weight;
+  if (total == 0)
+    return route_->targets.front().service;
+  std::uint64_t drawn = host_.random_() % total;
+  for (const RouteTarget& it : route_->targets) {
+    if (drawn < it.weight)
+      return it.service;
+    drawn -= it.weight;
+  }
+  return route_->targets.back().service;
+}
+
+void RequestExchange::ParseRouting() {
+  const HttpFields& fields = request_.head.fields;
+  routing_.request = RequestId(request_id_);
+  if (account_)
+    routing_.account = account_->id;
+  if (const std::string* model = FindField(fields, host_.dialect_.model))
+    routing_.model = ModelId(*model);
+  const std::string* parts = FindField(fields, host_.dialect_.prompt_parts);
+  if (parts && route_->prefers_cached_prefix) {
+    const std::string_view shared = SharedParts(*parts);
+    routing_.prefix_hash =
+        shared.empty() ? 0 : XXH64(shared.data(), shared.size(), 0);
+  }
+  routing_.deadline = deadline_;
+  if (account_) {
+    charge_ = 1;
+    if (account_->counts_tokens) {
+      const std::string* usage =
+          FindField(fields, host_.dialect_.token_usage);
+      charge_ = usage ? ParseTokenUsage(*usage).value_or(
+                            account_->default_tokens)
+                      : account_->default_tokens;
+    }
+  }
+  const ServiceSpec* service = config_->FindService(service_);
+  if (!service || !service->engine)
+    return;
+  use_ = &host_.uses_[routing_.model];
+  use_->model = routing_.model;
+  ++use_->arrivals;
+}
+
+bool RequestExchange::AdmitQuota(MonoTime now) {
+  if (!account_ || charged_)
+    return true;
+  const QuotaDecision decision =
+      host_.parts_.quota.TrySpend(now, account_->id, charge_);
+  if (decision.admitted) {
+    charged_ = true;
+    return true;
+  }
+  Refuse(now, {.status = 429,
+               .reason = "over_quota",
+               .retry_after = decision.retry_after});
+  return false;
+}
+
+void RequestExchange::Dispatch(MonoTime now) {
+  if (now >= deadline_) {
+    OnDeadline(now);
+    return;
+  }
+  RouteChoice choice =
+      host_.parts_.backends.Choose(now, service_, routing_);
+  if (!choice.server && !routing_.excluded.empty() && runs_ > 0) {
+    // Better the same server again than none.
+    routing_.excluded.clear();
+    choice = host_.parts_.backends.Choose(now, service_, routing_);
+  }
+  if (!choice.server) {
+    AwaitCopy(now, choice);
+    return;
+  }
+  // The wait may have been long, or the machine may have stood still.
+  if (account_ &&
+      !host_.parts_.key_evidence.MayHonourKeys(BootClock::now())) {
+    Refuse(now, {.status = 503, .reason = "key_evidence_old"});
+    return;
+  }
+  if (!AdmitQuota(now))
+    return;
+  Send(now, *choice.server);
+}
+
+void RequestExchange::AwaitCopy(MonoTime now, const RouteChoice& choice) {
+  const ServiceSpec* service = config_->FindService(service_);
+  if (!service || !service->engine ||
+      host_.parts_.backends.HasModel(service_, routing_.model)) {
+    const bool full = choice.refusal.code == ErrorCode::kOverloaded;
+    Refuse(now, {.status = 503,
+                 .reason = full ? "no_time" : "no_server",
+                 .retry_after = choice.retry_after});
+    return;
+  }
+  const std::string_view name = routing_.model.value();
+  const std::size_t slash = name.find('/');
+  const std::string_view base = name.substr(0, slash);
+  const auto spec = std::find_if(
+      service->engine->models.begin(), service->engine->models.end(),
+      [base](const ModelSpec& it) { return it.model.value() == base; });
+  if (spec == service->engine->models.end()) {
+    Refuse(now, {.status = 503, .reason = "unknown_model"});
+    return;
+  }
+  if (!waiting_)
+    waiting_since_ = now;
+  MissingCopy missing;
+  missing.time_left = deadline_ - now;
+  missing.waited = now - waiting_since_;
+  missing.is_adapter =
+      slash != std::string_view::npos &&
+      host_.parts_.backends.HasModel(service_, spec->model);
+  missing.load_time =
+      missing.is_adapter ? Duration::zero() : spec->load_from_store;
+  const WaitDecision decision = DecideWait(missing);
+  if (!decision.wait) {
+    Refuse(now, {.status = 503,
+                 .reason = "model_not_loaded",
+                 .retry_after = decision.retry_after});
+    return;
+  }
+  if (!waiting_) {
+    waiting_ = true;
+    ++use_->waiting;
+    if (host_.on_missing_)
+      host_.on_missing_();
+  }
+  host_.waiting_[routing_.model].push_back(weak_from_this());
+  host_.parts_.timers.Cancel(wait_timer_);
+  wait_timer_ = host_.parts_.timers.Add(
+      now + decision.limit, [weak = weak_from_this()](MonoTime due) {
+        const auto self = weak.lock();
+        if (!self || self->done_ || !self->waiting_)
+          return;
+        self->wait_timer_ = TimerQueue::kNoTicket;
+        self->Refuse(due, {.status = 503, .reason = "model_not_loaded"});
+      });
+}
+
+void RequestExchange::OnModelAppeared() {
+  if (done_ || !waiting_)
+    return;
+  host_.parts_.timers.Cancel(wait_timer_);
+  const MonoTime now = Now();
+  Dispatch(now);
+}
+
+std::string RequestExchange::BuildRequest(MonoTime now) const {
+  const HttpHead& head = request_.head;
+  const ForwardDialect& dialect = host_.dialect_;
+  const std::string* connection = FindField(head.fields, "connection");
+  const std::string_view hops = connection ? std::string_view(*connection) : "";
+  const auto dropped = [&](std::string_view name) {
+    if (IsHopByHop(name, hops) || EqualsIgnoringCase(name, "authorization") ||
+        EqualsIgnoringCase(name, "content-length") ||
+        EqualsIgnoringCase(name, "expect") ||
+        EqualsIgnoringCase(name, dialect.deadline_ms))
+      return true;
+    if (events_.last_id() && EqualsIgnoringCase(name, dialect.resume_after))
+      return true;
+    return std::any_of(dialect.reserved.begin(), dialect.reserved.end(),
+                       [name](const std::string& it) {
+                         return EqualsIgnoringCase(name, it);
+                       });
+  };
+  std::string out;
+  out.reserve(1024 + request_.body.size());
+  out.append(head.method).append(" ").append(head.target);
+  out.append(" HTTP/1.1\r\n");
+  for (const HttpField& it : head.fields) {
+    if (!dropped(it.name))
+      AppendField(out, it.name, it.value);
+  }
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - now);
+  AppendField(out, dialect.deadline_ms,
+              std::to_string(std::max<std::int64_t>(left.count(), 1)));
+  AppendField(out, dialect.expected_server, server_.value());
+  const std::uint32_t priority =
+      account_ && account_->priority ? *account_->priority : route_->priority;
+  AppendField(out, dialect.urgency,
+              std::to_string(std::min(priority, kLeastUrgent)));
+  if (account_)
+    AppendField(out, dialect.account, account_->id.value());
+  if (events_.last_id())
+    AppendField(out, dialect.resume_after, std::to_string(*events_.last_id()));
+  if (head.content_length || head.chunked)
+    AppendField(out, "Content-Length", std::to_string(request_.body.size()));
+  out.append("\r\n");
+  out.append(request_.body);
+  return out;
+}
+
+void RequestExchange::Send(MonoTime now, const ServerId& server) {
+  const auto address = host_.parts_.backends.AddressOf(server);
+  assert(address && "a chosen server is listed");
+  if (waiting_) {
+    waiting_ = false;
+    --use_->waiting;
+  }
+  server_ = server;
+  sent_at_ = now;
+  last_byte_at_ = now;
+  answer_ = Answer();
+  events_.Restart();
+  if (sends_++ == 0)
+    host_.StateOf(service_).budget.OnRequest(now, AccountId());
+  if (use_)
+    ++use_->running;
+  host_.parts_.backends.OnDispatched(now, server);
+  connection_ = host_.parts_.pool.Acquire(now, server.value(), *address,
+                                          /*fresh=*/runs_ > 0);
+  const std::weak_ptr<RequestExchange> weak = weak_from_this();
+  const HttpConnection::Ptr connection = connection_;
+  connection->Exchange(
+      BuildRequest(now), request_.head.method == "HEAD",
+      {.on_head =
+           [weak](const HttpHead& head) {
+             const auto self = weak.lock();
+             return self && self->OnHead(head);
+           },
+       .on_body =
+           [weak](std::string_view piece) {
+             if (const auto self = weak.lock())
+               self->OnBody(piece);
+           },
+       .on_complete =
+           [weak] {
+             if (const auto self = weak.lock())
+               self->OnComplete();
+           },
+       .on_failed =
+           [weak](const HttpFailure& failure) {
+             if (const auto self = weak.lock())
+               self->OnFailed(failure);
+           }});
+  if (route_->idempotent())
+    ArmSilenceCheck(now);
+}
+
+bool RequestExchange::OnHead(const HttpHead& head) {
+  const MonoTime now = Now();
+  last_byte_at_ = now;
+  host_.parts_.backends.OnActivity(now, server_);
+  const std::string* id = FindField(head.fields, host_.dialect_.request_id);
+  // A late answer to an earlier request on this connection.
+  if (id && *id != request_id_)
+    return false;
+  answer_.status = head.status;
+  answer_.reason = head.reason;
+  if (!MayPassOn(head)) {
+    EndAttempt(now, AttemptEnd::kBroken);
+    return true;
+  }
+  answer_.fields = EndToEndFields(head);
+  answer_.streaming =
+      route_->kind == RouteKind::kStream && head.status / 100 == 2;
+  return true;
+}
+
+bool RequestExchange::MayPassOn(const HttpHead& head) const {
+  if (head.status / 100 != 2)
+    return true;
+  return FindField(head.fields, host_.dialect_.request_id) &&
+         FindField(head.fields, host_.dialect_.answer_seal) &&
+         !FindField(head.fields, "content-encoding");
+}
+
+HttpFields RequestExchange::EndToEndFields(const HttpHead& head) const {
+  const std::string* connection = FindField(head.fields, "connection");
+  HttpFields out;
+  for (const HttpField& it : head.fields) {
+    if (!IsHopByHop(it.name, connection ? *connection : "") &&
+        !EqualsIgnoringCase(it.name, "content-length"))
+      out.push_back(it);
+  }
+  return out;
+}
+
+void RequestExchange::OnBody(std::string_view piece) {
+  const MonoTime now = Now();
+  last_byte_at_ = now;
+  host_.parts_.backends.OnActivity(now, server_);
+  if (!answer_.streaming) {
+    answer_.body.append(piece);
+    return;
+  }
+  std::string whole;
+  const std::size_t n = events_.Feed(piece, whole);
+  if (events_.out_of_order()) {
+    EndAttempt(now, AttemptEnd::kBroken);
+    return;
+  }
+  if (n == 0)
+    return;
+  events_passed_ += n;
+  host_.parts_.metrics.OnEvents(n);
+  OnEvents(now, whole);
+}
+
+void RequestExchange::OnEvents(MonoTime now, std::string_view whole) {
+  if (!first_event_at_) {
+    first_event_at_ = now;
+    host_.parts_.backends.OnFirstToken(now, server_);
+    host_.parts_.metrics.OnFirstEvent(now - request_.arrived);
+  }
+  if (!answer_begun_) {
+    answer_begun_ = true;
+    session_->BeginAnswer(answer_.status, answer_.reason, answer_.fields,
+                          whole);
+  } else {
+    session_->SendPiece(whole);
+  }
+  if (session_->unsent() <= kMaxUnsentBytes || !connection_)
+    return;
+  connection_->SetReading(false);
+  session_->set_on_drained([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && self->connection_)
+      self->connection_->SetReading(true);
+  });
+}
+
+void RequestExchange::OnComplete() {
+  const auto self = shared_from_this();
+  const MonoTime now = Now();
+  connection_.reset();
+  const int status = answer_.status;
+  if (status / 100 == 2) {
+    FinishAttempt(now, AttemptOutcome::kCompleted);
+    if (!answer_.streaming) {
+      PassOnWhole(now);
+      return;
+    }
+    if (!answer_begun_)
+      session_->BeginAnswer(status, answer_.reason, answer_.fields, {});
+    answer_begun_ = true;
+    session_->SendPiece(events_.partial());
+    session_->EndAnswer();
+    Finish(now, "served", status);
+    return;
+  }
+  if (status == 421) {
+    host_.parts_.backends.NoteMissing(now, server_, routing_.model);
+    EndAttempt(now, AttemptEnd::kMisdirected);
+    return;
+  }
+  if (FindField(answer_.fields, host_.dialect_.not_run) && status != 400) {
+    EndAttempt(now, AttemptEnd::kRefusedFull);
+    return;
+  }
+  if (status >= 500 || answer_begun_) {
+    EndAttempt(now, AttemptEnd::kServerError);
+    return;
+  }
+  FinishAttempt(now, AttemptOutcome::kCompleted);
+  PassOnWhole(now);
+}
+
+void RequestExchange::PassOnWhole(MonoTime now) {
+  session_->AnswerWhole(answer_.status, answer_.reason, answer_.fields,
+                        answer_.body);
+  Finish(now, answer_.status / 100 == 2 ? "served" : "server_failure",
+         answer_.status);
+}
+
+void RequestExchange::OnFailed(const HttpFailure& failure) {
+  const auto self = shared_from_this();
+  connection_.reset();
+  const bool not_sent = failure.kind == HttpFailure::Kind::kConnect;
+  const bool no_answer = failure.kind == HttpFailure::Kind::kNoAnswer;
+  EndAttempt(Now(), not_sent    ? AttemptEnd::kNotConnected
+                    : no_answer ? AttemptEnd::kNoAnswer
+                                : AttemptEnd::kBroken);
+}
+
+RequestProgress RequestExchange::Progress(MonoTime now) const {
+  return {.idempotent = route_->idempotent(),
+          .max_attempts = route_->max_attempts,
+          .runs = runs_,
+          .sends = sends_,
+          .answer_begun = answer_begun_,
+          .time_left = deadline_ - now};
+}
+
+void RequestExchange::EndAttempt(MonoTime now, AttemptEnd end) {
+  const auto self = shared_from_this();
+  if (connection_)
+    std::exchange(connection_, nullptr)->Cancel();
+  FinishAttempt(now, OutcomeOf(end));
+  last_end_ = AttemptEndName(end);
+  LogAttempt(now, last_end_);
+  if (!ProvesNotRun(end))
+    ++runs_;
+  const RequestProgress progress = Progress(now);
+  const bool may_repeat =
+      WantsAnother(progress, end) &&
+      host_.StateOf(service_).budget.TryTake(now, AccountId());
+  switch (DecideNextStep(progress, end, may_repeat)) {
+    case NextStep::kTryAnother:
+      routing_.excluded.push_back(server_);
+      Dispatch(now);
+      return;
+    case NextStep::kRefuse:
+      Refuse(now, {.status = 503, .reason = last_end_});
+      return;
+    case NextStep::kFail:
+      Refuse(now, {.status = 502, .reason = last_end_});
+      return;
+    case NextStep::kPassOn:
+      PassOnWhole(now);
+      return;
+    case NextStep::kBreak:
+      Break(now, last_end_);
+      return;
+  }
+}
+
+void RequestExchange::FinishAttempt(MonoTime now, AttemptOutcome outcome) {
+  host_.parts_.timers.Cancel(silence_timer_);
+  if (use_)
+    --use_->running;
+  host_.parts_.backends.OnFinished(now, server_, outcome, now - sent_at_);
+  host_.parts_.metrics.OnAttempt(
+      outcome == AttemptOutcome::kCompleted   ? "completed"
+      : outcome == AttemptOutcome::kCancelled ? "cancelled"
+                                              : "failed");
+}
+
+void RequestExchange::Refuse(MonoTime now, const Verdict& verdict) {
+  // "Not run" is promised only if it is true.
+  const bool may_have_run = runs_ > 0;
+  Verdict out = verdict;
+  if (may_have_run && (out.status == 503 || out.status == 429))
+    out.status = 502;
+  if (answer_begun_) {
+    Break(now, verdict.reason);
+    return;
+  }
+  OwnAnswer answer;
+  answer.status = out.status;
+  if (out.status == 503 || out.status == 429) {
+    const Duration least = out.retry_after.value_or(kDefaultRetryAfter);
+    const double spread =
+        std::uniform_real_distribution<>(0, kRetrySpread)(host_.random_);
+    answer.fields.push_back(
+        {"Retry-After",
+         FormatSeconds(least + std::chrono::duration_cast<Duration>(
+                                   least * spread))});
+  }
+  if (!request_id_.empty())
+    answer.fields.push_back({host_.dialect_.request_id, request_id_});
+  answer.body = "{\"error\":{\"code\":\"" + std::string(out.reason) +
+                "\",\"not_run\":" + (may_have_run ? "false" : "true") + "}}";
+  host_.parts_.metrics.OnRefusal(out.reason);
+  last_end_ = out.reason;
+  session_->Answer(answer);
+  Finish(now, out.status >= 500 && may_have_run ? "failed" : "refused",
+         out.status);
+}
+
+void RequestExchange::Break(MonoTime now, std::string_view reason) {
+  last_end_ = reason;
+  session_->Break();
+  Finish(now, "broken_off", answer_.status);
+}
+
+void RequestExchange::OnDeadline(MonoTime now) {
+  if (done_)
+    return;
+  if (connection_) {
+    std::exchange(connection_, nullptr)->Cancel();
+    FinishAttempt(now, AttemptOutcome::kCancelled);
+    LogAttempt(now, "deadline");
+    ++runs_;
+  }
+  if (answer_begun_) {
+    Break(now, "deadline");
+    return;
+  }
+  Refuse(now, {.status = runs_ > 0 ? 504 : 503, .reason = "deadline"});
+}
+
+void RequestExchange::ArmSilenceCheck(MonoTime now) {
+  host_.parts_.timers.Cancel(silence_timer_);
+  silence_timer_ = host_.parts_.timers.Add(
+      now + kSilenceCheckInterval, [weak = weak_from_this()](MonoTime due) {
+        const auto self = weak.lock();
+        if (!self || self->done_)
+          return;
+        self->silence_timer_ = TimerQueue::kNoTicket;
+        self->CheckSilence(due);
+      });
+}
+
+void RequestExchange::CheckSilence(MonoTime now) {
+  if (!connection_)
+    return;
+  const bool server_silent =
+      host_.parts_.backends.SilentFor(now, server_) > kServerSilence &&
+      now - last_byte_at_ > kServerSilence;
+  const bool stream_silent =
+      answer_begun_ && now - last_byte_at_ > kStreamSilence;
+  RequestProgress progress = Progress(now);
+  ++progress.runs;
+  if ((server_silent || stream_silent) &&
+      WantsAnother(progress, AttemptEnd::kSilent)) {
+    EndAttempt(now, AttemptEnd::kSilent);
+    return;
+  }
+  ArmSilenceCheck(now);
+}
+
+void RequestExchange::OnCallerGone() {
+  if (done_)
+    return;
+  const MonoTime now = Now();
+  if (connection_) {
+    std::exchange(connection_, nullptr)->Cancel();
+    FinishAttempt(now, AttemptOutcome::kCancelled);
+    ++runs_;
+  }
+  Finish(now, "caller_gone", 0);
+}
+
+void RequestExchange::Finish(MonoTime now,
+                             std::string_view outcome,
+                             int status) {
+  if (done_)
+    return;
+  done_ = true;
+  TimerQueue& timers = host_.parts_.timers;
+  timers.Cancel(deadline_timer_);
+  timers.Cancel(silence_timer_);
+  timers.Cancel(wait_timer_);
+  if (std::exchange(waiting_, false))
+    --use_->waiting;
+  if (charged_ && runs_ == 0 && outcome == "refused")
+    host_.parts_.quota.Refund(now, account_->id, charge_);
+  const std::string_view kind = route_ ? KindName(route_->kind) : "none";
+  const AccountId account = account_ ? account_->id : AccountId();
+  host_.parts_.metrics.OnRequest(kind, account, outcome,
+                                 now - request_.arrived);
+  LogLine line("request");
+  line.Add("id", request_id_)
+      .Add("outcome", outcome)
+      .Add("status", status)
+      .Add("reason", last_end_.empty() ? "none" : last_end_)
+      .Add("route", route_ ? std::string_view(route_->name) : "none")
+      .Add("kind", kind)
+      .Add("account", account.value())
+      .Add("model", routing_.model.value())
+      .Add("server", server_.value())
+      .Add("sends", sends_)
+      .Add("runs", runs_)
+      .Add("events", events_passed_)
+      .Add("config_version", config_ ? config_->version() : 0)
+      .Add("total_ms", now - request_.arrived);
+  if (first_event_at_)
+    line.Add("first_event_ms", *first_event_at_ - request_.arrived);
+  if (route_)
+    line.Add("left_ms", deadline_ - now);
+  host_.parts_.log.Write(line);
+}
+
+void RequestExchange::LogAttempt(MonoTime now, std::string_view end) const {
+  host_.parts_.log.Write(
+      LogLine("attempt_ended")
+          .Add("id", request_id_)
+          .Add("end", end)
+          .Add("server", server_.value())
+          .Add("status", answer_.status)
+          .Add("events", events_passed_)
+          .Add("after_ms", now - sent_at_)
+          .Add("server_silent_ms",
+               host_.parts_.backends.SilentFor(now, server_))
+          .Add("left_ms", deadline_ - now));
+}
+
+}  // namespace mangoport
--- /dev/null
+++ b/lib/http/message_parser.cc
@@ -0,0 +1,245 @@
+#include "mangoport/http/message_parser.h"
+
+#include <http_parser.h>
+
+#include <utility>
+
+namespace mangoport {
+namespace {
+
+constexpr int kContinue = 0;
+constexpr int kStop = -1;
+/// What http_parser takes from the end-of-head callback for "no body follows".
+constexpr int kSkipBody = 1;
+
+bool IsTokenChar(char c) {
+  if ((c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+      (c >= '0' && c <= '9'))
+    return true;
+  return std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
+bool IsToken(std::string_view text) {
+  for (const char c : text) {
+    if (!IsTokenChar(c))
+      return false;
+  }
+  return !text.empty();
+}
+
+/// True if the value could not be passed on as one line.
+bool HasControl(std::string_view text) {
+  for (const char c : text) {
+    const auto code = static_cast<unsigned char>(c);
+    if ((code < 0x20 && c != '\t') || code == 0x7f)
+      return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+struct MessageParser::State {
+  http_parser parser{};
+  HttpMessageKind kind = HttpMessageKind::kRequest;
+  std::size_t max_head_bytes = 0;
+  std::size_t head_bytes = 0;
+  HttpHead head;
+  std::string* body = nullptr;
+  bool last_was_value = false;
+  bool bodyless = false;
+  bool started = false;
+  bool head_complete = false;
+  bool message_complete = false;
+  HttpParseError error = HttpParseError::kNone;
+
+  static State& Of(http_parser* parser) {
+    return *static_cast<State*>(parser->data);
+  }
+  static const http_parser_settings& Callbacks();
+
+  void Init();
+  int Count(std::size_t bytes);
+  int OnName(std::string_view text);
+  int OnValue(std::string_view text);
+  int OnHeadComplete();
+  int Refuse();
+};
+
+void MessageParser::State::Init() {
+  http_parser_init(&parser, kind == HttpMessageKind::kRequest ? HTTP_REQUEST
+                                                              : HTTP_RESPONSE);
+  parser.data = this;
+  head = HttpHead();
+  head_bytes = 0;
+  last_was_value = false;
+  started = false;
+  head_complete = false;
+  message_complete = false;
+}
+
+int MessageParser::State::Count(std::size_t bytes) {
+  head_bytes += bytes;
+  if (head_bytes <= max_head_bytes)
+    return kContinue;
+  error = HttpParseError::kHeadTooLarge;
+  return kStop;
+}
+
+int MessageParser::State::OnName(std::string_view text) {
+  // Trailers of a chunked body are dropped.
+  if (head_complete)
+    return kContinue;
+  if (last_was_value || head.fields.empty())
+    head.fields.emplace_back();
+  last_was_value = false;
+  head.fields.back().name.append(text);
+  return Count(text.size());
+}
+
+int MessageParser::State::OnValue(std::string_view text) {
+  if (head_complete)
+    return kContinue;
+  last_was_value = true;
+  head.fields.back().value.append(text);
+  return Count(text.size());
+}
+
+int MessageParser::State::Refuse() {
+  error = HttpParseError::kMalformed;
+  return kStop;
+}
+
+int MessageParser::State::OnHeadComplete() {
+  int hosts = 0;
+  for (const HttpField& it : head.fields) {
+    if (!IsToken(it.name) || HasControl(it.value))
+      return Refuse();
+    if (EqualsIgnoringCase(it.name, "host"))
+      ++hosts;
+  }
+  head.chunked = (parser.flags & F_CHUNKED) != 0;
+  if ((parser.flags & F_CONTENTLENGTH) != 0)
+    head.content_length = parser.content_length;
+  if (head.chunked && head.content_length)
+    return Refuse();
+  head.keep_alive = http_should_keep_alive(&parser) != 0;
+  head_complete = true;
+  if (kind == HttpMessageKind::kResponse) {
+    head.status = parser.status_code;
+    return bodyless ? kSkipBody : kContinue;
+  }
+  if (hosts != 1 || parser.upgrade != 0 || HasControl(head.target))
+    return Refuse();
+  head.method = http_method_str(static_cast<http_method>(parser.method));
+  return kContinue;
+}
+
+const http_parser_settings& MessageParser::State::Callbacks() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings out;
+    http_parser_settings_init(&out);
+    out.on_message_begin = [](http_parser* parser) {
+      Of(parser).started = true;
+      return kContinue;
+    };
+    out.on_url = [](http_parser* parser, const char* at, std::size_t n) {
+      Of(parser).head.target.append(at, n);
+      return Of(parser).Count(n);
+    };
+    out.on_status = [](http_parser* parser, const char* at, std::size_t n) {
+      Of(parser).head.reason.append(at, n);
+      return Of(parser).Count(n);
+    };
+    out.on_header_field = [](http_parser* parser, const char* at,
+                             std::size_t n) {
+      return Of(parser).OnName({at, n});
+    };
+    out.on_header_value = [](http_parser* parser, const char* at,
+                             std::size_t n) {
+      return Of(parser).OnValue({at, n});
+    };
+    out.on_headers_complete = [](http_parser* parser) {
+      return Of(parser).OnHeadComplete();
+    };
+    out.on_body = [](http_parser* parser, const char* at, std::size_t n) {
+      Of(parser).body->append(at, n);
+      return kContinue;
+    };
+    out.on_message_complete = [](http_parser* parser) {
+      Of(parser).message_complete = true;
+      http_parser_pause(parser, 1);
+      return kContinue;
+    };
+    return out;
+  }();
+  return settings;
+}
+
+MessageParser::MessageParser(HttpMessageKind kind, std::size_t max_head_bytes)
+    : state_(std::make_unique<State>()) {
+  state_->kind = kind;
+  state_->max_head_bytes = max_head_bytes;
+  state_->Init();
+}
+
+MessageParser::~MessageParser() = default;
+
+std::size_t MessageParser::Feed(std::string_view data, std::string& body) {
+  State& state = *state_;
+  if (data.empty() || state.message_complete ||
+      state.error != HttpParseError::kNone)
+    return 0;
+  state.body = &body;
+  const std::size_t used = http_parser_execute(
+      &state.parser, &State::Callbacks(), data.data(), data.size());
+  state.body = nullptr;
+  const http_errno code = HTTP_PARSER_ERRNO(&state.parser);
+  if (code != HPE_OK && code != HPE_PAUSED &&
+      state.error == HttpParseError::kNone)
+    state.error = code == HPE_HEADER_OVERFLOW ? HttpParseError::kHeadTooLarge
+                                              : HttpParseError::kMalformed;
+  return used;
+}
+
+void MessageParser::FeedEnd() {
+  State& state = *state_;
+  if (state.message_complete || state.error != HttpParseError::kNone)
+    return;
+  std::string unused;
+  state.body = &unused;
+  http_parser_execute(&state.parser, &State::Callbacks(), nullptr, 0);
+  state.body = nullptr;
+  if (!state.message_complete)
+    state.error = HttpParseError::kMalformed;
+}
+
+bool MessageParser::head_complete() const {
+  return state_->head_complete;
+}
+
+bool MessageParser::message_complete() const {
+  return state_->message_complete;
+}
+
+bool MessageParser::started() const {
+  return state_->started;
+}
+
+HttpParseError MessageParser::error() const {
+  return state_->error;
+}
+
+const HttpHead& MessageParser::head() const {
+  return state_->head;
+}
+
+void MessageParser::set_bodyless(bool bodyless) {
+  state_->bodyless = bodyless;
+}
+
+void MessageParser::Reset() {
+  state_->Init();
+}
+
+}  // namespace mangoport
--- /dev/null
+++ b/lib/limits/shared_quota.cc
@@ -0,0 +1,158 @@
+#include "mangoport/limits/shared_quota.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include "mangoport/core/mutant.h"
+
+namespace mangoport {
+namespace {
+
+/// A refused request is never told to come back sooner.
+constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(200);
+constexpr Duration kLongestRetryAfter = std::chrono::seconds(10);
+
+Duration TimeFor(double amount, double rate) {
+  if (rate <= 0)
+    return kLongestRetryAfter;
+  const std::chrono::duration<double> time(amount / rate);
+  if (time > kLongestRetryAfter)
+    return kLongestRetryAfter;
+  return std::max(kShortestRetryAfter,
+                  std::chrono::duration_cast<Duration>(time));
+}
+
+}  // namespace
+
+void SharedQuota::SetLimits(MonoTime now,
+                            const std::vector<AccountLimit>& limits) {
+  std::set<AccountId> named;
+  for (const AccountLimit& it : limits) {
+    named.insert(it.account);
+    const bool known = buckets_.contains(it.account);
+    Bucket& bucket = buckets_[it.account];
+    if (known)
+      Fill(now, bucket);
+    else
+      bucket.filled_at = now;
+    bucket.limit = it;
+    bucket.limited = it.tokens_per_second > 0;
+    bucket.level =
+        std::min(bucket.level, static_cast<double>(it.burst_tokens));
+  }
+  for (auto& [id, bucket] : buckets_) {
+    if (!named.contains(id))
+      bucket.limited = false;
+  }
+}
+
+double SharedQuota::HeardPart(MonoTime now) const {
+  std::size_t heard = 1;
+  for (const auto& [id, host] : hosts_) {
+    if (now - host.heard_at <= settings_.silence ||
+        MutantEnabled("quota_ignores_silence"))
+      ++heard;
+  }
+  return static_cast<double>(heard) / static_cast<double>(host_count());
+}
+
+void SharedQuota::Fill(MonoTime now, Bucket& bucket) {
+  const double seconds =
+      std::chrono::duration<double>(now - bucket.filled_at).count();
+  bucket.filled_at = now;
+  if (!bucket.limited || seconds <= 0)
+    return;
+  const double heard = HeardPart(now);
+  const auto rate = static_cast<double>(bucket.limit.tokens_per_second);
+  const auto burst = static_cast<double>(bucket.limit.burst_tokens);
+  bucket.level =
+      std::min(burst * heard, bucket.level + rate * heard * seconds);
+  const double share_rate = rate / static_cast<double>(host_count());
+  const double horizon =
+      std::chrono::duration<double>(settings_.share_horizon).count();
+  bucket.share = std::min(share_rate * horizon,
+                          bucket.share + share_rate * seconds);
+}
+
+QuotaDecision SharedQuota::TrySpend(MonoTime now,
+                                    const AccountId& account,
+                                    std::int64_t amount) {
+  Bucket& bucket = buckets_[account];
+  const auto spend = [&] {
+    bucket.level -= static_cast<double>(amount);
+    bucket.own_total += amount;
+    bucket.own_changed_at = now;
+    return QuotaDecision{.admitted = true, .retry_after = {}};
+  };
+  if (!bucket.limited)
+    return spend();
+  Fill(now, bucket);
+  const auto wanted = static_cast<double>(amount);
+  const double reserve =
+      settings_.reserve * static_cast<double>(bucket.limit.burst_tokens);
+  if (bucket.level - wanted >= reserve)
+    return spend();
+  // A share smaller than one request is saved up past its horizon by letting
+  // the balance go below zero.
+  if (bucket.share > 0 && bucket.level + reserve > 0) {
+    bucket.share -= wanted;
+    return spend();
+  }
+  const double share_rate = static_cast<double>(bucket.limit.tokens_per_second) /
+                            static_cast<double>(host_count());
+  return {.admitted = false,
+          .retry_after = TimeFor(std::max(0.0, -bucket.share), share_rate)};
+}
+
+void SharedQuota::Refund(MonoTime now,
+                         const AccountId& account,
+                         std::int64_t amount) {
+  Bucket& bucket = buckets_[account];
+  bucket.level += static_cast<double>(amount);
+  bucket.own_total -= amount;
+  bucket.own_changed_at = now;
+}
+
+void SharedQuota::OnHostHeard(MonoTime now, const HostId& host) {
+  Host& entry = hosts_[host];
+  entry.heard_at = std::max(entry.heard_at, now);
+  std::erase_if(hosts_, [&](const auto& it) {
+    return now - it.second.heard_at > settings_.forget;
+  });
+}
+
+void SharedQuota::OnHostLeft(const HostId& host) {
+  hosts_.erase(host);
+}
+
+void SharedQuota::OnPeerUse(MonoTime now,
+                            const HostId& host,
+                            std::uint64_t incarnation,
+                            const AccountUse& use) {
+  const bool host_known = hosts_.contains(host);
+  Host& entry = hosts_[host];
+  entry.heard_at = std::max(entry.heard_at, now);
+  const auto [it, first] = entry.accounts.try_emplace(use.account);
+  PeerAccount& known = it->second;
+  // What a host had spent before this one knew it is past.
+  if (first && !host_known)
+    known = PeerAccount{.incarnation = incarnation, .total = use.total};
+  if (incarnation != known.incarnation)
+    known = PeerAccount{.incarnation = incarnation, .total = 0};
+  Bucket& bucket = buckets_[use.account];
+  Fill(now, bucket);
+  bucket.level -= static_cast<double>(use.total - known.total);
+  known.total = use.total;
+}
+
+std::vector<AccountUse> SharedQuota::UseSince(MonoTime since) const {
+  std::vector<AccountUse> out;
+  for (const auto& [id, bucket] : buckets_) {
+    if (bucket.own_total != 0 && bucket.own_changed_at >= since)
+      out.push_back({.account = id, .total = bucket.own_total});
+  }
+  return out;
+}
+
+}  // namespace mangoport
--- a/lib/placement/engine_ledger.cc
+++ b/lib/placement/engine_ledger.cc
@@ -92,11 +92,6 @@
 
 }  // namespace
 
-bool IsUnload(PlacementOrderKind kind) {
-  return kind == PlacementOrderKind::kUnloadModel ||
-         kind == PlacementOrderKind::kUnloadAdapter;
-}
-
 std::string OrderName(const LogPosition& position) {
   return "order-" + ToString(position);
 }
--- a/utils/install_packages.sh
+++ b/utils/install_packages.sh
@@ -4,7 +4,7 @@
 set -eu
 packages="g++ clang clang-format clang-tidy clang-tools cmake ninja-build make
   pkg-config ccache mold curl python3 python3-yaml libclang-rt-14-dev
-  libasio-dev libnghttp2-dev prometheus-cpp-dev libcpp-httplib-dev
+  libasio-dev libhttp-parser-dev libnghttp2-dev prometheus-cpp-dev libcpp-httplib-dev
   liblog4cplus-dev libboost1.81-dev libcriterion-dev libtomlplusplus-dev
   nlohmann-json3-dev libprotobuf-dev libxxhash-dev libssl-dev
   libbenchmark-dev"
