Order counts come from reports; callers' patience with streams bounds the wait for a copy

Cause: in the list of servers the platform's Seq counts heartbeats, in reports it counts orders. Decoded as one, every order named a wrong count: 2,414 of 2,414 refused, 13 of 26 models never served. Ruled out: a lease held twice (one host gave all orders, term 1). Change: the list's figure is dropped; the order book asks an engine for a report before its first order; what an order changed is believed for 4 s over the list.

--- a/include/mangoport/fleet/engine_calls.h
+++ b/include/mangoport/fleet/engine_calls.h
@@ -93,6 +93,8 @@
   std::vector<ResidentModel> models;
   std::uint32_t queued = 0;
   std::uint32_t active = 0;
+  /// As in `ServerEntry`.
+  std::uint64_t started_at_ms = 0;
 };
 
 }  // namespace mangoport
--- a/include/mangoport/fleet/fleet_config.h
+++ b/include/mangoport/fleet/fleet_config.h
@@ -42,6 +42,10 @@
   Duration timeout{};
   /// The time by which the answer, or a stream's first event, is on time.
   Duration latency_objective{};
+  /// Streams: the longest pause between events that is on time.
+  Duration event_gap_objective{};
+  /// Streams: callers leave after such a gap; zero if they wait to the end.
+  Duration stall_limit{};
   /// Rank among requests: 0 is the most urgent.
   std::uint32_t priority = 0;
   std::vector<RouteTarget> targets;
--- a/include/mangoport/fleet/server_directory.h
+++ b/include/mangoport/fleet/server_directory.h
@@ -38,8 +38,6 @@
   /// Copies of weights from which a load is fast.
   std::vector<ModelId> models_in_memory;
   std::vector<ModelId> models_on_disk;
-  /// Orders accepted since its start.
-  std::uint64_t orders_accepted = 0;
   /// Milliseconds since 1970 of its start, on its own clock; zero if unknown.
   std::uint64_t started_at_ms = 0;
 
--- a/include/mangoport/forward/backend_table.h
+++ b/include/mangoport/forward/backend_table.h
@@ -29,7 +29,7 @@
 struct ResidencyChange {
   ServerId server;
   ModelId item;
-  /// Orders that the server had accepted by then.
+  /// Orders that the server had accepted by then: tells old news from new.
   std::uint64_t orders_accepted = 0;
   bool gone = false;
 };
@@ -57,7 +57,7 @@
   void SetServers(MonoTime now, const std::map<ServerId, ServerEntry>& servers);
 
   /// Takes in a change of what a server holds, by word of the host that gives
-  /// engines orders. Believed until the server's own entry counts as many.
+  /// engines orders. Believed until the server's own entry must show it.
   void NoteResidency(MonoTime now, const ResidencyChange& change);
 
   /// `server` has denied that it holds `model`.
@@ -73,7 +73,9 @@
                      RouteRequest request);
 
   /// True if some server of the service holds the model.
-  bool HasModel(const ServiceId& service, const ModelId& model) const;
+  bool HasModel(MonoTime now,
+                const ServiceId& service,
+                const ModelId& model) const;
 
   /// Where the server listens; none if it is not listed.
   std::optional<asio::ip::tcp::endpoint> AddressOf(
@@ -102,18 +104,22 @@
   }
 
  private:
+  struct ToldChange {
+    ResidencyChange change;
+    MonoTime heard_at;
+  };
   struct Backend {
     ServiceId service;
     asio::ip::tcp::endpoint address;
     MonoTime last_activity;
     std::uint32_t own_running = 0;
-    /// Changes beyond the server's own entry, the newest of each item.
-    std::map<ModelId, ResidencyChange> told;
+    /// The newest change of each item, and when it was heard first.
+    std::map<ModelId, ToldChange> told;
     std::set<ModelId> denied;
-    std::uint64_t entry_orders = 0;
   };
 
-  static std::vector<ModelId> ModelsOf(const ServerEntry& entry,
+  static std::vector<ModelId> ModelsOf(MonoTime now,
+                                       const ServerEntry& entry,
                                        const Backend& backend);
   void Rebuild(MonoTime now, const ServiceId& service);
   void ReportLoad(MonoTime now, const ServerId& server);
--- a/include/mangoport/placement/order_book.h
+++ b/include/mangoport/placement/order_book.h
@@ -24,7 +24,7 @@
 class OrderBook {
  public:
   /// Takes the engines' entries as they are now.
-  void SetServers(const std::map<ServerId, ServerEntry>& servers);
+  void SetServers(MonoTime now, const std::map<ServerId, ServerEntry>& servers);
 
   /// The engines of `service` as the planner should see them.
   std::vector<PlannedEngine> Engines(MonoTime now,
@@ -62,7 +62,11 @@
   enum class Phase { kNone, kSent, kUnanswered, kAccepted, kOutdated };
 
   struct Engine {
+    /// As listed, but with the models that are known here.
     ServerEntry entry;
+    /// Orders accepted since its start; none until a report has told.
+    std::optional<std::uint64_t> orders_accepted;
+    MonoTime changed_at;
     Phase phase = Phase::kNone;
     EngineOrder order;
     MonoTime sent_at;
--- a/lib/edge/order_service.cc
+++ b/lib/edge/order_service.cc
@@ -132,7 +132,7 @@
 
 void OrderService::SetServers(const std::map<ServerId, ServerEntry>& servers) {
   servers_ = servers;
-  book_.SetServers(servers);
+  book_.SetServers(Now(), servers);
 }
 
 void OrderService::Tick(MonoTime now) {
--- a/lib/forward/backend_table.cc
+++ b/lib/forward/backend_table.cc
@@ -7,6 +7,9 @@
 namespace mangoport {
 namespace {
 
+/// By then a server's own entry shows what it holds.
+constexpr Duration kToldLifetime = std::chrono::seconds(4);
+
 std::optional<asio::ip::tcp::endpoint> ParseAddress(std::string_view text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos)
@@ -25,7 +28,8 @@
 
 }  // namespace
 
-std::vector<ModelId> BackendTable::ModelsOf(const ServerEntry& entry,
+std::vector<ModelId> BackendTable::ModelsOf(MonoTime now,
+                                            const ServerEntry& entry,
                                             const Backend& backend) {
   std::set<ModelId> held;
   // A plain service's requests name no model.
@@ -35,10 +39,10 @@
     for (const AdapterId& adapter : it.adapters)
       held.insert(ModelId(it.model.value() + "/" + adapter.value()));
   }
-  for (const auto& [item, change] : backend.told) {
-    if (change.orders_accepted <= entry.orders_accepted)
+  for (const auto& [item, told] : backend.told) {
+    if (now - told.heard_at > kToldLifetime)
       continue;
-    if (change.gone)
+    if (told.change.gone)
       held.erase(item);
     else
       held.insert(item);
@@ -100,7 +104,7 @@
     ServerSpec spec;
     spec.id = id;
     spec.zone = entry.zone;
-    spec.models = ModelsOf(entry, backend->second);
+    spec.models = ModelsOf(now, entry, backend->second);
     spec.batch_size = entry.batch_size;
     spec.leaving = entry.draining;
     list.servers.push_back(std::move(spec));
@@ -111,13 +115,12 @@
 void BackendTable::NoteResidency(MonoTime now, const ResidencyChange& change) {
   const auto entry = servers_.find(change.server);
   const auto it = backends_.find(change.server);
-  if (entry == servers_.end() || it == backends_.end() ||
-      change.orders_accepted <= entry->second.orders_accepted)
+  if (entry == servers_.end() || it == backends_.end())
     return;
-  ResidencyChange& known = it->second.told[change.item];
-  if (known.orders_accepted >= change.orders_accepted)
+  ToldChange& known = it->second.told[change.item];
+  if (known.change.orders_accepted >= change.orders_accepted)
     return;
-  known = change;
+  known = {.change = change, .heard_at = now};
   it->second.denied.erase(change.item);
   Rebuild(now, entry->second.service);
   if (on_resident_ && !change.gone)
@@ -172,14 +175,15 @@
   return routers_[service].Choose(now, request);
 }
 
-bool BackendTable::HasModel(const ServiceId& service,
+bool BackendTable::HasModel(MonoTime now,
+                            const ServiceId& service,
                             const ModelId& model) const {
   for (const auto& [id, entry] : servers_) {
     const auto backend = backends_.find(id);
     if (entry.service != service || entry.draining ||
         backend == backends_.end())
       continue;
-    const std::vector<ModelId> models = ModelsOf(entry, backend->second);
+    const std::vector<ModelId> models = ModelsOf(now, entry, backend->second);
     if (std::find(models.begin(), models.end(), model) != models.end())
       return true;
   }
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -277,7 +277,7 @@
 void RequestExchange::AwaitCopy(MonoTime now, const RouteChoice& choice) {
   const ServiceSpec* service = config_->FindService(service_);
   if (!service || !service->engine ||
-      host_.parts_.backends.HasModel(service_, routing_.model)) {
+      host_.parts_.backends.HasModel(now, service_, routing_.model)) {
     const bool full = choice.refusal.code == ErrorCode::kOverloaded;
     Refuse(now, {.status = 503,
                  .reason = full ? "no_time" : "no_server",
@@ -298,10 +298,14 @@
     waiting_since_ = now;
   MissingCopy missing;
   missing.time_left = deadline_ - now;
+  // A caller of a stream may leave sooner.
+  if (route_->stall_limit > Duration::zero())
+    missing.time_left = std::min(
+        missing.time_left, request_.arrived + route_->stall_limit - now);
   missing.waited = now - waiting_since_;
   missing.is_adapter =
       slash != std::string_view::npos &&
-      host_.parts_.backends.HasModel(service_, spec->model);
+      host_.parts_.backends.HasModel(now, service_, spec->model);
   missing.load_time =
       missing.is_adapter ? Duration::zero() : spec->load_from_store;
   const WaitDecision decision = DecideWait(missing);
--- a/lib/placement/order_book.cc
+++ b/lib/placement/order_book.cc
@@ -6,6 +6,9 @@
 namespace mangoport {
 namespace {
 
+/// By then an engine's own entry shows what an order changed.
+constexpr Duration kEntryLag = std::chrono::seconds(4);
+
 /// How long other hosts are told of a change.
 constexpr Duration kTellTime = std::chrono::milliseconds(3000);
 
@@ -65,7 +68,8 @@
   return held != IsUnload(order.kind);
 }
 
-void OrderBook::SetServers(const std::map<ServerId, ServerEntry>& servers) {
+void OrderBook::SetServers(MonoTime now,
+                           const std::map<ServerId, ServerEntry>& servers) {
   std::erase_if(engines_, [&servers](const auto& it) {
     return !servers.contains(it.first);
   });
@@ -78,14 +82,11 @@
       engine.entry = entry;
       continue;
     }
-    // Orders that the entry does not count yet are known better here.
-    const std::uint64_t known = engine.entry.orders_accepted;
+    // What an order changed a moment ago is known better here.
     std::vector<ResidentModel> models = std::move(engine.entry.models);
     engine.entry = entry;
-    if (entry.orders_accepted >= known)
-      continue;
-    engine.entry.orders_accepted = known;
-    engine.entry.models = std::move(models);
+    if (now - engine.changed_at < kEntryLag)
+      engine.entry.models = std::move(models);
   }
 }
 
@@ -97,8 +98,8 @@
       continue;
     PlannedEngine view;
     view.entry = engine.entry;
-    view.busy = engine.phase != Phase::kNone;
-    if (view.busy && !IsAdapterOrder(engine.order)) {
+    view.busy = engine.phase != Phase::kNone || !engine.orders_accepted;
+    if (engine.phase != Phase::kNone && !IsAdapterOrder(engine.order)) {
       view.pending_kind = engine.order.kind;
       view.pending_model = engine.order.model;
     }
@@ -116,7 +117,7 @@
                   .kind = order.kind,
                   .model = order.model,
                   .adapter = order.adapter,
-                  .expected_orders = engine.entry.orders_accepted,
+                  .expected_orders = *engine.orders_accepted,
                   .holder = {},
                   .fence = 0};
   engine.sent_at = now;
@@ -143,8 +144,7 @@
 
 void OrderBook::Finish(MonoTime now, Engine& engine) {
   Apply(engine.entry.models, engine.order);
-  engine.entry.orders_accepted =
-      std::max(engine.entry.orders_accepted, engine.order.expected_orders + 1);
+  engine.changed_at = now;
   if (!IsUnload(engine.order.kind))
     NoteChange(now, engine, /*gone=*/false);
   engine.phase = Phase::kNone;
@@ -173,16 +173,16 @@
   switch (reply.value) {
     case EngineOrderAnswer::kAccepted:
       engine.phase = Phase::kAccepted;
-      engine.entry.orders_accepted = std::max(
-          engine.entry.orders_accepted, engine.order.expected_orders + 1);
-      if (IsAdapterOrder(engine.order))
-        engine.report_at = now + kReportInterval;
+      engine.orders_accepted = engine.order.expected_orders + 1;
       // Adapters take a few milliseconds and show in no entry of their own.
       if (IsAdapterOrder(engine.order))
         Finish(now, engine);
       return;
     case EngineOrderAnswer::kAlreadyDone:
       Finish(now, engine);
+      // Whether it was counted is told by the next report.
+      engine.orders_accepted.reset();
+      engine.report_at = now + kReportInterval / 2;
       return;
     case EngineOrderAnswer::kBusyOrOutdated:
     case EngineOrderAnswer::kRejected:
@@ -208,9 +208,19 @@
     return;
   }
   const EngineReport& report = reply.value;
-  if (report.orders_accepted >= engine.entry.orders_accepted) {
-    engine.entry.orders_accepted = report.orders_accepted;
+  const bool restarted = report.started_at_ms != 0 &&
+                         engine.entry.started_at_ms != 0 &&
+                         report.started_at_ms != engine.entry.started_at_ms;
+  if (restarted) {
+    engine.entry.started_at_ms = report.started_at_ms;
+    engine.orders_accepted.reset();
+    engine.phase = Phase::kNone;
+  }
+  // A report is of some hundred milliseconds ago.
+  if (report.orders_accepted >= engine.orders_accepted.value_or(0)) {
+    engine.orders_accepted = report.orders_accepted;
     engine.entry.models = report.models;
+    engine.changed_at = now;
   }
   switch (engine.phase) {
     case Phase::kAccepted:
@@ -238,7 +248,11 @@
 std::vector<ServerId> OrderBook::DueReports(MonoTime now) {
   std::vector<ServerId> out;
   for (auto& [id, engine] : engines_) {
-    if (engine.phase == Phase::kNone || engine.phase == Phase::kSent)
+    const bool in_doubt = engine.phase == Phase::kUnanswered ||
+                          engine.phase == Phase::kAccepted ||
+                          engine.phase == Phase::kOutdated ||
+                          !engine.orders_accepted;
+    if (!in_doubt || engine.phase == Phase::kSent)
       continue;
     const MonoTime due =
         engine.report_awaited ? engine.report_at + kReportPatience
@@ -275,8 +289,11 @@
 }
 
 void OrderBook::Clear() {
-  for (auto& [id, engine] : engines_)
+  for (auto& [id, engine] : engines_) {
     engine.phase = Phase::kNone;
+    engine.orders_accepted.reset();
+    engine.report_awaited = false;
+  }
   changes_.clear();
 }
 
