--- a/include/mangoport/forward/forwarder.h
+++ b/include/mangoport/forward/forwarder.h
@@ -65,6 +65,9 @@
   void OnRequest(const std::shared_ptr<ClientSession>& session,
                  HttpRequest request);
 
+  /// From now on requests are refused as they arrive, since the host stops.
+  void RefuseNew() { refuses_new_ = true; }
+
   /// Called when a request waits for a model that no server holds, so that it
   /// is told to the host that orders engines without delay.
   void set_on_missing(std::function<void()> hook) {
@@ -104,6 +107,7 @@
   std::function<void()> on_missing_;
   std::mt19937_64 random_;
   std::size_t active_ = 0;
+  bool refuses_new_ = false;
 };
 
 }  // namespace mangoport
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -4,16 +4,14 @@
 #include <random>
 #include <utility>
 
+#include "mangoport/edge/stop_policy.h"
+
 namespace mangoport {
 namespace {
 
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds(250);
 
-/// After SIGTERM: until then the balancer may still send new connections.
-constexpr Duration kBalancerDelay = std::chrono::milliseconds(2500);
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(100);
-/// Kept of the grace time for what follows the last answer.
-constexpr Duration kStopMargin = std::chrono::milliseconds(600);
 
 /// A host whose key evidence is older sends callers elsewhere.
 constexpr Duration kReadyEvidenceAge = std::chrono::milliseconds(3200);
@@ -414,18 +412,20 @@
 }
 
 void EdgeHost::ContinueStop(MonoTime now) {
-  const Duration passed = now - stop_began_;
-  const bool balancer_knows = passed > kBalancerDelay;
-  const bool out_of_time =
-      passed > settings_.bounds.stop_grace - kStopMargin;
-  if (balancer_knows && forwarder_.active() == 0) {
+  const StopDecision decision =
+      DecideStop({.passed = now - stop_began_,
+                  .grace = settings_.bounds.stop_grace,
+                  .active_requests = forwarder_.active(),
+                  .connections = caller_sessions_.size(),
+                  .lease_released = released_});
+  if (decision.refuse_new)
+    forwarder_.RefuseNew();
+  if (decision.close_idle) {
     const SessionSet sessions = caller_sessions_;
     for (const auto& it : sessions)
       it->CloseIfIdle();
   }
-  const bool done = balancer_knows && forwarder_.active() == 0 &&
-                    caller_sessions_.empty() && released_;
-  if (done || out_of_time) {
+  if (decision.finish) {
     feeds_.Stop();
     io_.stop();
     return;
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -142,6 +142,10 @@
 }
 
 bool RequestExchange::Admit(MonoTime now) {
+  if (host_.refuses_new_) {
+    Refuse(now, {.status = 503, .reason = "stopping"});
+    return false;
+  }
   if (!config_) {
     Refuse(now, {.status = 503, .reason = "no_configuration"});
     return false;
--- /dev/null
+++ b/unittests/http/http_test.cc
@@ -0,0 +1,111 @@
+#include <string>
+#include <string_view>
+
+#include <criterion/criterion.h>
+
+#include "mangoport/http/event_splitter.h"
+#include "mangoport/http/message.h"
+#include "mangoport/http/message_parser.h"
+
+namespace mangoport {
+namespace {
+
+constexpr std::size_t kHeadBytes = 1024;
+
+HttpParseError ParseRequest(std::string_view text) {
+  MessageParser parser(HttpMessageKind::kRequest, kHeadBytes);
+  std::string body;
+  parser.Feed(text, body);
+  return parser.error();
+}
+
+Test(message_parser, takes_a_message_in_single_bytes) {
+  MessageParser parser(HttpMessageKind::kRequest, kHeadBytes);
+  const std::string text =
+      "POST /a/b?q=1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\nGET";
+  std::string body;
+  std::size_t used = 0;
+  for (const char c : text) {
+    if (parser.message_complete())
+      break;
+    used += parser.Feed(std::string_view(&c, 1), body);
+  }
+  cr_assert(parser.message_complete());
+  cr_assert_eq(body, "abcde");
+  cr_assert_eq(parser.head().target, "/a/b?q=1");
+  cr_assert_eq(text.substr(used), "GET");
+}
+
+Test(message_parser, refuses_framing_that_reads_two_ways) {
+  for (const char* it :
+       {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+        "Content-Length: 4\r\n\r\nabcd",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length : 3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: xchunked\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "zz\r\n",
+        "GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
+        "GET / HTTP/1.1\r\n\r\n"})
+    cr_assert_eq(ParseRequest(it), HttpParseError::kMalformed, "%s", it);
+}
+
+Test(message_parser, bounds_the_head) {
+  const std::string text = "GET / HTTP/1.1\r\nHost: x\r\nA: " +
+                           std::string(2 * kHeadBytes, 'a') + "\r\n\r\n";
+  cr_assert_eq(ParseRequest(text), HttpParseError::kHeadTooLarge);
+}
+
+Test(message_parser, a_body_that_lasts_to_the_end_needs_an_orderly_end) {
+  MessageParser parser(HttpMessageKind::kResponse, kHeadBytes);
+  std::string body;
+  parser.Feed("HTTP/1.1 200 OK\r\n\r\npart", body);
+  cr_assert_not(parser.message_complete());
+  parser.FeedEnd();
+  cr_assert(parser.message_complete());
+  cr_assert_eq(body, "part");
+}
+
+Test(message_parser, a_body_cut_short_is_malformed) {
+  MessageParser parser(HttpMessageKind::kResponse, kHeadBytes);
+  std::string body;
+  parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", body);
+  parser.FeedEnd();
+  cr_assert_eq(parser.error(), HttpParseError::kMalformed);
+}
+
+Test(message, fields_that_connection_names_stay_on_the_connection) {
+  cr_assert(IsHopByHop("Keep-Alive", ""));
+  cr_assert(IsHopByHop("X-Trace", "close, x-trace"));
+  cr_assert_not(IsHopByHop("X-Trace", "close"));
+}
+
+Test(event_splitter, passes_on_whole_events_only) {
+  EventSplitter splitter;
+  std::string whole;
+  cr_assert_eq(splitter.Feed("id: 1\ndata: a\n\nid: 2\nda", whole), 1);
+  cr_assert_eq(whole, "id: 1\ndata: a\n\n");
+  cr_assert_eq(splitter.last_id(), 1);
+  cr_assert_eq(splitter.partial(), "id: 2\nda");
+  cr_assert_eq(splitter.Feed("ta: b\n", whole), 0);
+  cr_assert_eq(splitter.Feed("\n", whole), 1);
+  cr_assert_eq(splitter.last_id(), 2);
+}
+
+Test(event_splitter, a_resumed_run_goes_on_after_the_last_whole_event) {
+  EventSplitter splitter;
+  std::string whole;
+  splitter.Feed("id: 7\ndata: a\n\nid: 8\ndata", whole);
+  splitter.Restart();
+  whole.clear();
+  splitter.Feed("id: 8\ndata: b\n\n", whole);
+  cr_assert_eq(whole, "id: 8\ndata: b\n\n");
+  cr_assert_not(splitter.out_of_order());
+  splitter.Feed("id: 8\ndata: b\n\n", whole);
+  cr_assert(splitter.out_of_order());
+}
+
+}  // namespace
+}  // namespace mangoport
--- /dev/null
+++ b/unittests/limits/shared_quota_test.cc
@@ -0,0 +1,143 @@
+#include "mangoport/limits/shared_quota.h"
+
+#include <array>
+#include <chrono>
+#include <memory>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+namespace mangoport {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const AccountId kAccount("gallery");
+constexpr std::int64_t kRate = 1000;
+constexpr std::int64_t kBurst = 1000;
+constexpr MonoTime kStart{seconds(500)};
+
+/// Hosts that tell each other their spending, as far as `connected` allows.
+class QuotaFleet {
+ public:
+  explicit QuotaFleet(std::size_t hosts) {
+    for (std::size_t i = 0; i < hosts; ++i) {
+      quotas_.push_back(std::make_unique<SharedQuota>());
+      quotas_.back()->SetLimits(kStart, {{kAccount, kRate, kBurst}});
+    }
+    Tell(kStart, [](std::size_t, std::size_t) { return true; });
+  }
+
+  template <typename Connected>
+  void Tell(MonoTime now, Connected connected) {
+    for (std::size_t i = 0; i < quotas_.size(); ++i) {
+      for (std::size_t j = 0; j < quotas_.size(); ++j) {
+        if (i == j || !connected(i, j))
+          continue;
+        quotas_[j]->OnHostHeard(now, Name(i));
+        for (const AccountUse& it : quotas_[i]->UseSince(MonoTime()))
+          quotas_[j]->OnPeerUse(now, Name(i), 1, it);
+      }
+    }
+  }
+
+  /// Asks for `amount` at every host; returns what was admitted.
+  std::int64_t SpendEverywhere(MonoTime now, std::int64_t amount) {
+    std::int64_t spent = 0;
+    for (const auto& it : quotas_)
+      spent += it->TrySpend(now, kAccount, amount).admitted ? amount : 0;
+    return spent;
+  }
+
+  SharedQuota& host(std::size_t i) { return *quotas_[i]; }
+
+ private:
+  static HostId Name(std::size_t i) {
+    return HostId("h" + std::to_string(i));
+  }
+
+  std::vector<std::unique_ptr<SharedQuota>> quotas_;
+};
+
+/// Eight seconds of eight times the rate, told every 200 ms.
+template <typename Connected>
+std::int64_t SpendInWindow(QuotaFleet& fleet, Connected connected) {
+  MonoTime now = kStart + seconds(10);
+  // The account has been idle: its bucket is full on every host.
+  for (MonoTime it = kStart; it < now; it += milliseconds(200))
+    fleet.Tell(it, connected);
+  std::int64_t spent = 0;
+  const MonoTime end = now + seconds(8);
+  int step = 0;
+  for (; now < end; now += milliseconds(10)) {
+    // Ten hosts ask for eight tokens every 10 ms: 8,000 a second.
+    spent += fleet.SpendEverywhere(now, 8);
+    if (++step % 20 == 0)
+      fleet.Tell(now, connected);
+  }
+  return spent;
+}
+
+constexpr std::int64_t kAllowed = kRate * 8 + kBurst;
+
+Test(shared_quota, one_account_at_eight_times_its_rate_gets_its_rate) {
+  QuotaFleet fleet(10);
+  const std::int64_t spent =
+      SpendInWindow(fleet, [](std::size_t, std::size_t) { return true; });
+  cr_assert_leq(spent, kAllowed * 11 / 10);
+  cr_assert_geq(spent, kAllowed * 9 / 10);
+}
+
+Test(shared_quota, hosts_that_are_cut_off_stay_within_the_rate_together) {
+  QuotaFleet fleet(10);
+  const std::int64_t spent =
+      SpendInWindow(fleet, [](std::size_t i, std::size_t j) {
+        return (i < 3) == (j < 3);
+      });
+  cr_assert_leq(spent, kAllowed * 11 / 10);
+}
+
+Test(shared_quota, an_account_within_its_rate_is_not_refused) {
+  QuotaFleet fleet(10);
+  // All of its requests come to one host.
+  MonoTime now = kStart;
+  for (int i = 0; i < 100; ++i, now += milliseconds(100)) {
+    fleet.Tell(now, [](std::size_t, std::size_t) { return true; });
+    if (i > 20)
+      cr_assert(fleet.host(0).TrySpend(now, kAccount, 90).admitted);
+  }
+}
+
+Test(shared_quota, a_refused_caller_is_told_when_to_come_back) {
+  QuotaFleet fleet(2);
+  QuotaDecision last{.admitted = true, .retry_after = {}};
+  MonoTime now = kStart + seconds(5);
+  while (last.admitted)
+    last = fleet.host(0).TrySpend(now, kAccount, 100);
+  cr_assert_gt(last.retry_after.count(), 0);
+}
+
+Test(shared_quota, what_did_not_run_is_given_back) {
+  SharedQuota quota;
+  quota.SetLimits(kStart, {{kAccount, kRate, kBurst}});
+  const MonoTime now = kStart + seconds(5);
+  cr_assert(quota.TrySpend(now, kAccount, 700).admitted);
+  quota.Refund(now, kAccount, 700);
+  cr_assert(quota.TrySpend(now, kAccount, 700).admitted);
+}
+
+Test(shared_quota, a_peers_restart_counts_anew) {
+  SharedQuota quota;
+  quota.SetLimits(kStart, {{kAccount, kRate, kBurst}});
+  const MonoTime now = kStart + seconds(5);
+  quota.OnHostHeard(now, HostId("b"));
+  quota.OnPeerUse(now, HostId("b"), 1, {kAccount, 400});
+  // Its second run has spent 100, not 300 less.
+  quota.OnPeerUse(now, HostId("b"), 2, {kAccount, 100});
+  cr_assert_not(quota.TrySpend(now, kAccount, 600).admitted &&
+                quota.TrySpend(now, kAccount, 600).admitted);
+}
+
+}  // namespace
+}  // namespace mangoport
