Weights are ordered on a fresh report only; room that was made is kept for its model

Ruled out: two holders at once (terms 2 and 3 were 0.8 s apart, orders 4 s), a late order (none was unanswered). Also seen: while one engine made room for a model, three more made room for it, and an incomplete list at the start dropped the busiest model's copies.

--- a/include/mangoport/edge/order_service.h
+++ b/include/mangoport/edge/order_service.h
@@ -107,7 +107,10 @@
   void Perform(const OrderLeaseStep& step);
   void Plan(MonoTime now);
   void PlanService(MonoTime now, const ServiceSpec& service);
-  void Give(MonoTime now, EngineOrder order, std::string_view reason);
+  void LogDemand(const EngineCapacity& capacity,
+                 const std::vector<PlannedEngine>& engines,
+                 const std::map<ModelId, CopyDemand>& demand);
+  void Give(MonoTime now, EngineOrder order);
   void AskReport(const ServerId& engine);
   void NoteRole();
 
@@ -123,6 +126,7 @@
   std::function<void()> on_changes_;
   BootTime last_order_at_;
   MonoTime planned_at_;
+  MonoTime demand_logged_at_;
   bool was_holder_ = false;
   bool plan_soon_ = false;
   bool stopped_ = false;
--- a/include/mangoport/placement/copy_planner.h
+++ b/include/mangoport/placement/copy_planner.h
@@ -52,6 +52,11 @@
   double high_load = 0.45;
   /// A copy may go if the others then carry no more than this.
   double low_load = 0.25;
+  /// A model must lack a copy for this long before it gets one unasked: the
+  /// list of engines may be incomplete.
+  Duration missing_grace = std::chrono::seconds(4);
+  /// Room that was made for a model is kept for it for this long.
+  Duration reservation = std::chrono::seconds(10);
   /// A model that was moved is not moved again for this time.
   Duration cooldown = std::chrono::seconds(4);
   /// An adapter without a request for this time makes room for others.
@@ -91,6 +96,7 @@
     const PlannedEngine* source = nullptr;
     std::uint64_t used_mb = 0;
     std::vector<ModelId> models;
+    std::optional<ModelId> reserved_for;
     bool taken = false;
   };
   struct Model {
@@ -99,6 +105,11 @@
     double waiting = 0;
     std::size_t copies = 0;
   };
+  /// Room that was made on an engine, and for which model.
+  struct Reservation {
+    ModelId model;
+    MonoTime until;
+  };
   struct Place {
     Engine* engine = nullptr;
     /// To be dropped first, or none.
@@ -107,9 +118,13 @@
     double cost = 0;
   };
 
-  void Prepare(const EngineCapacity& capacity,
+  void Prepare(MonoTime now,
+               const EngineCapacity& capacity,
                const std::vector<PlannedEngine>& engines,
                const std::map<ModelId, CopyDemand>& demand);
+  void PlanReserved(MonoTime now,
+                    const EngineCapacity& capacity,
+                    std::vector<CopyOrder>& out);
   void PlanMissing(MonoTime now,
                    const EngineCapacity& capacity,
                    std::vector<CopyOrder>& out);
@@ -143,7 +158,9 @@
   std::vector<Engine> engines_;
   std::map<ModelId, Model> models_;
   std::map<ModelId, double> smoothed_;
+  std::map<ServerId, Reservation> reservations_;
   std::map<ModelId, MonoTime> moved_at_;
+  std::map<ModelId, MonoTime> missing_since_;
   std::map<ModelId, MonoTime> adapter_used_at_;
   double store_budget_ = 0;
   std::optional<MonoTime> filled_at_;
--- a/include/mangoport/placement/order_book.h
+++ b/include/mangoport/placement/order_book.h
@@ -30,8 +30,13 @@
   std::vector<PlannedEngine> Engines(MonoTime now,
                                      const ServiceId& service) const;
 
-  /// The order to send for a planned one.
-  EngineOrder Begin(MonoTime now, const CopyOrder& order, Duration load_time);
+  /// Takes a planned order: it is due at once, or once a fresh report shows
+  /// that the engine is as the planner saw it. Weights are ordered only on such
+  /// a report, since a load that another host ordered may have ended unseen.
+  void Begin(MonoTime now, const CopyOrder& order, Duration load_time);
+
+  /// The orders to send now.
+  std::vector<EngineOrder> DueOrders(MonoTime now);
 
   void OnAnswer(MonoTime now,
                 const ServerId& engine,
@@ -43,9 +48,6 @@
   /// Engines to ask for a report now; each is given once until it is told.
   std::vector<ServerId> DueReports(MonoTime now);
 
-  /// An order to send again, since nothing came of it.
-  std::vector<EngineOrder> DueRepeats(MonoTime now);
-
   /// Changes that the engines' entries do not show yet.
   struct Residency {
     ServerId engine;
@@ -59,7 +61,7 @@
   void Clear();
 
  private:
-  enum class Phase { kNone, kSent, kUnanswered, kAccepted, kOutdated };
+  enum class Phase { kNone, kChecking, kReady, kSent, kUnanswered, kAccepted, kOutdated };
 
   struct Engine {
     /// As listed, but with the models that are known here.
@@ -67,8 +69,13 @@
     /// Orders accepted since its start; none until a report has told.
     std::optional<std::uint64_t> orders_accepted;
     MonoTime changed_at;
+    /// The newest report's time, and whether it said that an order is carried
+    /// out, whoever gave it.
+    MonoTime reported_at;
+    bool busy_elsewhere = false;
     Phase phase = Phase::kNone;
     EngineOrder order;
+    Duration load_time{};
     MonoTime sent_at;
     /// When a report may show that the order is done.
     MonoTime report_at;
@@ -80,6 +87,7 @@
     MonoTime at;
   };
 
+  void OnCheck(const Engine& before, Engine& engine);
   void Finish(MonoTime now, Engine& engine);
   void NoteChange(MonoTime now, const Engine& engine, bool gone);
   static bool Shows(const std::vector<ResidentModel>& models,
--- a/lib/edge/feed_service.cc
+++ b/lib/edge/feed_service.cc
@@ -31,6 +31,19 @@
   return "none";
 }
 
+/// "m1,m2+3" for two models, the second with three adapters.
+std::string ModelNames(const ServerEntry& entry) {
+  std::string out;
+  for (const ResidentModel& it : entry.models) {
+    if (!out.empty())
+      out.push_back(',');
+    out.append(it.model.value());
+    if (!it.adapters.empty())
+      out.append("+").append(std::to_string(it.adapters.size()));
+  }
+  return out;
+}
+
 }  // namespace
 
 FeedService::FeedService(FleetPlatform& platform,
@@ -174,12 +187,14 @@
     any = true;
     if (effect == ServerChangeEffect::kRemoved)
       removed.push_back(id);
-    if (effect == ServerChangeEffect::kUpdated)
-      return;
+    const auto entry = directory_.servers().find(id);
     log_.Write(LogLine("server_list")
                    .Add("server", id.value())
                    .Add("change", EffectName(effect))
-                   .Add("position", news.next));
+                   .Add("position", news.next)
+                   .Add("models", entry == directory_.servers().end()
+                                      ? std::string()
+                                      : ModelNames(entry->second)));
   };
   if (news.whole) {
     std::vector<ServerEntry> entries;
--- a/lib/edge/order_service.cc
+++ b/lib/edge/order_service.cc
@@ -14,6 +14,9 @@
 /// A host that was silent for longer asks for nothing.
 constexpr Duration kDemandLifetime = std::chrono::seconds(3);
 
+/// The demand for each model is logged this often by the holder.
+constexpr Duration kDemandLogInterval = std::chrono::seconds(3);
+
 /// Weight of the newest rate of arrivals in the smoothed one.
 constexpr double kArrivalGain = 0.2;
 
@@ -244,33 +247,66 @@
   planned_at_ = now;
   if (own_uses_)
     demand_.Set(now, self_, own_uses_());
-  for (const EngineOrder& it : book_.DueRepeats(now))
-    Give(now, it, "unanswered");
   for (const ServiceSpec& it : config_->config().services) {
     if (it.engine)
       PlanService(now, it);
   }
+  for (const EngineOrder& it : book_.DueOrders(now))
+    Give(now, it);
   for (const ServerId& it : book_.DueReports(now))
     AskReport(it);
 }
 
 void OrderService::PlanService(MonoTime now, const ServiceSpec& service) {
+  const std::vector<PlannedEngine> engines = book_.Engines(now, service.id);
+  const std::map<ModelId, CopyDemand> demand = demand_.Sum(now);
+  if (now - demand_logged_at_ >= kDemandLogInterval) {
+    demand_logged_at_ = now;
+    LogDemand(*service.engine, engines, demand);
+  }
   const std::vector<CopyOrder> orders =
-      planners_[service.id].Plan(now, *service.engine,
-                                 book_.Engines(now, service.id),
-                                 demand_.Sum(now));
+      planners_[service.id].Plan(now, *service.engine, engines, demand);
   for (const CopyOrder& it : orders) {
     const auto entry = servers_.find(it.engine);
     if (entry == servers_.end())
       continue;
     const Duration load_time = LoadTime(*service.engine, it, entry->second);
-    Give(now, book_.Begin(now, it, load_time), it.reason);
+    book_.Begin(now, it, load_time);
+    parts_.log.Write(LogLine("order_planned")
+                         .Add("engine", it.engine.value())
+                         .Add("order", OrderName(it.kind))
+                         .Add("model", it.model.value())
+                         .Add("adapter", it.adapter.value())
+                         .Add("from_store", it.from_store)
+                         .Add("reason", it.reason));
+  }
+}
+
+void OrderService::LogDemand(const EngineCapacity& capacity,
+                             const std::vector<PlannedEngine>& engines,
+                             const std::map<ModelId, CopyDemand>& demand) {
+  for (const ModelSpec& it : capacity.models) {
+    const auto asked = demand.find(it.model);
+    if (asked == demand.end() ||
+        asked->second.running + asked->second.waiting < 1)
+      continue;
+    std::size_t copies = 0;
+    for (const PlannedEngine& engine : engines) {
+      for (const ResidentModel& held : engine.entry.models)
+        copies += held.model == it.model && !engine.entry.draining ? 1 : 0;
+    }
+    parts_.log.Write(
+        LogLine("model_demand")
+            .Add("model", it.model.value())
+            .Add("copies", copies)
+            .Add("running", static_cast<int>(asked->second.running))
+            .Add("waiting", static_cast<int>(asked->second.waiting))
+            .Add("arrivals_per_s",
+                 static_cast<int>(asked->second.arrivals_per_second)));
   }
 }
 
-void OrderService::Give(MonoTime now,
-                        EngineOrder order,
-                        std::string_view reason) {
+void OrderService::Give(MonoTime now, EngineOrder order) {
   const auto entry = servers_.find(order.engine);
   // The machine may have stood still since the plan was made.
   const BootTime boot_now = BootClock::now();
@@ -286,8 +322,7 @@
                        .Add("model", order.model.value())
                        .Add("adapter", order.adapter.value())
                        .Add("expected_orders", order.expected_orders)
-                       .Add("term", order.fence)
-                       .Add("reason", reason));
+                       .Add("term", order.fence));
   if (IsUnload(order.kind) && on_changes_)
     on_changes_();
   parts_.platform.SendOrder(
@@ -321,6 +356,7 @@
                                book_.OnReport(Now(), engine, reply);
                                if (on_changes_)
                                  on_changes_();
+                               OnOwnWaiting();
                              });
 }
 
--- a/lib/placement/copy_planner.cc
+++ b/lib/placement/copy_planner.cc
@@ -30,6 +30,8 @@
 }  // namespace
 
 void CopyPlanner::Restart(MonoTime now) {
+  missing_since_.clear();
+  reservations_.clear();
   store_budget_ = 0;
   filled_at_ = now;
 }
@@ -53,7 +55,8 @@
                        capacity.batch_size);
 }
 
-void CopyPlanner::Prepare(const EngineCapacity& capacity,
+void CopyPlanner::Prepare(MonoTime now,
+                          const EngineCapacity& capacity,
                           const std::vector<PlannedEngine>& engines,
                           const std::map<ModelId, CopyDemand>& demand) {
   models_.clear();
@@ -93,6 +96,18 @@
       if (!leaving)
         ++model->second.copies;
     }
+    const auto reserved = reservations_.find(it.entry.id);
+    if (reserved != reservations_.end()) {
+      const ModelId& model = reserved->second.model;
+      if (now >= reserved->second.until || Contains(engine.models, model) ||
+          !models_.contains(model)) {
+        reservations_.erase(reserved);
+      } else {
+        // As good as loaded, so that no other engine makes room for it.
+        ++models_.at(model).copies;
+        engine.reserved_for = model;
+      }
+    }
     // Adapters share the memory; their places are counted full.
     std::uint64_t largest_adapter = 0;
     for (const ModelSpec& spec : capacity.models)
@@ -144,7 +159,7 @@
   const std::uint64_t needed = models_.at(model).spec->weights_mb;
   std::optional<Place> best;
   for (Engine& it : engines_) {
-    if (it.taken || Contains(it.models, model))
+    if (it.taken || it.reserved_for || Contains(it.models, model))
       continue;
     Place place;
     place.engine = &it;
@@ -189,6 +204,9 @@
     order.reason += ", room for " + model.value();
     --models_.at(*place.victim).copies;
     moved_at_[*place.victim] = now;
+    reservations_[order.engine] = {.model = model,
+                                   .until = now + settings_.reservation};
+    ++models_.at(model).copies;
     out.push_back(std::move(order));
     return true;
   }
@@ -206,12 +224,44 @@
   return true;
 }
 
+void CopyPlanner::PlanReserved(MonoTime now,
+                               const EngineCapacity& capacity,
+                               std::vector<CopyOrder>& out) {
+  for (Engine& it : engines_) {
+    if (it.taken || !it.reserved_for)
+      continue;
+    const ModelId model = *it.reserved_for;
+    const ServerEntry& entry = it.source->entry;
+    if (it.used_mb + models_.at(model).spec->weights_mb >
+        capacity.weights_mb) {
+      // The copy that should have made room is still there.
+      --models_.at(model).copies;
+      reservations_.erase(entry.id);
+      it.reserved_for.reset();
+      continue;
+    }
+    Place place;
+    place.engine = &it;
+    place.from_store = !Contains(entry.models_in_memory, model) &&
+                       !Contains(entry.models_on_disk, model);
+    // Counted in already.
+    --models_.at(model).copies;
+    if (!Order(now, place, model, "reserved", out))
+      ++models_.at(model).copies;
+  }
+}
+
 void CopyPlanner::PlanMissing(MonoTime now,
                               const EngineCapacity& capacity,
                               std::vector<CopyOrder>& out) {
   std::vector<ModelId> missing;
   for (const auto& [id, model] : models_) {
-    if (model.copies == 0)
+    if (model.copies > 0) {
+      missing_since_.erase(id);
+      continue;
+    }
+    const MonoTime since = missing_since_.try_emplace(id, now).first->second;
+    if (model.waiting > 0 || now - since >= settings_.missing_grace)
       missing.push_back(id);
   }
   std::sort(missing.begin(), missing.end(),
@@ -222,7 +272,7 @@
             });
   for (const ModelId& it : missing) {
     const std::optional<Place> place =
-        FindPlace(now, capacity, it, /*urgent=*/true);
+        FindPlace(now, capacity, it, /*urgent=*/models_.at(it).waiting > 0);
     if (place)
       Order(now, *place, it, "no copy", out);
   }
@@ -309,7 +359,7 @@
     Engine* best = nullptr;
     std::size_t best_count = 0;
     for (Engine& engine : engines_) {
-      if (engine.taken)
+      if (engine.taken || engine.reserved_for)
         continue;
       std::size_t count = 0;
       bool has_model = false;
@@ -379,8 +429,9 @@
     const std::vector<PlannedEngine>& engines,
     const std::map<ModelId, CopyDemand>& demand) {
   FillStoreBudget(now, capacity);
-  Prepare(capacity, engines, demand);
+  Prepare(now, capacity, engines, demand);
   std::vector<CopyOrder> out;
+  PlanReserved(now, capacity, out);
   PlanMissing(now, capacity, out);
   PlanAdapters(now, capacity, demand, out);
   PlanBusy(now, capacity, out);
--- a/lib/placement/order_book.cc
+++ b/lib/placement/order_book.cc
@@ -12,6 +12,9 @@
 /// How long other hosts are told of a change.
 constexpr Duration kTellTime = std::chrono::milliseconds(3000);
 
+/// A report younger than this shows an engine as it is.
+constexpr Duration kFreshReport = std::chrono::milliseconds(600);
+
 /// Between two reports of one engine.
 constexpr Duration kReportInterval = std::chrono::milliseconds(400);
 
@@ -98,7 +101,8 @@
       continue;
     PlannedEngine view;
     view.entry = engine.entry;
-    view.busy = engine.phase != Phase::kNone || !engine.orders_accepted;
+    view.busy = engine.phase != Phase::kNone || !engine.orders_accepted ||
+                engine.busy_elsewhere;
     if (engine.phase != Phase::kNone && !IsAdapterOrder(engine.order)) {
       view.pending_kind = engine.order.kind;
       view.pending_model = engine.order.model;
@@ -108,11 +112,14 @@
   return out;
 }
 
-EngineOrder OrderBook::Begin(MonoTime now,
-                             const CopyOrder& order,
-                             Duration load_time) {
+void OrderBook::Begin(MonoTime now,
+                      const CopyOrder& order,
+                      Duration load_time) {
   Engine& engine = engines_.at(order.engine);
-  engine.phase = Phase::kSent;
+  const bool fresh = now - engine.reported_at < kFreshReport;
+  const bool must_check =
+      order.kind == PlacementOrderKind::kLoadModel && !fresh;
+  engine.phase = must_check ? Phase::kChecking : Phase::kReady;
   engine.order = {.engine = order.engine,
                   .kind = order.kind,
                   .model = order.model,
@@ -120,14 +127,39 @@
                   .expected_orders = *engine.orders_accepted,
                   .holder = {},
                   .fence = 0};
-  engine.sent_at = now;
-  engine.report_at = now + load_time;
-  engine.give_up_at = now + load_time + kEffectPatience;
+  engine.load_time = load_time;
+  engine.report_at = now;
   engine.report_awaited = false;
-  // Requests should not be sent to a copy that is about to go.
-  if (IsUnload(order.kind))
-    NoteChange(now, engine, /*gone=*/true);
-  return engine.order;
+}
+
+std::vector<EngineOrder> OrderBook::DueOrders(MonoTime now) {
+  std::vector<EngineOrder> out;
+  for (auto& [id, engine] : engines_) {
+    const bool repeat = engine.phase == Phase::kUnanswered &&
+                        now - engine.sent_at >= kReportPatience;
+    if (engine.phase != Phase::kReady && !repeat)
+      continue;
+    engine.sent_at = now;
+    out.push_back(engine.order);
+    if (repeat)
+      continue;
+    engine.phase = Phase::kSent;
+    engine.report_at = now + engine.load_time;
+    engine.give_up_at = now + engine.load_time + kEffectPatience;
+    engine.report_awaited = false;
+    // Requests should not be sent to a copy that is about to go.
+    if (IsUnload(engine.order.kind))
+      NoteChange(now, engine, /*gone=*/true);
+  }
+  return out;
+}
+
+void OrderBook::OnCheck(const Engine& before, Engine& engine) {
+  const bool as_planned =
+      !engine.busy_elsewhere &&
+      engine.orders_accepted == engine.order.expected_orders &&
+      engine.entry.models.size() == before.entry.models.size();
+  engine.phase = as_planned ? Phase::kReady : Phase::kNone;
 }
 
 void OrderBook::NoteChange(MonoTime now, const Engine& engine, bool gone) {
@@ -208,6 +240,9 @@
     return;
   }
   const EngineReport& report = reply.value;
+  const Engine before = engine;
+  engine.reported_at = now;
+  engine.busy_elsewhere = report.busy && engine.phase != Phase::kAccepted;
   const bool restarted = report.started_at_ms != 0 &&
                          engine.entry.started_at_ms != 0 &&
                          report.started_at_ms != engine.entry.started_at_ms;
@@ -239,7 +274,11 @@
       if (!report.busy)
         engine.phase = Phase::kNone;
       return;
+    case Phase::kChecking:
+      OnCheck(before, engine);
+      return;
     case Phase::kNone:
+    case Phase::kReady:
     case Phase::kSent:
       return;
   }
@@ -251,7 +290,8 @@
     const bool in_doubt = engine.phase == Phase::kUnanswered ||
                           engine.phase == Phase::kAccepted ||
                           engine.phase == Phase::kOutdated ||
-                          !engine.orders_accepted;
+                          engine.phase == Phase::kChecking ||
+                          engine.busy_elsewhere || !engine.orders_accepted;
     if (!in_doubt || engine.phase == Phase::kSent)
       continue;
     const MonoTime due =
@@ -266,18 +306,6 @@
   return out;
 }
 
-std::vector<EngineOrder> OrderBook::DueRepeats(MonoTime now) {
-  std::vector<EngineOrder> out;
-  for (auto& [id, engine] : engines_) {
-    if (engine.phase != Phase::kUnanswered ||
-        now - engine.sent_at < kReportPatience)
-      continue;
-    engine.sent_at = now;
-    out.push_back(engine.order);
-  }
-  return out;
-}
-
 std::vector<OrderBook::Residency> OrderBook::RecentChanges(
     MonoTime now) const {
   std::vector<Residency> out;
@@ -292,6 +320,7 @@
   for (auto& [id, engine] : engines_) {
     engine.phase = Phase::kNone;
     engine.orders_accepted.reset();
+    engine.busy_elsewhere = false;
     engine.report_awaited = false;
   }
   changes_.clear();
