--- a/include/mangoport/edge/soft_state_service.h
+++ b/include/mangoport/edge/soft_state_service.h
@@ -51,7 +51,7 @@
   /// Tells all peers within a few milliseconds, however often it is asked for.
   void TellAllSoon();
 
-  /// Tells every peer that this host stops.
+  /// Tells every peer that this host stops, now and from now on.
   void TellLeaving();
 
   std::uint64_t incarnation() const { return incarnation_; }
@@ -62,7 +62,7 @@
   void ReadAll();
   void OnDatagram(MonoTime now, std::size_t bytes);
   void TellDue(MonoTime now);
-  void Send(MonoTime now, const PeerHost& peer, bool leaving);
+  void Send(MonoTime now, const PeerHost& peer);
 
   TimerQueue& timers_;
   DecisionLog& log_;
@@ -75,6 +75,7 @@
   std::uint64_t incarnation_;
   std::uint64_t sequence_ = 0;
   bool tell_all_pending_ = false;
+  bool leaving_ = false;
   std::array<char, 65536> buffer_;
 };
 
--- a/include/mangoport/limits/shared_quota.h
+++ b/include/mangoport/limits/shared_quota.h
@@ -31,6 +31,17 @@
   std::int64_t total = 0;
 };
 
+/// What another host tells of its spending.
+struct PeerSpending {
+  HostId host;
+  /// Names one run of the host.
+  std::uint64_t incarnation = 0;
+  /// It stops in order: what it still serves counts, its share falls to others.
+  bool leaving = false;
+  /// Totals since that run began, of some of its accounts.
+  std::vector<AccountUse> uses = {};
+};
+
 /// Keeps a client account to its rate and burst over all hosts together,
 /// without a host that deals them out.
 ///
@@ -69,21 +80,15 @@
   /// Gives back what was charged for a request that did not run.
   void Refund(MonoTime now, const AccountId& account, std::int64_t amount);
 
-  /// Another host is there; `zone` and load play no part.
-  void OnHostHeard(MonoTime now, const HostId& host);
-  /// Another host has stopped in order and spends no more.
-  void OnHostLeft(const HostId& host);
-  /// What `host` has spent since it started as `incarnation`.
-  void OnPeerUse(MonoTime now,
-                 const HostId& host,
-                 std::uint64_t incarnation,
-                 const AccountUse& use);
+  /// Takes in what another host tells of itself.
+  void OnPeer(MonoTime now, const PeerSpending& peer);
 
-  /// This host's spending of accounts that changed since `since`.
-  std::vector<AccountUse> UseSince(MonoTime since) const;
+  /// This host's spending since it started. All of it is told each time, since
+  /// the first message of a host defines what was spent before.
+  std::vector<AccountUse> OwnUse() const;
 
   /// Hosts that count towards the shares, this one among them.
-  std::size_t host_count() const { return hosts_.size() + 1; }
+  std::size_t host_count() const;
 
  private:
   struct Bucket {
@@ -94,15 +99,12 @@
     double share = 0;
     MonoTime filled_at;
     std::int64_t own_total = 0;
-    MonoTime own_changed_at;
-  };
-  struct PeerAccount {
-    std::uint64_t incarnation = 0;
-    std::int64_t total = 0;
   };
   struct Host {
     MonoTime heard_at;
-    std::map<AccountId, PeerAccount> accounts;
+    std::uint64_t incarnation = 0;
+    bool leaving = false;
+    std::map<AccountId, std::int64_t> totals;
   };
 
   /// The part of the fleet that is in touch with this host.
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -20,9 +20,6 @@
 constexpr Duration kTellHolderInterval = std::chrono::milliseconds(15);
 constexpr Duration kHolderLifetime = std::chrono::seconds(2);
 
-/// Spending is told to peers for this long after it changed.
-constexpr Duration kTellSpendingTime = std::chrono::seconds(3);
-
 /// Hosts that see no holder claim the lease at different times.
 constexpr int kClaimSpreadMs = 500;
 
@@ -268,7 +265,7 @@
 void EdgeHost::FillState(MonoTime now,
                          const PeerHost& peer,
                          wire::HostState& message) {
-  for (const AccountUse& it : quota_.UseSince(now - kTellSpendingTime)) {
+  for (const AccountUse& it : quota_.OwnUse()) {
     wire::AccountSpending& spending = *message.add_spendings();
     spending.set_account(it.account.value());
     spending.set_total(it.total);
@@ -304,20 +301,20 @@
 
 void EdgeHost::OnPeerState(MonoTime now, const wire::HostState& message) {
   const HostId host(message.host());
-  if (message.leaving()) {
-    quota_.OnHostLeft(host);
-    backends_.SetPeerLoads(now, host, {});
-    return;
-  }
-  quota_.OnHostHeard(now, host);
-  forwarder_.SetHostCount(now, quota_.host_count());
+  PeerSpending spending{.host = host,
+                        .incarnation = message.incarnation(),
+                        .leaving = message.leaving()};
   for (const wire::AccountSpending& it : message.spendings())
-    quota_.OnPeerUse(now, host, message.incarnation(),
-                     {.account = AccountId(it.account()), .total = it.total()});
+    spending.uses.push_back(
+        {.account = AccountId(it.account()), .total = it.total()});
+  quota_.OnPeer(now, spending);
+  forwarder_.SetHostCount(now, quota_.host_count());
   std::vector<ServerLoad> loads;
   for (const wire::BackendLoad& it : message.loads())
     loads.push_back({.server = ServerId(it.server()), .running = it.running()});
   backends_.SetPeerLoads(now, host, loads);
+  if (message.leaving())
+    return;
   if (message.order_term() != 0) {
     holder_ = host;
     holder_heard_at_ = now;
--- a/lib/edge/soft_state_service.cc
+++ b/lib/edge/soft_state_service.cc
@@ -100,14 +100,14 @@
 
 void SoftStateService::TellDue(MonoTime now) {
   for (const PeerHost& it : peers_.DuePeers(now))
-    Send(now, it, /*leaving=*/false);
+    Send(now, it);
   timers_.Add(peers_.next_due(), [this](MonoTime due) { TellDue(due); });
 }
 
 void SoftStateService::TellNow(const HostId& host) {
   const auto it = peers_.peers().find(host);
   if (it != peers_.peers().end())
-    Send(Now(), it->second, /*leaving=*/false);
+    Send(Now(), it->second);
 }
 
 void SoftStateService::TellAllSoon() {
@@ -117,17 +117,18 @@
     tell_all_pending_ = false;
     for (const auto& [host, peer] : peers_.peers()) {
       if (!peer.leaving)
-        Send(now, peer, /*leaving=*/false);
+        Send(now, peer);
     }
   });
 }
 
 void SoftStateService::TellLeaving() {
+  leaving_ = true;
   for (const auto& [host, peer] : peers_.peers())
-    Send(Now(), peer, /*leaving=*/true);
+    Send(Now(), peer);
 }
 
-void SoftStateService::Send(MonoTime now, const PeerHost& peer, bool leaving) {
+void SoftStateService::Send(MonoTime now, const PeerHost& peer) {
   Endpoint endpoint;
   if (!ParseEndpoint(peer.address, endpoint))
     return;
@@ -137,7 +138,7 @@
   message.set_address(ToString(address_));
   message.set_incarnation(incarnation_);
   message.set_sequence(++sequence_);
-  message.set_leaving(leaving);
+  message.set_leaving(leaving_);
   hooks_.fill(now, peer, message);
   const std::string bytes = message.SerializeAsString();
   asio::error_code ec;
--- a/lib/limits/shared_quota.cc
+++ b/lib/limits/shared_quota.cc
@@ -49,9 +49,9 @@
 double SharedQuota::HeardPart(MonoTime now) const {
   std::size_t heard = 1;
   for (const auto& [id, host] : hosts_) {
-    if (now - host.heard_at <= settings_.silence ||
-        MutantEnabled("quota_ignores_silence"))
-      ++heard;
+    const bool in_touch = now - host.heard_at <= settings_.silence ||
+                          MutantEnabled("quota_ignores_silence");
+    heard += in_touch && !host.leaving ? 1 : 0;
   }
   return static_cast<double>(heard) / static_cast<double>(host_count());
 }
@@ -80,7 +80,6 @@
   const auto spend = [&] {
     bucket.level -= static_cast<double>(amount);
     bucket.own_total += amount;
-    bucket.own_changed_at = now;
     return QuotaDecision{.admitted = true,
                          .retry_after = {},
                          .level = static_cast<std::int64_t>(bucket.level),
@@ -109,51 +108,52 @@
           .share = static_cast<std::int64_t>(bucket.share)};
 }
 
-void SharedQuota::Refund(MonoTime now,
+void SharedQuota::Refund(MonoTime /*now*/,
                          const AccountId& account,
                          std::int64_t amount) {
   Bucket& bucket = buckets_[account];
   bucket.level += static_cast<double>(amount);
   bucket.own_total -= amount;
-  bucket.own_changed_at = now;
 }
 
-void SharedQuota::OnHostHeard(MonoTime now, const HostId& host) {
-  Host& entry = hosts_[host];
-  entry.heard_at = std::max(entry.heard_at, now);
+void SharedQuota::OnPeer(MonoTime now, const PeerSpending& peer) {
   std::erase_if(hosts_, [&](const auto& it) {
-    return now - it.second.heard_at > settings_.forget;
+    return it.first != peer.host &&
+           now - it.second.heard_at > settings_.forget;
   });
+  const auto [it, is_new] = hosts_.try_emplace(peer.host);
+  Host& host = it->second;
+  if (is_new || host.incarnation != peer.incarnation) {
+    // What a host had spent before this one knew of it is past: this one's
+    // bucket never held those tokens. A run that follows a known one began at
+    // zero.
+    host.incarnation = peer.incarnation;
+    host.totals.clear();
+  }
+  host.heard_at = now;
+  host.leaving = peer.leaving;
+  for (const AccountUse& use : peer.uses) {
+    const auto [total, first] = host.totals.try_emplace(use.account, 0);
+    if (first && is_new && !MutantEnabled("quota_charges_the_past"))
+      total->second = use.total;
+    Bucket& bucket = buckets_[use.account];
+    Fill(now, bucket);
+    bucket.level -= static_cast<double>(use.total - total->second);
+    total->second = use.total;
+  }
 }
 
-void SharedQuota::OnHostLeft(const HostId& host) {
-  hosts_.erase(host);
-}
-
-void SharedQuota::OnPeerUse(MonoTime now,
-                            const HostId& host,
-                            std::uint64_t incarnation,
-                            const AccountUse& use) {
-  const bool host_known = hosts_.contains(host);
-  Host& entry = hosts_[host];
-  entry.heard_at = std::max(entry.heard_at, now);
-  const auto [it, first] = entry.accounts.try_emplace(use.account);
-  PeerAccount& known = it->second;
-  // What a host had spent before this one knew it is past.
-  if (first && !host_known)
-    known = PeerAccount{.incarnation = incarnation, .total = use.total};
-  if (incarnation != known.incarnation)
-    known = PeerAccount{.incarnation = incarnation, .total = 0};
-  Bucket& bucket = buckets_[use.account];
-  Fill(now, bucket);
-  bucket.level -= static_cast<double>(use.total - known.total);
-  known.total = use.total;
+std::size_t SharedQuota::host_count() const {
+  std::size_t n = 1;
+  for (const auto& [id, host] : hosts_)
+    n += host.leaving ? 0 : 1;
+  return n;
 }
 
-std::vector<AccountUse> SharedQuota::UseSince(MonoTime since) const {
+std::vector<AccountUse> SharedQuota::OwnUse() const {
   std::vector<AccountUse> out;
   for (const auto& [id, bucket] : buckets_) {
-    if (bucket.own_total != 0 && bucket.own_changed_at >= since)
+    if (bucket.own_total != 0)
       out.push_back({.account = id, .total = bucket.own_total});
   }
   return out;
--- a/unittests/limits/shared_quota_test.cc
+++ b/unittests/limits/shared_quota_test.cc
@@ -35,9 +35,10 @@
       for (std::size_t j = 0; j < quotas_.size(); ++j) {
         if (i == j || !connected(i, j))
           continue;
-        quotas_[j]->OnHostHeard(now, Name(i));
-        for (const AccountUse& it : quotas_[i]->UseSince(MonoTime()))
-          quotas_[j]->OnPeerUse(now, Name(i), 1, it);
+        quotas_[j]->OnPeer(now, {.host = Name(i),
+                                 .incarnation = 1,
+                                 .leaving = false,
+                                 .uses = quotas_[i]->OwnUse()});
       }
     }
   }
@@ -124,16 +125,49 @@
   cr_assert(quota.TrySpend(now, kAccount, 700).admitted);
 }
 
+PeerSpending Spent(std::uint64_t incarnation, std::int64_t total) {
+  return {.host = HostId("b"),
+          .incarnation = incarnation,
+          .leaving = false,
+          .uses = {{kAccount, total}}};
+}
+
 Test(shared_quota, a_peers_restart_counts_anew) {
   SharedQuota quota;
   quota.SetLimits(kStart, {{kAccount, kRate, kBurst}});
+  quota.OnPeer(kStart, Spent(1, 0));
   const MonoTime now = kStart + seconds(5);
-  quota.OnHostHeard(now, HostId("b"));
-  quota.OnPeerUse(now, HostId("b"), 1, {kAccount, 400});
+  quota.OnPeer(now, Spent(1, 400));
   // Its second run has spent 100, not 300 less.
-  quota.OnPeerUse(now, HostId("b"), 2, {kAccount, 100});
-  cr_assert_not(quota.TrySpend(now, kAccount, 600).admitted &&
-                quota.TrySpend(now, kAccount, 600).admitted);
+  quota.OnPeer(now, Spent(2, 100));
+  cr_assert(quota.TrySpend(now, kAccount, 400).admitted);
+  cr_assert_not(quota.TrySpend(now, kAccount, 300).admitted &&
+                quota.TrySpend(now, kAccount, 300).admitted);
+}
+
+// Hosts were stopped and started in turn; each new one charged all that its
+// peers had ever spent, and refused accounts that were within their rate for
+// the rest of the day.
+Test(shared_quota, a_new_host_does_not_charge_what_peers_spent_before) {
+  SharedQuota quota;
+  quota.SetLimits(kStart, {{kAccount, kRate, kBurst}});
+  const MonoTime now = kStart + seconds(5);
+  quota.OnPeer(now, Spent(1, 500000));
+  quota.OnPeer(now, Spent(1, 500100));
+  const QuotaDecision decision = quota.TrySpend(now, kAccount, 400);
+  cr_assert(decision.admitted);
+  cr_assert_geq(decision.level, 0);
+}
+
+Test(shared_quota, a_stopping_hosts_share_falls_to_the_others) {
+  SharedQuota quota;
+  quota.SetLimits(kStart, {{kAccount, kRate, kBurst}});
+  quota.OnPeer(kStart, Spent(1, 0));
+  cr_assert_eq(quota.host_count(), 2);
+  PeerSpending leaving = Spent(1, 50);
+  leaving.leaving = true;
+  quota.OnPeer(kStart, leaving);
+  cr_assert_eq(quota.host_count(), 1);
 }
 
 }  // namespace
