--- a/include/mangoport/core/time.h
+++ b/include/mangoport/core/time.h
@@ -21,6 +21,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
+  // NOLINTNEXTLINE(readability-identifier-naming): a clock's own name
   static constexpr bool is_steady = true;
 
   static time_point now() noexcept;
--- a/include/mangoport/forward/backend_table.h
+++ b/include/mangoport/forward/backend_table.h
@@ -23,6 +23,8 @@
 struct ServerLoad {
   ServerId server;
   std::uint32_t running = 0;
+  /// For how long the server has sent nothing to the host that has them.
+  Duration silent{};
 };
 
 /// A server begins or ceases to hold a model or adapter.
@@ -90,11 +92,13 @@
                   AttemptOutcome outcome,
                   Duration ran_for);
 
-  /// For how long the server, which has work from this host, has sent nothing.
+  /// For how long the server, which has work from this host, has sent nothing
+  /// to this host, and to any host that has told.
   Duration SilentFor(MonoTime now, const ServerId& server) const;
+  Duration SilentToAllFor(MonoTime now, const ServerId& server) const;
 
   /// Requests of this host at each server that has any.
-  std::vector<ServerLoad> OwnLoads() const;
+  std::vector<ServerLoad> OwnLoads(MonoTime now) const;
 
   const std::map<ServerId, ServerEntry>& servers() const { return servers_; }
 
@@ -112,6 +116,8 @@
     ServiceId service;
     asio::ip::tcp::endpoint address;
     MonoTime last_activity;
+    /// The same as other hosts tell.
+    MonoTime peers_activity;
     std::uint32_t own_running = 0;
     /// The newest change of each item, and when it was heard first.
     std::map<ModelId, ToldChange> told;
--- a/include/mangoport/forward/http_caller.h
+++ b/include/mangoport/forward/http_caller.h
@@ -49,7 +49,7 @@
   HttpCaller& operator=(const HttpCaller&) = delete;
 
   /// Calls `done` once, when the answer is there or the time has passed.
-  void Call(MonoTime now, HttpCall call, HttpCallDone done);
+  void Call(MonoTime now, const HttpCall& call, HttpCallDone done);
 
  private:
   ConnectionPool& pool_;
--- a/include/mangoport/http/message.h
+++ b/include/mangoport/http/message.h
@@ -24,6 +24,9 @@
 /// The value of the first field with that name, or null.
 const std::string* FindField(const HttpFields& fields, std::string_view name);
 
+/// The same, or an empty text if there is none.
+std::string_view FieldText(const HttpFields& fields, std::string_view name);
+
 /// True if the comma-separated list `value` has `token` as an element.
 bool ListHasToken(std::string_view value, std::string_view token);
 
--- a/include/mangoport/telemetry/decision_log.h
+++ b/include/mangoport/telemetry/decision_log.h
@@ -23,7 +23,8 @@
   }
   template <std::integral T>
   LogLine& Add(std::string_view key, T value) {
-    return Add(key, std::string_view(std::to_string(value)));
+    const std::string text = std::to_string(value);
+    return Add(key, text);
   }
   LogLine& Add(std::string_view key, bool value) {
     return Add(key, value ? "yes" : "no");
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -270,10 +270,13 @@
     spending.set_account(it.account.value());
     spending.set_total(it.total);
   }
-  for (const ServerLoad& it : backends_.OwnLoads()) {
+  for (const ServerLoad& it : backends_.OwnLoads(now)) {
     wire::BackendLoad& load = *message.add_loads();
     load.set_server(it.server.value());
     load.set_running(it.running);
+    load.set_silent_ms(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(it.silent)
+            .count()));
   }
   const std::uint64_t term = orders_.held_term();
   message.set_order_term(term);
@@ -311,7 +314,9 @@
   forwarder_.SetHostCount(now, quota_.host_count());
   std::vector<ServerLoad> loads;
   for (const wire::BackendLoad& it : message.loads())
-    loads.push_back({.server = ServerId(it.server()), .running = it.running()});
+    loads.push_back({.server = ServerId(it.server()),
+                     .running = it.running(),
+                     .silent = std::chrono::milliseconds(it.silent_ms())});
   backends_.SetPeerLoads(now, host, loads);
   if (message.leaving())
     return;
--- a/lib/edge/feed_service.cc
+++ b/lib/edge/feed_service.cc
@@ -224,7 +224,7 @@
 }
 
 void FeedService::Announce() {
-  platform_.AnnounceHost(self_, [this](CallReply<bool> reply) {
+  platform_.AnnounceHost(self_, [this](const CallReply<bool>& reply) {
     if (stopped_)
       return;
     if (reply.status != CallStatus::kOk) {
@@ -237,7 +237,7 @@
 }
 
 void FeedService::ReadHosts() {
-  platform_.ReadHosts([this](CallReply<std::vector<HostAddress>> reply) {
+  platform_.ReadHosts([this](const CallReply<std::vector<HostAddress>>& reply) {
     if (stopped_)
       return;
     if (reply.status != CallStatus::kOk) {
--- a/lib/forward/backend_table.cc
+++ b/lib/forward/backend_table.cc
@@ -143,8 +143,13 @@
                                 const std::vector<ServerLoad>& loads) {
   std::map<ServerId, std::uint32_t>& known = peer_loads_[host];
   std::map<ServerId, std::uint32_t> next;
-  for (const ServerLoad& it : loads)
+  for (const ServerLoad& it : loads) {
     next.emplace(it.server, it.running);
+    const auto backend = backends_.find(it.server);
+    if (backend != backends_.end())
+      backend->second.peers_activity =
+          std::max(backend->second.peers_activity, now - it.silent);
+  }
   known.swap(next);
   for (const auto& [server, running] : known)
     ReportLoad(now, server);
@@ -238,11 +243,22 @@
   return now - it->second.last_activity;
 }
 
-std::vector<ServerLoad> BackendTable::OwnLoads() const {
+Duration BackendTable::SilentToAllFor(MonoTime now,
+                                      const ServerId& server) const {
+  const Duration own = SilentFor(now, server);
+  const auto it = backends_.find(server);
+  if (it == backends_.end())
+    return own;
+  return std::min(own, now - it->second.peers_activity);
+}
+
+std::vector<ServerLoad> BackendTable::OwnLoads(MonoTime now) const {
   std::vector<ServerLoad> out;
   for (const auto& [id, backend] : backends_) {
     if (backend.own_running > 0)
-      out.push_back({.server = id, .running = backend.own_running});
+      out.push_back({.server = id,
+                     .running = backend.own_running,
+                     .silent = now - backend.last_activity});
   }
   return out;
 }
--- a/lib/forward/http_caller.cc
+++ b/lib/forward/http_caller.cc
@@ -45,7 +45,7 @@
 
 }  // namespace
 
-void HttpCaller::Call(MonoTime now, HttpCall call, HttpCallDone done) {
+void HttpCaller::Call(MonoTime now, const HttpCall& call, HttpCallDone done) {
   const auto pending = std::make_shared<PendingCall>();
   pending->done = std::move(done);
   pending->connection =
--- a/lib/forward/http_connection.cc
+++ b/lib/forward/http_connection.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::size_t kMaxAnswerHeadBytes = std::size_t{64} * 1024;
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(600);
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 /// Sent bytes that stay unacknowledged for this long end the connection.
 constexpr Duration kUserTimeout = std::chrono::seconds(3);
 /// A peer that names no limit may still close an idle connection.
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -13,9 +13,12 @@
 namespace mangoport {
 namespace {
 
-/// A server that has work of this host and sends nothing at all for so long is
-/// taken for dead, as far as a request may run elsewhere.
+/// A server that has work and sends no host anything for so long is taken for
+/// dead, as far as a request may run elsewhere.
 constexpr Duration kServerSilence = std::chrono::milliseconds(700);
+/// The same for a server that other hosts hear, if it sends this one nothing:
+/// the way to it may be cut.
+constexpr Duration kPathSilence = std::chrono::milliseconds(1400);
 /// A stream without an event for so long goes on elsewhere even if its server
 /// answers others.
 constexpr Duration kStreamSilence = std::chrono::milliseconds(1400);
@@ -151,8 +154,7 @@
   }
   const HttpFields& fields = request_.head.fields;
   const std::string_view target = request_.head.target;
-  const std::string* host = FindField(fields, "host");
-  route_ = config_->FindRoute(host ? std::string_view(*host) : "",
+  route_ = config_->FindRoute(FieldText(fields, "host"),
                               target.substr(0, target.find('?')));
   if (!route_) {
     Refuse(now, {.status = 404, .reason = "no_route"});
@@ -352,8 +354,7 @@
 std::string RequestExchange::BuildRequest(MonoTime now) const {
   const HttpHead& head = request_.head;
   const ForwardDialect& dialect = host_.dialect_;
-  const std::string* connection = FindField(head.fields, "connection");
-  const std::string_view hops = connection ? std::string_view(*connection) : "";
+  const std::string_view hops = FieldText(head.fields, "connection");
   const auto dropped = [&](std::string_view name) {
     if (IsHopByHop(name, hops) || EqualsIgnoringCase(name, "authorization") ||
         EqualsIgnoringCase(name, "content-length") ||
@@ -469,10 +470,10 @@
 }
 
 HttpFields RequestExchange::EndToEndFields(const HttpHead& head) const {
-  const std::string* connection = FindField(head.fields, "connection");
+  const std::string_view hops = FieldText(head.fields, "connection");
   HttpFields out;
   for (const HttpField& it : head.fields) {
-    if (!IsHopByHop(it.name, connection ? *connection : "") &&
+    if (!IsHopByHop(it.name, hops) &&
         !EqualsIgnoringCase(it.name, "content-length"))
       out.push_back(it);
   }
@@ -698,11 +699,14 @@
 void RequestExchange::CheckSilence(MonoTime now) {
   if (!connection_)
     return;
+  const Duration silence = now - last_byte_at_;
+  const BackendTable& backends = host_.parts_.backends;
   const bool server_silent =
-      host_.parts_.backends.SilentFor(now, server_) > kServerSilence &&
-      now - last_byte_at_ > kServerSilence;
-  const bool stream_silent =
-      answer_begun_ && now - last_byte_at_ > kStreamSilence;
+      (silence > kServerSilence &&
+       backends.SilentToAllFor(now, server_) > kServerSilence) ||
+      (silence > kPathSilence &&
+       backends.SilentFor(now, server_) > kPathSilence);
+  const bool stream_silent = answer_begun_ && silence > kStreamSilence;
   RequestProgress progress = Progress(now);
   ++progress.runs;
   if ((server_silent || stream_silent) &&
@@ -743,12 +747,15 @@
   const AccountId account = account_ ? account_->id : AccountId();
   host_.parts_.metrics.OnRequest(kind, account, outcome,
                                  now - request_.arrived);
+  std::string_view route_name;
+  if (route_)
+    route_name = route_->name;
   LogLine line("request");
   line.Add("id", request_id_)
       .Add("outcome", outcome)
       .Add("status", status)
-      .Add("reason", last_end_.empty() ? "none" : last_end_)
-      .Add("route", route_ ? std::string_view(route_->name) : "none")
+      .Add("reason", last_end_)
+      .Add("route", route_name)
       .Add("kind", kind)
       .Add("account", account.value())
       .Add("model", routing_.model.value())
--- a/lib/http/event_splitter.cc
+++ b/lib/http/event_splitter.cc
@@ -51,7 +51,8 @@
     if (end == std::string::npos)
       break;
     const std::size_t next = end + kEventEnd.size();
-    NoteEvent(std::string_view(partial_).substr(begin, next - begin));
+    const std::string_view text = partial_;
+    NoteEvent(text.substr(begin, next - begin));
     begin = next;
     searched = next;
     ++n;
--- a/lib/http/message.cc
+++ b/lib/http/message.cc
@@ -40,6 +40,13 @@
   return nullptr;
 }
 
+std::string_view FieldText(const HttpFields& fields, std::string_view name) {
+  const std::string* value = FindField(fields, name);
+  if (!value)
+    return {};
+  return *value;
+}
+
 bool ListHasToken(std::string_view value, std::string_view token) {
   while (!value.empty()) {
     const std::size_t comma = value.find(',');
--- a/lib/http/message_parser.cc
+++ b/lib/http/message_parser.cc
@@ -136,7 +136,7 @@
 }
 
 const http_parser_settings& MessageParser::State::Callbacks() {
-  static const http_parser_settings settings = [] {
+  static const http_parser_settings kSettings = [] {
     http_parser_settings out;
     http_parser_settings_init(&out);
     out.on_message_begin = [](http_parser* parser) {
@@ -173,7 +173,7 @@
     };
     return out;
   }();
-  return settings;
+  return kSettings;
 }
 
 MessageParser::MessageParser(HttpMessageKind kind, std::size_t max_head_bytes)
--- a/lib/limits/shared_quota.cc
+++ b/lib/limits/shared_quota.cc
@@ -118,8 +118,7 @@
 
 void SharedQuota::OnPeer(MonoTime now, const PeerSpending& peer) {
   std::erase_if(hosts_, [&](const auto& it) {
-    return it.first != peer.host &&
-           now - it.second.heard_at > settings_.forget;
+    return it.first != peer.host && now - it.second.heard_at > settings_.forget;
   });
   const auto [it, is_new] = hosts_.try_emplace(peer.host);
   Host& host = it->second;
