Callers refused for want of a copy count as demand for it

Change: a model without a copy is wanted while requests for it arrive; an order is expected to take 0.4 s.

--- a/include/mangoport/placement/copy_planner.h
+++ b/include/mangoport/placement/copy_planner.h
@@ -102,6 +102,7 @@
     const ModelSpec* spec = nullptr;
     double load = 0;
     double waiting = 0;
+    double arrivals_per_second = 0;
     std::size_t copies = 0;
   };
   /// Room that was made on an engine, and for which model.
@@ -148,6 +149,8 @@
              const ModelId& model,
              std::string reason,
              std::vector<CopyOrder>& out);
+  /// True if callers ask for the model now.
+  static bool IsWanted(const Model& model);
   double LoadPerPlace(const Model& model,
                       const EngineCapacity& capacity,
                       std::size_t copies) const;
--- a/lib/forward/wait_policy.cc
+++ b/lib/forward/wait_policy.cc
@@ -7,14 +7,14 @@
 
 /// From the first request for a copy to the order that loads it, and from its
 /// end to the hosts' knowledge of it.
-constexpr Duration kModelOrderTime = std::chrono::milliseconds(800);
+constexpr Duration kModelOrderTime = std::chrono::milliseconds(400);
 constexpr Duration kAdapterOrderTime = std::chrono::milliseconds(200);
 
 /// Waiting goes on this many times longer than the load should take.
 constexpr int kPatience = 2;
 
 /// Time to leave for the work itself.
-constexpr Duration kServiceTime = std::chrono::milliseconds(400);
+constexpr Duration kServiceTime = std::chrono::milliseconds(200);
 
 constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(300);
 
--- a/lib/placement/copy_planner.cc
+++ b/lib/placement/copy_planner.cc
@@ -13,6 +13,10 @@
 /// counts at once.
 constexpr double kDemandGain = 0.1;
 
+/// Requests that are refused at once for want of a copy never wait: they are
+/// seen by their arrivals.
+constexpr double kLeastArrivalsPerSecond = 0.2;
+
 /// What a place costs, to compare places: a load from the store, a copy to
 /// drop first, and work that the engine has already.
 constexpr double kStoreLoadCost = 4;
@@ -69,6 +73,7 @@
     if (asked != demand.end()) {
       load = asked->second.running + asked->second.waiting;
       model.waiting = asked->second.waiting;
+      model.arrivals_per_second = asked->second.arrivals_per_second;
     }
     double& smoothed = smoothed_[it.model];
     smoothed = std::max(load, smoothed + (load - smoothed) * kDemandGain);
@@ -250,6 +255,11 @@
   }
 }
 
+bool CopyPlanner::IsWanted(const Model& model) {
+  return model.waiting > 0 ||
+         model.arrivals_per_second > kLeastArrivalsPerSecond;
+}
+
 void CopyPlanner::PlanMissing(MonoTime now,
                               const EngineCapacity& capacity,
                               std::vector<CopyOrder>& out) {
@@ -260,19 +270,19 @@
       continue;
     }
     const MonoTime since = missing_since_.try_emplace(id, now).first->second;
-    if (model.waiting > 0 || now - since >= settings_.missing_grace)
+    if (IsWanted(model) || now - since >= settings_.missing_grace)
       missing.push_back(id);
   }
   std::sort(missing.begin(), missing.end(),
             [this](const ModelId& a, const ModelId& b) {
               const Model& x = models_.at(a);
               const Model& y = models_.at(b);
-              return std::pair(x.waiting, x.load) >
-                     std::pair(y.waiting, y.load);
+              return x.waiting + x.arrivals_per_second >
+                     y.waiting + y.arrivals_per_second;
             });
   for (const ModelId& it : missing) {
     const std::optional<Place> place =
-        FindPlace(now, capacity, it, /*urgent=*/models_.at(it).waiting > 0);
+        FindPlace(now, capacity, it, /*urgent=*/IsWanted(models_.at(it)));
     if (place)
       Order(now, *place, it, "no copy", out);
   }
--- a/unittests/placement/copy_planner_test.cc
+++ b/unittests/placement/copy_planner_test.cc
@@ -108,6 +108,22 @@
   cr_assert_eq(orders[0].model.value(), "m1");
 }
 
+// Callers of a model without a copy were refused at once, so that nothing ever
+// waited for it: 1,139 requests in fourteen seconds were refused.
+Test(copy_planner, a_model_whose_callers_are_all_refused_is_wanted) {
+  CopyPlanner planner;
+  const std::vector<PlannedEngine> engines = {Engine("a", {"m0", "m1"}),
+                                              Engine("b", {"m0", "m1"})};
+  std::map<ModelId, CopyDemand> demand = {{ModelId("m0"), Running(9)},
+                                          {ModelId("m1"), Running(9)}};
+  CopyDemand refused;
+  refused.arrivals_per_second = 40;
+  demand[ModelId("m2")] = refused;
+  const auto orders = planner.Plan(kStart, Capacity(3), engines, demand);
+  cr_assert_eq(orders.size(), 1);
+  cr_assert_eq(orders[0].kind, PlacementOrderKind::kUnloadModel);
+}
+
 // While one engine made room for a model, others made room for it too: four
 // copies of the busiest model went within a second.
 Test(copy_planner, room_is_made_once_and_kept_for_its_model) {
