Poisonous requests are quarantined; the order lease survives restarts and resignations while it settles

Cause 1: a request that crashes its server goes on to the next with each try of its caller; nothing stopped it. Change: requests lost at three servers are refused by all hosts for a minute; hosts tell each other. Ruled out: two holders of one term, late writes. Change: the record says whether its holder has settled, and a resignation names the last time at which any holder may have ordered.

--- a/include/mangoport/edge/order_service.h
+++ b/include/mangoport/edge/order_service.h
@@ -92,7 +92,7 @@
   /// The term that this host holds, or zero.
   std::uint64_t held_term() const;
   std::uint64_t resigned_term() const { return lease_.resigned_term(); }
-  /// How long ago the last order was given.
+  /// How long ago, at least, this host or one before it gave an order.
   Duration last_order_age() const;
   std::vector<OrderBook::Residency> Changes(MonoTime now) const {
     return book_.RecentChanges(now);
@@ -124,7 +124,6 @@
   std::map<ServerId, ServerEntry> servers_;
   std::function<std::vector<ModelUse>()> own_uses_;
   std::function<void()> on_changes_;
-  BootTime last_order_at_;
   MonoTime planned_at_;
   MonoTime demand_logged_at_;
   bool was_holder_ = false;
--- a/include/mangoport/forward/forwarder.h
+++ b/include/mangoport/forward/forwarder.h
@@ -21,6 +21,7 @@
 #include "mangoport/forward/forward_metrics.h"
 #include "mangoport/forward/timer_queue.h"
 #include "mangoport/limits/shared_quota.h"
+#include "mangoport/routing/crash_suspects.h"
 #include "mangoport/routing/retry_budget.h"
 #include "mangoport/telemetry/decision_log.h"
 
@@ -77,6 +78,9 @@
   /// The demand for each model that callers asked for.
   std::vector<ModelUse> ModelUses() const;
 
+  /// Requests that were lost together with servers.
+  CrashSuspects& crash_suspects() { return crash_suspects_; }
+
   const FleetConfigPtr& config() const { return config_; }
   std::size_t active() const { return active_; }
 
@@ -104,6 +108,7 @@
   std::unordered_map<ModelId, ModelUse> uses_;
   std::unordered_map<ModelId, std::vector<std::weak_ptr<RequestExchange>>>
       waiting_;
+  CrashSuspects crash_suspects_;
   std::function<void()> on_missing_;
   std::mt19937_64 random_;
   std::size_t active_ = 0;
--- a/include/mangoport/membership/order_lease.h
+++ b/include/mangoport/membership/order_lease.h
@@ -20,6 +20,8 @@
   std::uint64_t term = 0;
   /// Tells the holder's records apart.
   std::uint64_t nonce = 0;
+  /// The holder may order: nobody else has ordered for long enough.
+  bool settled = false;
 
   friend bool operator==(const OrderLeaseRecord&,
                          const OrderLeaseRecord&) = default;
@@ -98,6 +100,13 @@
   /// The term under which an order may be given now. Ask right before each.
   std::optional<std::uint64_t> MayOrder(BootTime now) const;
 
+  /// An order is given now.
+  void NoteOrder(BootTime now) { last_order_ = now; }
+
+  /// No order of this host, or of one that held the lease before it, was given
+  /// after this time.
+  BootTime last_order_bound() const;
+
   /// True from winning the lease on, also while orders have to wait.
   bool holds(BootTime now) const;
 
@@ -126,6 +135,7 @@
   std::optional<BootTime> holder_heard_at_;
   BootTime valid_until_;
   BootTime orders_from_;
+  BootTime last_order_;
   BootTime write_sent_at_;
   BootTime next_call_at_;
   /// The holder of this term has told that it gives no more orders.
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -278,6 +278,11 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(it.silent)
             .count()));
   }
+  for (const CrashSuspicion& it : forwarder_.crash_suspects().Recent(now)) {
+    wire::CrashSuspicionNote& note = *message.add_suspicions();
+    note.set_fingerprint(it.fingerprint);
+    note.set_server(it.server.value());
+  }
   const std::uint64_t term = orders_.held_term();
   message.set_order_term(term);
   if (orders_.resigned_term() != 0 && term == 0) {
@@ -318,6 +323,10 @@
                      .running = it.running(),
                      .silent = std::chrono::milliseconds(it.silent_ms())});
   backends_.SetPeerLoads(now, host, loads);
+  for (const wire::CrashSuspicionNote& it : message.suspicions())
+    forwarder_.crash_suspects().OnPeerLost(
+        now,
+        {.fingerprint = it.fingerprint(), .server = ServerId(it.server())});
   if (message.leaving())
     return;
   if (message.order_term() != 0) {
--- a/lib/edge/order_service.cc
+++ b/lib/edge/order_service.cc
@@ -237,7 +237,7 @@
 }
 
 Duration OrderService::last_order_age() const {
-  return BootClock::now() - last_order_at_;
+  return BootClock::now() - lease_.last_order_bound();
 }
 
 void OrderService::Plan(MonoTime now) {
@@ -314,7 +314,7 @@
     return;
   order.holder = self_;
   order.fence = *term;
-  last_order_at_ = boot_now;
+  lease_.NoteOrder(boot_now);
   parts_.log.Write(LogLine("order_sent")
                        .Add("engine", order.engine.value())
                        .Add("order", OrderName(order.kind))
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -1,7 +1,5 @@
 #include "lib/forward/request_exchange.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <array>
 #include <cassert>
@@ -29,44 +27,14 @@
 
 /// Least time to which a refused caller is told to come back.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
+constexpr Duration kQuarantineRetryAfter = std::chrono::seconds(30);
 /// Spread of the times at which refused callers come back.
 constexpr double kRetrySpread = 0.5;
 
-constexpr std::string_view kBearer = "Bearer ";
-constexpr std::uint32_t kLeastUrgent = 9;
-
 MonoTime Now() {
   return std::chrono::steady_clock::now();
 }
 
-std::optional<std::int64_t> ParseInteger(std::string_view text) {
-  std::int64_t value = 0;
-  const auto parsed =
-      std::from_chars(text.data(), text.data() + text.size(), value);
-  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
-    return std::nullopt;
-  return value;
-}
-
-/// "prompt,output"
-std::optional<std::int64_t> ParseTokenUsage(std::string_view text) {
-  const std::size_t comma = text.find(',');
-  if (comma == std::string_view::npos)
-    return std::nullopt;
-  const auto prompt = ParseInteger(text.substr(0, comma));
-  const auto output = ParseInteger(text.substr(comma + 1));
-  if (!prompt || !output)
-    return std::nullopt;
-  return *prompt + *output;
-}
-
-/// The parts that requests share: all but the last, which is the request's own.
-std::string_view SharedParts(std::string_view parts) {
-  const std::size_t comma = parts.rfind(',');
-  return comma == std::string_view::npos ? std::string_view()
-                                         : parts.substr(0, comma);
-}
-
 std::string FormatSeconds(Duration time) {
   const double seconds = std::chrono::duration<double>(time).count();
   std::array<char, 32> digits;
@@ -143,127 +111,17 @@
   Dispatch(now);
 }
 
-bool RequestExchange::Admit(MonoTime now) {
-  if (host_.refuses_new_) {
-    Refuse(now, {.status = 503, .reason = "stopping"});
-    return false;
-  }
-  if (!config_) {
-    Refuse(now, {.status = 503, .reason = "no_configuration"});
-    return false;
-  }
-  const HttpFields& fields = request_.head.fields;
-  const std::string_view target = request_.head.target;
-  route_ = config_->FindRoute(FieldText(fields, "host"),
-                              target.substr(0, target.find('?')));
-  if (!route_) {
-    Refuse(now, {.status = 404, .reason = "no_route"});
-    return false;
-  }
-  deadline_ = request_.arrived + route_->timeout;
-  if (const std::string* text = FindField(fields, host_.dialect_.deadline_ms)) {
-    if (const auto ms = ParseInteger(*text))
-      deadline_ = std::min(deadline_,
-                           request_.arrived + std::chrono::milliseconds(*ms));
-  }
-  if (!route_->is_public && !config_->config().accounts.empty() &&
-      !AdmitKey(now))
-    return false;
-  service_ = PickTarget();
-  ParseRouting();
-  return true;
-}
-
-bool RequestExchange::AdmitKey(MonoTime now) {
-  if (!host_.parts_.key_evidence.MayHonourKeys(BootClock::now())) {
-    Refuse(now, {.status = 503, .reason = "key_evidence_old"});
-    return false;
-  }
-  const std::string* value = FindField(request_.head.fields, "authorization");
-  if (value && value->starts_with(kBearer))
-    account_ = config_->FindAccountByKey(value->substr(kBearer.size()));
-  if (account_)
-    return true;
-  Refuse(now, {.status = 401, .reason = "unknown_key"});
-  return false;
-}
-
-const ServiceId& RequestExchange::PickTarget() {
-  assert(!route_->targets.empty() && "parsed routes have a target");
-  std::uint64_t total = 0;
-  for (const RouteTarget& it : route_->targets)
-    total += it.weight;
-  if (total == 0)
-    return route_->targets.front().service;
-  std::uint64_t drawn = host_.random_() % total;
-  for (const RouteTarget& it : route_->targets) {
-    if (drawn < it.weight)
-      return it.service;
-    drawn -= it.weight;
-  }
-  return route_->targets.back().service;
-}
-
-void RequestExchange::ParseRouting() {
-  const HttpFields& fields = request_.head.fields;
-  routing_.request = RequestId(request_id_);
-  if (account_)
-    routing_.account = account_->id;
-  if (const std::string* model = FindField(fields, host_.dialect_.model))
-    routing_.model = ModelId(*model);
-  const std::string* parts = FindField(fields, host_.dialect_.prompt_parts);
-  if (parts && route_->prefers_cached_prefix) {
-    const std::string_view shared = SharedParts(*parts);
-    routing_.prefix_hash =
-        shared.empty() ? 0 : XXH64(shared.data(), shared.size(), 0);
-  }
-  routing_.deadline = deadline_;
-  if (account_) {
-    charge_ = 1;
-    if (account_->counts_tokens) {
-      const std::string* usage = FindField(fields, host_.dialect_.token_usage);
-      charge_ = usage
-                    ? ParseTokenUsage(*usage).value_or(account_->default_tokens)
-                    : account_->default_tokens;
-    }
-  }
-  const ServiceSpec* service = config_->FindService(service_);
-  if (!service || !service->engine)
-    return;
-  use_ = &host_.uses_[routing_.model];
-  use_->model = routing_.model;
-  ++use_->arrivals;
-}
-
-bool RequestExchange::AdmitQuota(MonoTime now) {
-  if (!account_ || charged_)
-    return true;
-  const QuotaDecision decision =
-      host_.parts_.quota.TrySpend(now, account_->id, charge_);
-  if (decision.admitted) {
-    charged_ = true;
-    return true;
-  }
-  host_.parts_.log.Write(LogLine("over_quota")
-                             .Add("id", request_id_)
-                             .Add("account", account_->id.value())
-                             .Add("charge", charge_)
-                             .Add("level", decision.level)
-                             .Add("share", decision.share)
-                             .Add("rate", account_->rate_per_second)
-                             .Add("burst", account_->burst)
-                             .Add("hosts", host_.parts_.quota.host_count()));
-  Refuse(now, {.status = 429,
-               .reason = "over_quota",
-               .retry_after = decision.retry_after});
-  return false;
-}
-
 void RequestExchange::Dispatch(MonoTime now) {
   if (now >= deadline_) {
     OnDeadline(now);
     return;
   }
+  if (host_.crash_suspects_.IsQuarantined(now, fingerprint_)) {
+    Refuse(now, {.status = 503,
+                 .reason = "quarantined",
+                 .retry_after = kQuarantineRetryAfter});
+    return;
+  }
   RouteChoice choice = host_.parts_.backends.Choose(now, service_, routing_);
   if (!choice.server && !routing_.excluded.empty() && runs_ > 0) {
     // Better the same server again than none.
@@ -351,50 +209,6 @@
   Dispatch(now);
 }
 
-std::string RequestExchange::BuildRequest(MonoTime now) const {
-  const HttpHead& head = request_.head;
-  const ForwardDialect& dialect = host_.dialect_;
-  const std::string_view hops = FieldText(head.fields, "connection");
-  const auto dropped = [&](std::string_view name) {
-    if (IsHopByHop(name, hops) || EqualsIgnoringCase(name, "authorization") ||
-        EqualsIgnoringCase(name, "content-length") ||
-        EqualsIgnoringCase(name, "expect") ||
-        EqualsIgnoringCase(name, dialect.deadline_ms))
-      return true;
-    if (events_.last_id() && EqualsIgnoringCase(name, dialect.resume_after))
-      return true;
-    return std::any_of(
-        dialect.reserved.begin(), dialect.reserved.end(),
-        [name](const std::string& it) { return EqualsIgnoringCase(name, it); });
-  };
-  std::string out;
-  out.reserve(1024 + request_.body.size());
-  out.append(head.method).append(" ").append(head.target);
-  out.append(" HTTP/1.1\r\n");
-  for (const HttpField& it : head.fields) {
-    if (!dropped(it.name))
-      AppendField(out, it.name, it.value);
-  }
-  const auto left =
-      std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - now);
-  AppendField(out, dialect.deadline_ms,
-              std::to_string(std::max<std::int64_t>(left.count(), 1)));
-  AppendField(out, dialect.expected_server, server_.value());
-  const std::uint32_t priority =
-      account_ && account_->priority ? *account_->priority : route_->priority;
-  AppendField(out, dialect.urgency,
-              std::to_string(std::min(priority, kLeastUrgent)));
-  if (account_)
-    AppendField(out, dialect.account, account_->id.value());
-  if (events_.last_id())
-    AppendField(out, dialect.resume_after, std::to_string(*events_.last_id()));
-  if (head.content_length || head.chunked)
-    AppendField(out, "Content-Length", std::to_string(request_.body.size()));
-  out.append("\r\n");
-  out.append(request_.body);
-  return out;
-}
-
 void RequestExchange::Send(MonoTime now, const ServerId& server) {
   const auto address = host_.parts_.backends.AddressOf(server);
   assert(address && "a chosen server is listed");
@@ -570,6 +384,9 @@
 void RequestExchange::OnFailed(const HttpFailure& failure) {
   const auto self = shared_from_this();
   connection_.reset();
+  if (failure.request_sent)
+    host_.crash_suspects_.OnLost(
+        Now(), {.fingerprint = fingerprint_, .server = server_});
   const bool not_sent = failure.kind == HttpFailure::Kind::kConnect;
   const bool no_answer = failure.kind == HttpFailure::Kind::kNoAnswer;
   EndAttempt(Now(), not_sent    ? AttemptEnd::kNotConnected
--- a/lib/membership/order_lease.cc
+++ b/lib/membership/order_lease.cc
@@ -38,11 +38,13 @@
 }
 
 OrderLeaseStep OrderLease::WriteStep(BootTime now, std::uint64_t term) {
-  // Orders of another holder left it before now, or before it said so.
+  // Orders of other holders left them before now, or before the last one said
+  // so. A run of this host that had waited that out has only its own behind it.
   if (!IsOwn()) {
-    const bool other_ordered = record_ && record_->holder != self_;
+    const bool none_ordered =
+        !record_ || (record_->holder == self_ && record_->settled);
     orders_from_ = now;
-    if (other_ordered)
+    if (!none_ordered)
       orders_from_ =
           (HolderResigned() ? told_last_order_ : now) + settings_.settle;
   }
@@ -51,7 +53,8 @@
   sent_record_ = {.holder = self_,
                   .incarnation = incarnation_,
                   .term = term,
-                  .nonce = ++nonce_};
+                  .nonce = ++nonce_,
+                  .settled = now >= orders_from_};
   return {.kind = OrderLeaseStep::Kind::kWrite,
           .record = sent_record_,
           .expected_end = end_};
@@ -148,6 +151,10 @@
   known_ = known_ && IsOwn();
 }
 
+BootTime OrderLease::last_order_bound() const {
+  return std::max(last_order_, orders_from_ - settings_.settle);
+}
+
 bool OrderLease::holds(BootTime now) const {
   return !released_ && IsOwn() && record_->term != resigned_term_ &&
          now < valid_until_;
--- a/lib/telemetry/decision_log.cc
+++ b/lib/telemetry/decision_log.cc
@@ -96,7 +96,7 @@
   std::string text = std::to_string(tenths / 10);
   text.push_back('.');
   text.append(std::to_string(std::abs(tenths % 10)));
-  return Add(key, std::string_view(text));
+  return Add(key, text);
 }
 
 struct DecisionLog::State {
--- a/unittests/membership/order_lease_test.cc
+++ b/unittests/membership/order_lease_test.cc
@@ -146,6 +146,37 @@
   cr_assert_eq(second.MayOrder(restarted), 2);
 }
 
+// Found by order_lease_soak, seed 2: a host that had just taken over restarted
+// and ordered at once, a second after the holder before.
+Test(order_lease, a_restart_while_settling_settles_anew) {
+  Store store;
+  OrderLease other = MakeHost("b");
+  Step(other, store, kStart);
+  OrderLease first = MakeHost("a", 1);
+  first.OnRead(kStart, store.record, store.end);
+  const BootTime claimed = kStart + seconds(4);
+  Step(first, store, claimed);
+  cr_assert(first.holds(claimed));
+  OrderLease second = MakeHost("a", 2);
+  Step(second, store, claimed + milliseconds(500));
+  cr_assert(second.holds(claimed + milliseconds(500)));
+  cr_assert_not(second.MayOrder(claimed + milliseconds(600)));
+}
+
+// Found by the same, seed 5: a holder that resigned before it had ordered
+// spoke for itself only, not for the holder before it.
+Test(order_lease, a_holder_that_never_ordered_speaks_for_the_one_before) {
+  Store store;
+  OrderLease other = MakeHost("b");
+  Step(other, store, kStart);
+  OrderLease a = MakeHost("a");
+  a.OnRead(kStart, store.record, store.end);
+  const BootTime claimed = kStart + seconds(4);
+  Step(a, store, claimed);
+  cr_assert_geq(a.last_order_bound().time_since_epoch().count(),
+                claimed.time_since_epoch().count());
+}
+
 Test(order_lease, a_holder_cut_off_from_the_store_resigns_to_its_peers) {
   Store store;
   OrderLease a = MakeHost("a");
--- a/unittests/platform/decode_test.cc
+++ b/unittests/platform/decode_test.cc
@@ -123,8 +123,11 @@
 }
 
 Test(decode, the_order_lease_comes_back_as_it_was_written) {
-  const OrderLeaseRecord record{
-      .holder = HostId("edge-1"), .incarnation = 5, .term = 6, .nonce = 7};
+  const OrderLeaseRecord record{.holder = HostId("edge-1"),
+                                .incarnation = 5,
+                                .term = 6,
+                                .nonce = 7,
+                                .settled = true};
   std::string problem;
   const auto back = ParseOrderLease(EncodeOrderLease(record), problem);
   cr_assert(back.has_value() && *back == record);
