--- a/include/mangoport/placement/copy_planner.h
+++ b/include/mangoport/placement/copy_planner.h
@@ -30,6 +30,9 @@
   ServerEntry entry;
   /// An order is under way, or the answer to one is not known.
   bool busy = false;
+  /// True if its entry can be relied on: no order is under way whose end is not
+  /// known here.
+  bool certain = true;
   /// What that order is about, so that it counts as held.
   std::optional<PlacementOrderKind> pending_kind = std::nullopt;
   ModelId pending_model = {};
@@ -103,7 +106,10 @@
     double load = 0;
     double waiting = 0;
     double arrivals_per_second = 0;
+    /// Held, being loaded or about to be.
     std::size_t copies = 0;
+    /// Held for certain, and not about to go.
+    std::size_t held = 0;
   };
   /// Room that was made on an engine, and for which model.
   struct Reservation {
--- a/lib/limits/shared_quota.cc
+++ b/lib/limits/shared_quota.cc
@@ -4,8 +4,6 @@
 #include <cmath>
 #include <set>
 
-#include "mangoport/core/mutant.h"
-
 namespace mangoport {
 namespace {
 
@@ -49,8 +47,7 @@
 double SharedQuota::HeardPart(MonoTime now) const {
   std::size_t heard = 1;
   for (const auto& [id, host] : hosts_) {
-    const bool in_touch = now - host.heard_at <= settings_.silence ||
-                          MutantEnabled("quota_ignores_silence");
+    const bool in_touch = now - host.heard_at <= settings_.silence;
     heard += in_touch && !host.leaving ? 1 : 0;
   }
   return static_cast<double>(heard) / static_cast<double>(host_count());
@@ -133,7 +130,7 @@
   host.leaving = peer.leaving;
   for (const AccountUse& use : peer.uses) {
     const auto [total, first] = host.totals.try_emplace(use.account, 0);
-    if (first && is_new && !MutantEnabled("quota_charges_the_past"))
+    if (first && is_new)
       total->second = use.total;
     Bucket& bucket = buckets_[use.account];
     Fill(now, bucket);
--- a/lib/placement/copy_planner.cc
+++ b/lib/placement/copy_planner.cc
@@ -98,8 +98,12 @@
       const bool leaving =
           it.pending_kind == PlacementOrderKind::kUnloadModel &&
           it.pending_model == held;
-      if (!leaving)
-        ++model->second.copies;
+      if (leaving)
+        continue;
+      ++model->second.copies;
+      const bool loaded = it.pending_kind != PlacementOrderKind::kLoadModel ||
+                          it.pending_model != held;
+      model->second.held += it.certain && loaded ? 1 : 0;
     }
     const auto reserved = reservations_.find(it.entry.id);
     if (reserved != reservations_.end()) {
@@ -135,7 +139,7 @@
     if (found == models_.end() || it == model)
       continue;
     const Model& held = found->second;
-    if (held.copies < 2 && !MutantEnabled("last_copy_dropped"))
+    if (held.held < 2 && !MutantEnabled("last_copy_dropped"))
       continue;
     const std::uint64_t left =
         engine.used_mb - std::min(engine.used_mb, held.spec->weights_mb);
@@ -208,6 +212,7 @@
     order.model = *place.victim;
     order.reason += ", room for " + model.value();
     --models_.at(*place.victim).copies;
+    --models_.at(*place.victim).held;
     moved_at_[*place.victim] = now;
     reservations_[order.engine] = {.model = model,
                                    .until = now + settings_.reservation};
--- a/lib/placement/order_book.cc
+++ b/lib/placement/order_book.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "mangoport/core/mutant.h"
+
 namespace mangoport {
 namespace {
 
@@ -104,6 +106,8 @@
     view.entry = engine.entry;
     view.busy = engine.phase != Phase::kNone || !engine.orders_accepted ||
                 engine.busy_elsewhere;
+    view.certain = engine.orders_accepted && !engine.busy_elsewhere &&
+                   engine.phase != Phase::kUnanswered;
     if (engine.phase != Phase::kNone && !IsAdapterOrder(engine.order)) {
       view.pending_kind = engine.order.kind;
       view.pending_model = engine.order.model;
@@ -118,8 +122,8 @@
                       Duration load_time) {
   Engine& engine = engines_.at(order.engine);
   const bool fresh = now - engine.reported_at < kFreshReport;
-  const bool must_check =
-      order.kind == PlacementOrderKind::kLoadModel && !fresh;
+  const bool must_check = order.kind == PlacementOrderKind::kLoadModel &&
+                          !fresh && !MutantEnabled("weights_ordered_unchecked");
   engine.phase = must_check ? Phase::kChecking : Phase::kReady;
   engine.order = {.engine = order.engine,
                   .kind = order.kind,
--- a/utils/lint.sh
+++ b/utils/lint.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 root=$(pwd)
-pattern=${1:-"^$root/(lib|tools|unittests|benchmarks)/"}
+pattern=${1:-"^$root/(lib|platform|tools|unittests|benchmarks)/"}
 log=build/lint.log
 mkdir -p build
 if ! run-clang-tidy -quiet -p build/main "$pattern" >"$log" 2>&1; then
