--- a/lib/edge/order_service.cc
+++ b/lib/edge/order_service.cc
@@ -171,18 +171,19 @@
     case OrderLeaseStep::Kind::kNone:
       return;
     case OrderLeaseStep::Kind::kRead:
-      parts_.platform.ReadOrderLease([this](CallReply<OrderLeaseState> reply) {
-        const BootTime now = BootClock::now();
-        if (reply.status == CallStatus::kOk)
-          lease_.OnRead(now, reply.value.record, reply.value.end);
-        else
-          lease_.OnReadFailed(now);
-      });
+      parts_.platform.ReadOrderLease(
+          [this](const CallReply<OrderLeaseState>& reply) {
+            const BootTime now = BootClock::now();
+            if (reply.status == CallStatus::kOk)
+              lease_.OnRead(now, reply.value.record, reply.value.end);
+            else
+              lease_.OnReadFailed(now);
+          });
       return;
     case OrderLeaseStep::Kind::kWrite:
       parts_.platform.WriteOrderLease(
           step.record, step.expected_end,
-          [this](CallReply<std::uint64_t> reply) {
+          [this](const CallReply<std::uint64_t>& reply) {
             const BootTime now = BootClock::now();
             if (reply.status == CallStatus::kOk)
               lease_.OnWritten(now, reply.value);
@@ -326,17 +327,18 @@
     on_changes_();
   parts_.platform.SendOrder(
       entry->second.address, order,
-      [this, order, sent = now](CallReply<EngineOrderAnswer> reply) {
+      [this, order, sent = now](const CallReply<EngineOrderAnswer>& reply) {
         const MonoTime answered = Now();
+        std::string_view answer = reply.error;
+        if (reply.status == CallStatus::kOk)
+          answer = AnswerName(reply.value);
         parts_.log.Write(LogLine("order_answered")
                              .Add("engine", order.engine.value())
                              .Add("order", OrderName(order.kind))
                              .Add("model", order.model.value())
                              .Add("adapter", order.adapter.value())
                              .Add("status", CallStatusName(reply.status))
-                             .Add("answer", reply.status == CallStatus::kOk
-                                                ? AnswerName(reply.value)
-                                                : std::string_view(reply.error))
+                             .Add("answer", answer)
                              .Add("after_ms", answered - sent));
         book_.OnAnswer(answered, order.engine, reply);
         if (on_changes_)
@@ -349,13 +351,14 @@
   const auto entry = servers_.find(engine);
   if (entry == servers_.end())
     return;
-  parts_.platform.ReadReport(entry->second.address, engine,
-                             [this, engine](CallReply<EngineReport> reply) {
-                               book_.OnReport(Now(), engine, reply);
-                               if (on_changes_)
-                                 on_changes_();
-                               OnOwnWaiting();
-                             });
+  parts_.platform.ReadReport(
+      entry->second.address, engine,
+      [this, engine](const CallReply<EngineReport>& reply) {
+        book_.OnReport(Now(), engine, reply);
+        if (on_changes_)
+          on_changes_();
+        OnOwnWaiting();
+      });
 }
 
 void OrderService::Release(std::function<void()> done) {
--- a/lib/forward/connection_pool.cc
+++ b/lib/forward/connection_pool.cc
@@ -12,7 +12,7 @@
     bool fresh) {
   Peer& entry = peers_[peer];
   while (!fresh && !entry.idle.empty()) {
-    const HttpConnection::Ptr connection = std::move(entry.idle.back());
+    HttpConnection::Ptr connection = std::move(entry.idle.back());
     entry.idle.pop_back();
     if (connection->UsableAt(now))
       return connection;
--- a/unittests/process/edge_process_test.cc
+++ b/unittests/process/edge_process_test.cc
@@ -30,7 +30,8 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  cr_assert_eq(
+      ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
   socklen_t length = sizeof(address);
   ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
   ::close(fd);
@@ -130,7 +131,9 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(callers_);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    cr_assert_eq(
+        ::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+        0);
     ::send(fd, bytes.data(), bytes.size(), 0);
     std::string out;
     char buf[4096];
