--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -403,7 +403,9 @@
           .time_left = deadline_ - now};
 }
 
-void RequestExchange::EndAttempt(MonoTime now, AttemptEnd end) {
+void RequestExchange::EndAttempt(MonoTime now,
+                                 AttemptEnd end,
+                                 bool may_repeat) {
   const auto self = shared_from_this();
   if (connection_)
     std::exchange(connection_, nullptr)->Cancel();
@@ -413,9 +415,8 @@
   if (!ProvesNotRun(end))
     ++runs_;
   const RequestProgress progress = Progress(now);
-  const bool may_repeat =
-      WantsAnother(progress, end) &&
-      host_.StateOf(service_).budget.TryTake(now, AccountId());
+  if (!may_repeat && WantsAnother(progress, end))
+    may_repeat = host_.StateOf(service_).budget.TryTake(now, AccountId());
   switch (DecideNextStep(progress, end, may_repeat)) {
     case NextStep::kTryAnother:
       routing_.excluded.push_back(server_);
@@ -526,9 +527,11 @@
   const bool stream_silent = answer_begun_ && silence > kStreamSilence;
   RequestProgress progress = Progress(now);
   ++progress.runs;
+  // The attempt may still answer: it is given up only for another one.
   if ((server_silent || stream_silent) &&
-      WantsAnother(progress, AttemptEnd::kSilent)) {
-    EndAttempt(now, AttemptEnd::kSilent);
+      WantsAnother(progress, AttemptEnd::kSilent) &&
+      host_.StateOf(service_).budget.TryTake(now, AccountId())) {
+    EndAttempt(now, AttemptEnd::kSilent, /*may_repeat=*/true);
     return;
   }
   ArmSilenceCheck(now);
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -62,7 +62,8 @@
   void OnBody(std::string_view piece);
   void OnComplete();
   void OnFailed(const HttpFailure& failure);
-  void EndAttempt(MonoTime now, AttemptEnd end);
+  /// `may_repeat` says that the retry budget has been charged already.
+  void EndAttempt(MonoTime now, AttemptEnd end, bool may_repeat = false);
   void FinishAttempt(MonoTime now, AttemptOutcome outcome);
 
   // Answers.
--- a/unittests/process/edge_process_test.cc
+++ b/unittests/process/edge_process_test.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -13,6 +14,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -60,7 +62,8 @@
 /// A host with a store and two backend servers.
 class EdgeFixture {
  public:
-  EdgeFixture() : a_("i-a"), b_("i-b") {
+  /// `bounds` are lines for the settings' table of that name.
+  explicit EdgeFixture(const std::string& bounds = "") : a_("i-a"), b_("i-b") {
     store_.Put("keyed.op", "config", Config(1, R"("k1")"));
     List(a_, "ready");
     List(b_, "ready");
@@ -75,7 +78,8 @@
         << "readiness = \"127.0.0.1:" << readiness_ << "\"\n"
         << "peers = \"127.0.0.1:" << FreePort() << "\"\n[platform]\n"
         << "store = \"" << store_.address() << "\"\n[bounds]\n"
-        << "key_withdrawal_ms = 3000\nstop_grace_s = 4\n";
+        << "key_withdrawal_ms = 3000\nstop_grace_s = 4\n"
+        << bounds;
     out.close();
     process_ = std::make_unique<Process>(
         std::vector<std::string>{MANGOPORT_EDGE_BINARY, "--settings",
@@ -118,7 +122,7 @@
     client.set_read_timeout(8);
     httplib::Headers headers = {{"Host", "h"},
                                 {"X-Attempt-Id", "id1"},
-                                {"X-Deadline-Ms", "3000"},
+                                {"X-Deadline-Ms", "4900"},
                                 {"Authorization", "Bearer " + key}};
     headers.insert(more.begin(), more.end());
     return client.Post(path, headers, "body", "text/plain");
@@ -202,6 +206,26 @@
   cr_assert_eq(it.SeenInAll(), 2);
 }
 
+// Streams whose server was slow were broken off although the retry budget was
+// spent, so that nothing took their place.
+Test(edge, without_budget_a_silent_server_is_waited_for, .timeout = 60) {
+  EdgeFixture it("repeat_ratio = 0\nrepeat_extra = 0\n");
+  it.a_.set_plan({.events = 2, .event_interval_ms = 1900});
+  it.b_.set_plan({.events = 2, .event_interval_ms = 1900});
+  std::atomic<int> whole{0};
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 4; ++i) {
+    callers.emplace_back([&it, &whole] {
+      const auto reply = it.Ask("/stream/x");
+      whole += reply && reply->body == Events(1, 2) ? 1 : 0;
+    });
+  }
+  for (std::thread& caller : callers)
+    caller.join();
+  // One repeat is always saved up; it may take its request past its deadline.
+  cr_assert_geq(whole.load(), 3, "%d of 4", whole.load());
+}
+
 Test(edge, what_runs_once_is_not_sent_again, .timeout = 60) {
   EdgeFixture it;
   it.a_.set_plan({.status = 500});
