A stream's patience with a missing copy counts from its last event

A resumed stream that finds no copy of its model waits as long as its caller does, instead of being refused by the time since its arrival.

--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -166,10 +166,11 @@
     waiting_since_ = now;
   MissingCopy missing;
   missing.time_left = deadline_ - now;
-  // A caller of a stream may leave sooner.
+  // A caller of a stream may leave sooner, counted from the last event.
+  const MonoTime heard_at = answer_begun_ ? last_byte_at_ : request_.arrived;
   if (route_->stall_limit > Duration::zero())
-    missing.time_left = std::min(missing.time_left,
-                                 request_.arrived + route_->stall_limit - now);
+    missing.time_left =
+        std::min(missing.time_left, heard_at + route_->stall_limit - now);
   missing.waited = now - waiting_since_;
   missing.is_adapter =
       slash != std::string_view::npos &&
