--- a/lib/placement/order_book.cc
+++ b/lib/placement/order_book.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "mangoport/core/mutant.h"
-
 namespace mangoport {
 namespace {
 
@@ -122,8 +120,8 @@
                       Duration load_time) {
   Engine& engine = engines_.at(order.engine);
   const bool fresh = now - engine.reported_at < kFreshReport;
-  const bool must_check = order.kind == PlacementOrderKind::kLoadModel &&
-                          !fresh && !MutantEnabled("weights_ordered_unchecked");
+  const bool must_check =
+      order.kind == PlacementOrderKind::kLoadModel && !fresh;
   engine.phase = must_check ? Phase::kChecking : Phase::kReady;
   engine.order = {.engine = order.engine,
                   .kind = order.kind,
--- a/unittests/placement/engine_orders_soak.cc
+++ b/unittests/placement/engine_orders_soak.cc
@@ -325,12 +325,12 @@
 }  // namespace mangoport
 
 int main(int argc, char** argv) {
-  return mangoport::SoakMain(
-      argc, argv, {"last_copy_dropped", "weights_ordered_unchecked"},
-      [](const mangoport::SoakOptions& options,
-         mangoport::SoakProgress& progress) {
-        mangoport::EngineWorld world(options, progress);
-        for (std::uint64_t step = 1; step <= options.steps; ++step)
-          world.Step(step);
-      });
+  return mangoport::SoakMain(argc, argv, {"last_copy_dropped"},
+                             [](const mangoport::SoakOptions& options,
+                                mangoport::SoakProgress& progress) {
+                               mangoport::EngineWorld world(options, progress);
+                               for (std::uint64_t step = 1;
+                                    step <= options.steps; ++step)
+                                 world.Step(step);
+                             });
 }
