--- a/lib/membership/order_lease.cc
+++ b/lib/membership/order_lease.cc
@@ -31,8 +31,6 @@
   if (!record_ || record_->holder.empty() || record_->holder == self_ ||
       HolderResigned())
     return end_seen_at_ + claim_delay_;
-  if (MutantEnabled("order_lease_taken_early"))
-    return end_seen_at_;
   return end_seen_at_ + settings_.validity + settings_.takeover_margin +
          claim_delay_;
 }
@@ -44,7 +42,7 @@
     const bool none_ordered =
         !record_ || (record_->holder == self_ && record_->settled);
     orders_from_ = now;
-    if (!none_ordered)
+    if (!none_ordered && !MutantEnabled("order_lease_not_settled"))
       orders_from_ =
           (HolderResigned() ? told_last_order_ : now) + settings_.settle;
   }
--- a/unittests/membership/order_lease_soak.cc
+++ b/unittests/membership/order_lease_soak.cc
@@ -204,7 +204,7 @@
 
 int main(int argc, char** argv) {
   using mangoport::LeaseWorld;
-  return mangoport::SoakMain(argc, argv, {"order_lease_taken_early"},
+  return mangoport::SoakMain(argc, argv, {"order_lease_not_settled"},
                              [](const mangoport::SoakOptions& options,
                                 mangoport::SoakProgress& progress) {
                                LeaseWorld world(options, progress);
