A few hosts read the store's feeds for all; the others take their word

Change: one reader in each availability zone and three at least (ChooseFeedReaders); the others follow by datagrams (FeedTrack, ServerRelay) and read for themselves as soon as no word is fresh, within three quarters of the bounds for configurations and leaving servers. A word is dated by the receiver's own clock: its sender echoes the receiver's newest reading, so that a datagram which waited in a buffer proves nothing new. Also: a connection that was not made costs no retry budget, since nothing arrived.

--- a/include/mangoport/edge/edge_host.h
+++ b/include/mangoport/edge/edge_host.h
@@ -6,6 +6,7 @@
 #include <asio/signal_set.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -76,8 +77,13 @@
                     const HttpRequest& request);
   bool IsReady() const;
 
+  void FillFeeds(MonoTime now, const PeerHost& peer, wire::HostState& message);
   void FillState(MonoTime now, const PeerHost& peer, wire::HostState& message);
-  void OnPeerState(MonoTime now, const wire::HostState& message);
+  void OnPeerState(MonoTime now,
+                   std::optional<BootTime> sent_after,
+                   const wire::HostState& message);
+  /// What a peer tells beside the feeds.
+  void OnPeerRest(MonoTime now, const wire::HostState& message);
   void TellHolder();
   void TellChanges();
 
--- a/include/mangoport/edge/feed_service.h
+++ b/include/mangoport/edge/feed_service.h
@@ -8,9 +8,11 @@
 #include <vector>
 
 #include "mangoport/core/time.h"
+#include "mangoport/fleet/feed_track.h"
 #include "mangoport/fleet/fleet_config.h"
 #include "mangoport/fleet/key_evidence.h"
 #include "mangoport/fleet/server_directory.h"
+#include "mangoport/fleet/server_relay.h"
 #include "mangoport/forward/timer_queue.h"
 #include "mangoport/ports/fleet_platform.h"
 #include "mangoport/telemetry/decision_log.h"
@@ -18,16 +20,29 @@
 namespace mangoport {
 
 struct FeedSettings {
-  /// How long a read of the configuration waits for news; each answer proves
-  /// the keys current as of its sending.
-  Duration config_wait = std::chrono::milliseconds(2000);
-  Duration servers_interval = std::chrono::milliseconds(1100);
-  Duration hosts_interval = std::chrono::seconds(15);
+  /// How long a reader's call for the configuration waits for news; each answer
+  /// proves the keys current as of its sending.
+  Duration config_wait = std::chrono::milliseconds(800);
+  /// From one read of the list of servers to a reader's next one.
+  Duration servers_interval = std::chrono::milliseconds(900);
+  /// A host reads for itself once the readers' word is older than this.
+  Duration config_patience = std::chrono::milliseconds(1500);
+  Duration servers_patience = std::chrono::milliseconds(1500);
+  Duration hosts_interval = std::chrono::seconds(30);
   /// Pauses after a failed call; they double up to the longest.
   Duration first_backoff = std::chrono::milliseconds(150);
   Duration longest_backoff = std::chrono::milliseconds(800);
 };
 
+/// What a host tells the others of the feeds that it reads itself. A feed that
+/// it does not read, or could not read lately, is left out.
+struct FeedWords {
+  std::optional<FeedWord> config = std::nullopt;
+  std::optional<FeedWord> servers = std::nullopt;
+  /// Changes of the list of servers, oldest first.
+  std::vector<ServerBatch> batches = {};
+};
+
 /// What the feeds bring.
 struct FeedHooks {
   std::function<void(FleetConfigPtr config)> on_config;
@@ -36,10 +51,13 @@
                      const std::vector<ServerId>& removed)>
       on_servers;
   std::function<void(const std::vector<HostAddress>& hosts)> on_hosts;
+  /// This host has read news that the others should hear of at once.
+  std::function<void()> on_news;
 };
 
 /// Follows the operators' configuration, the list of backend servers and the
-/// list of hosts, and keeps this host on the latter.
+/// list of hosts, and keeps this host on the latter. A few hosts read the
+/// first two for all; see `FeedTrack`.
 ///
 /// A configuration is taken only if its version is higher than that in force.
 /// The time of each proof that the configuration is current goes to the key
@@ -62,27 +80,64 @@
   /// Starts no more calls.
   void Stop() { stopped_ = true; }
 
+  /// Whether this host reads the feeds for the others.
+  void SetReader(bool reader);
+
+  /// What this host has read itself, without changes of servers.
+  FeedWords OwnWords(BootTime now) const;
+
+  /// The same with the changes that a host lacks which knows the list of
+  /// servers up to `position`.
+  FeedWords OwnWordsSince(MonoTime now,
+                          BootTime boot_now,
+                          std::uint64_t position);
+
+  /// How far this host knows the list of servers.
+  std::uint64_t servers_position() const {
+    return servers_.track.position().value_or(0);
+  }
+
+  /// What another host has read.
+  void OnPeerWords(MonoTime now, const FeedWords& words);
+
   bool has_config() const { return version_.has_value(); }
   bool has_servers() const { return servers_read_; }
 
  private:
+  using Step = void (FeedService::*)();
+
   /// One of the things that are read over and over.
   struct Feed {
     std::string_view name;
-    FeedPosition position;
+    FeedTrack track;
+    /// When the newest read was sent.
+    BootTime sent_at = {};
     Duration backoff{};
+    bool in_flight = false;
     bool lost = false;
+    TimerQueue::Ticket timer = TimerQueue::kNoTicket;
   };
 
+  /// Reads the feed if that is due, and otherwise waits until it is.
+  void FollowConfig();
+  void FollowServers();
+  void Follow(Feed& feed, Step follow, Step read);
   void ReadConfig();
-  void OnConfig(BootTime sent, CallReply<ConfigNews> reply);
+  void OnConfig(CallReply<ConfigNews> reply);
+  void ApplyConfig(FleetConfig config, std::uint64_t next);
   void ReadServers();
   void OnServers(CallReply<ServerNews> reply);
-  void ApplyServers(MonoTime now, const ServerNews& news);
+  void ApplyServers(MonoTime now,
+                    const std::vector<ServerChange>& changes,
+                    bool whole,
+                    ServerBatch& applied);
+  void OnConfigWord(const FeedWord& word);
+  void OnServersWord(MonoTime now, const FeedWords& words);
   void ExpireServers(MonoTime now);
   void Announce();
   void ReadHosts();
-  void After(Duration wait, void (FeedService::*step)());
+  /// Takes the step after `wait`, in place of one that waits already.
+  void StepAfter(Feed& feed, Duration wait, Step step);
   /// The pause after a failure; logs the first one.
   Duration NoteFailure(Feed& feed, CallStatus status, const std::string& error);
   void NoteSuccess(Feed& feed);
@@ -95,11 +150,15 @@
   HostAddress self_;
   FeedSettings settings_;
   FeedHooks hooks_;
-  Feed config_{.name = "config", .position = {}, .backoff = {}};
-  Feed servers_{.name = "servers", .position = {}, .backoff = {}};
-  Feed hosts_{.name = "hosts", .position = {}, .backoff = {}};
+  Feed config_;
+  Feed servers_;
+  Feed hosts_;
   std::optional<std::uint64_t> version_;
+  /// The position behind the newest configuration.
+  std::uint64_t config_changed_at_ = 0;
   ServerDirectory directory_;
+  ServerRelay relay_;
+  TimerQueue::Ticket expiry_timer_ = TimerQueue::kNoTicket;
   bool servers_read_ = false;
   bool stopped_ = false;
   std::mt19937_64 random_;
--- a/include/mangoport/edge/soft_state_service.h
+++ b/include/mangoport/edge/soft_state_service.h
@@ -6,6 +6,8 @@
 #include <asio/ip/udp.hpp>
 #include <cstdint>
 #include <functional>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,12 +21,21 @@
 namespace mangoport {
 
 struct SoftStateHooks {
-  /// Fills in this host's state for one peer.
-  std::function<
-      void(MonoTime now, const PeerHost& peer, wire::HostState& message)>
-      fill;
-  /// A peer's newest state.
-  std::function<void(MonoTime now, const wire::HostState& message)> on_state;
+  using Fill = std::function<
+      void(MonoTime now, const PeerHost& peer, wire::HostState& message)>;
+
+  /// Fills in what this host has read of the feeds, for one peer.
+  Fill fill_feeds;
+  /// Fills in all else of this host's state.
+  Fill fill;
+  /// A peer's newest state. `sent_after` is a moment of this host's clock that
+  /// the message was sent after; none if that is not known.
+  std::function<void(MonoTime now,
+                     std::optional<BootTime> sent_after,
+                     const wire::HostState& message)>
+      on_state;
+  /// Whether this host reads the store's feeds for the others.
+  std::function<void(bool reader)> on_reader;
 };
 
 /// Tells the other hosts this host's soft state in datagrams and takes theirs.
@@ -51,6 +62,9 @@
   /// Tells all peers within a few milliseconds, however often it is asked for.
   void TellAllSoon();
 
+  /// Tells the peers of this availability zone the news of the feeds, likewise.
+  void TellFeedsSoon();
+
   /// Tells every peer that this host stops, now and from now on.
   void TellLeaving();
 
@@ -62,7 +76,8 @@
   void ReadAll();
   void OnDatagram(MonoTime now, std::size_t bytes);
   void TellDue(MonoTime now);
-  void Send(MonoTime now, const PeerHost& peer);
+  void ChooseReaders(MonoTime now);
+  void Send(MonoTime now, const PeerHost& peer, bool whole = true);
 
   TimerQueue& timers_;
   DecisionLog& log_;
@@ -74,7 +89,9 @@
   PeerTable peers_;
   std::uint64_t incarnation_;
   std::uint64_t sequence_ = 0;
+  std::set<HostId> readers_;
   bool tell_all_pending_ = false;
+  bool tell_feeds_pending_ = false;
   bool leaving_ = false;
   std::array<char, 65536> buffer_;
 };
--- a/include/mangoport/forward/attempt_policy.h
+++ b/include/mangoport/forward/attempt_policy.h
@@ -31,6 +31,11 @@
 /// True if the server can't have begun to run the request.
 bool ProvesNotRun(AttemptEnd end);
 
+/// True if another attempt after `end` counts against the retry budget: the
+/// budget bounds what arrives at backend servers, and a connection that was not
+/// made brings nothing to any.
+bool CountsAsRepeat(AttemptEnd end);
+
 /// How far a request has come.
 struct RequestProgress {
   /// The request may run again after it may have run.
--- a/include/mangoport/gossip/soft_state.h
+++ b/include/mangoport/gossip/soft_state.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,31 +18,56 @@
 /// Another host, as its datagrams and the store's list of hosts tell.
 struct PeerHost {
   HostId host;
+  ZoneId zone;
   /// "ip:port" for datagrams.
   std::string address;
   std::uint64_t incarnation = 0;
   std::uint64_t sequence = 0;
   /// When a datagram arrived last; none if it is only listed.
   std::optional<MonoTime> heard_at;
+  /// The newest reading of its clock that it has sent.
+  std::uint64_t clock_us = 0;
+  /// How far it knows the list of servers.
+  std::uint64_t servers_position = 0;
+  /// When this host told it last.
+  std::optional<MonoTime> told_at;
   bool leaving = false;
 };
 
+/// A peer to tell now.
+struct DuePeer {
+  PeerHost peer;
+  /// Its turn has come; otherwise only the news of the feeds is due.
+  bool whole = true;
+};
+
 struct SoftStateSettings {
   /// How often each peer is told, in a small fleet.
   Duration interval = std::chrono::milliseconds(200);
   /// In a large fleet, the datagrams that a host sends a second.
   double datagrams_per_second = 80;
+  /// How often a feed reader and the others of its availability zone tell each
+  /// other, even where a round takes longer.
+  Duration reader_interval = std::chrono::milliseconds(400);
+  /// A peer that was silent for longer is out of touch, in a small fleet.
+  Duration in_touch = std::chrono::milliseconds(1200);
   /// A peer that was silent for longer is told no more, unless it is listed
   /// anew.
   Duration forget_after = std::chrono::seconds(45);
 };
 
+/// A moment of this host's clock that `message` was sent after: its sender had
+/// the reading by then. None if the echo is not of this run of the host, whose
+/// clock may have been another.
+std::optional<BootTime> SentAfter(const wire::HostState& message,
+                                  std::uint64_t own_incarnation);
+
 /// Which peers there are and when each is told this host's state. The state
 /// itself is soft: counters since the start, whole each time.
 class PeerTable {
  public:
-  PeerTable(HostId self, const SoftStateSettings& settings)
-      : self_(std::move(self)), settings_(settings) {}
+  PeerTable(HostId self, ZoneId zone, const SoftStateSettings& settings)
+      : self_(std::move(self)), zone_(std::move(zone)), settings_(settings) {}
 
   /// Takes a host from the store's list.
   void OnListed(MonoTime now, const HostId& host, const std::string& address);
@@ -50,8 +76,17 @@
   /// must not be used.
   bool OnMessage(MonoTime now, const wire::HostState& message);
 
+  /// The hosts that read the store's feeds for all, and whether this one does.
+  void SetReaders(const std::set<HostId>& readers);
+
+  /// The peers that were heard lately and don't stop.
+  std::vector<PeerHost> InTouch(MonoTime now) const;
+
   /// The peers to tell now, in turn, so that the rate of datagrams is bounded.
-  std::vector<PeerHost> DuePeers(MonoTime now);
+  std::vector<DuePeer> DuePeers(MonoTime now);
+
+  /// The peers in this host's availability zone, to be told news of the feeds.
+  std::vector<PeerHost> ZonePeers() const;
 
   /// When `DuePeers` has something to do next.
   MonoTime next_due() const { return next_due_; }
@@ -60,12 +95,18 @@
 
  private:
   Duration Period() const;
+  /// The ordinary peers whose turn it is.
+  std::set<HostId> NextInTurn();
+  /// True if one of the two reads the feeds for the zone of both.
+  bool SharesReader(const PeerHost& peer) const;
 
   HostId self_;
+  ZoneId zone_;
   SoftStateSettings settings_;
   std::map<HostId, PeerHost> peers_;
   std::map<HostId, MonoTime> listed_at_;
   std::optional<HostId> last_told_;
+  std::set<HostId> readers_;
   MonoTime next_due_;
 };
 
--- a/include/mangoport/settings/edge_settings.h
+++ b/include/mangoport/settings/edge_settings.h
@@ -19,6 +19,8 @@
   Duration key_withdrawal = std::chrono::seconds(5);
   /// From a server's notice that it leaves to the last request it is sent.
   Duration server_drain = std::chrono::seconds(2);
+  /// From a new configuration to the last request under an older one.
+  Duration config_apply = std::chrono::seconds(2);
   /// From SIGTERM to SIGKILL.
   Duration stop_grace = std::chrono::seconds(8);
   /// Orders of two hosts to one engine are at least this far apart.
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -4,6 +4,7 @@
 #include <random>
 #include <utility>
 
+#include "lib/edge/feed_wire.h"
 #include "mangoport/edge/stop_policy.h"
 
 namespace mangoport {
@@ -43,6 +44,16 @@
   return bounds.fail_closed ? bounds.key_withdrawal : std::chrono::hours(24);
 }
 
+FeedSettings FeedSettingsFor(const EdgeBounds& bounds) {
+  // What is left of the bound is for the host's own read and its effect.
+  constexpr int kParts = 4;
+  constexpr int kPatientParts = 3;
+  FeedSettings out;
+  out.config_patience = bounds.config_apply / kParts * kPatientParts;
+  out.servers_patience = bounds.server_drain / kParts * kPatientParts;
+  return out;
+}
+
 ModelUse FromWire(const wire::ModelDemandNote& note) {
   return {.model = ModelId(note.model()),
           .arrivals = note.arrivals(),
@@ -96,28 +107,38 @@
                  dialect_,
                  {.ratio = settings_.bounds.repeat_ratio,
                   .extra = settings_.bounds.repeat_extra}),
-      soft_state_(io_,
-                  timers_,
-                  log_,
-                  settings_.host,
-                  settings_.zone,
-                  settings_.peers,
-                  {.fill =
-                       [this](MonoTime now,
-                              const PeerHost& peer,
-                              wire::HostState& message) {
-                         FillState(now, peer, message);
-                       },
-                   .on_state =
-                       [this](MonoTime now, const wire::HostState& message) {
-                         OnPeerState(now, message);
-                       }}),
+      soft_state_(
+          io_,
+          timers_,
+          log_,
+          settings_.host,
+          settings_.zone,
+          settings_.peers,
+          {.fill_feeds =
+               [this](MonoTime now,
+                      const PeerHost& peer,
+                      wire::HostState& message) {
+                 FillFeeds(now, peer, message);
+               },
+           .fill =
+               [this](MonoTime now,
+                      const PeerHost& peer,
+                      wire::HostState& message) {
+                 FillState(now, peer, message);
+               },
+           .on_state =
+               [this](MonoTime now,
+                      std::optional<BootTime> sent_after,
+                      const wire::HostState& message) {
+                 OnPeerState(now, sent_after, message);
+               },
+           .on_reader = [this](bool reader) { feeds_.SetReader(reader); }}),
       feeds_(*platform_,
              timers_,
              key_evidence_,
              log_,
              {.host = settings_.host, .address = ToString(settings_.peers)},
-             FeedSettings{},
+             FeedSettingsFor(settings_.bounds),
              MakeFeedHooks()),
       orders_({.platform = *platform_,
                .timers = timers_,
@@ -152,7 +173,8 @@
           .on_hosts =
               [this](const std::vector<HostAddress>& hosts) {
                 soft_state_.OnHosts(hosts);
-              }};
+              },
+          .on_news = [this] { soft_state_.TellFeedsSoon(); }};
 }
 
 void EdgeHost::Run() {
@@ -262,6 +284,20 @@
   session->Answer({.status = 404});
 }
 
+void EdgeHost::FillFeeds(MonoTime now,
+                         const PeerHost& peer,
+                         wire::HostState& message) {
+  const BootTime boot_now = BootClock::now();
+  message.set_servers_position(feeds_.servers_position());
+  // Each zone has a reader of its own, so that changes need not cross zones.
+  if (peer.zone == settings_.zone)
+    WriteFeeds(boot_now,
+               feeds_.OwnWordsSince(now, boot_now, peer.servers_position),
+               message);
+  else
+    WriteFeeds(boot_now, feeds_.OwnWords(boot_now), message);
+}
+
 void EdgeHost::FillState(MonoTime now,
                          const PeerHost& peer,
                          wire::HostState& message) {
@@ -307,7 +343,16 @@
   }
 }
 
-void EdgeHost::OnPeerState(MonoTime now, const wire::HostState& message) {
+void EdgeHost::OnPeerState(MonoTime now,
+                           std::optional<BootTime> sent_after,
+                           const wire::HostState& message) {
+  if (!message.leaving())
+    feeds_.OnPeerWords(now, ReadFeeds(sent_after, message));
+  if (!message.feeds_only())
+    OnPeerRest(now, message);
+}
+
+void EdgeHost::OnPeerRest(MonoTime now, const wire::HostState& message) {
   const HostId host(message.host());
   PeerSpending spending{.host = host,
                         .incarnation = message.incarnation(),
--- a/lib/edge/feed_service.cc
+++ b/lib/edge/feed_service.cc
@@ -60,6 +60,12 @@
       self_(std::move(self)),
       settings_(settings),
       hooks_(std::move(hooks)),
+      config_{.name = "config",
+              .track = FeedTrack({.patience = settings.config_patience})},
+      servers_{.name = "servers",
+               .track = FeedTrack({.interval = settings.servers_interval,
+                                   .patience = settings.servers_patience})},
+      hosts_{.name = "hosts", .track = FeedTrack({})},
       random_(std::random_device{}()) {}
 
 void FeedService::Start() {
@@ -67,20 +73,49 @@
   ReadServers();
   const std::chrono::duration<double> spread(kStartSpread);
   std::uniform_real_distribution<> draw(0, 1);
-  After(std::chrono::duration_cast<Duration>(spread * draw(random_)),
-        &FeedService::Announce);
+  StepAfter(hosts_,
+            std::chrono::duration_cast<Duration>(spread * draw(random_)),
+            &FeedService::Announce);
 }
 
-void FeedService::After(Duration wait, void (FeedService::*step)()) {
-  timers_.Add(Now() + wait, [this, step](MonoTime) {
+void FeedService::StepAfter(Feed& feed, Duration wait, Step step) {
+  timers_.Cancel(feed.timer);
+  feed.timer = timers_.Add(Now() + wait, [this, &feed, step](MonoTime) {
+    feed.timer = TimerQueue::kNoTicket;
     if (!stopped_)
       (this->*step)();
   });
 }
 
+void FeedService::Follow(Feed& feed, Step follow, Step read) {
+  if (feed.in_flight)
+    return;
+  const Duration wait = feed.track.Wait(BootClock::now());
+  if (wait > Duration::zero())
+    StepAfter(feed, wait, follow);
+  else
+    (this->*read)();
+}
+
+void FeedService::FollowConfig() {
+  Follow(config_, &FeedService::FollowConfig, &FeedService::ReadConfig);
+}
+
+void FeedService::FollowServers() {
+  Follow(servers_, &FeedService::FollowServers, &FeedService::ReadServers);
+}
+
+void FeedService::SetReader(bool reader) {
+  config_.track.set_reader(reader);
+  servers_.track.set_reader(reader);
+  FollowConfig();
+  FollowServers();
+}
+
 Duration FeedService::NoteFailure(Feed& feed,
                                   CallStatus status,
                                   const std::string& error) {
+  feed.in_flight = false;
   if (!std::exchange(feed.lost, true))
     log_.Write(LogLine("dependency_lost")
                    .Add("name", feed.name)
@@ -94,6 +129,7 @@
 }
 
 void FeedService::NoteSuccess(Feed& feed) {
+  feed.in_flight = false;
   feed.backoff = Duration::zero();
   if (std::exchange(feed.lost, false))
     log_.Write(LogLine("dependency_regained").Add("name", feed.name));
@@ -108,109 +144,152 @@
 }
 
 void FeedService::ReadConfig() {
-  const BootTime sent = BootClock::now();
-  platform_.ReadConfig(config_.position, settings_.config_wait,
-                       [this, sent](CallReply<ConfigNews> reply) {
+  if (config_.in_flight)
+    return;
+  timers_.Cancel(config_.timer);
+  config_.in_flight = true;
+  config_.sent_at = BootClock::now();
+  const bool regular = config_.track.ReadsItself(config_.sent_at);
+  platform_.ReadConfig(config_.track.position(),
+                       regular ? settings_.config_wait : Duration::zero(),
+                       [this](CallReply<ConfigNews> reply) {
                          if (!stopped_)
-                           OnConfig(sent, std::move(reply));
+                           OnConfig(std::move(reply));
                        });
 }
 
-void FeedService::OnConfig(BootTime sent, CallReply<ConfigNews> reply) {
+void FeedService::OnConfig(CallReply<ConfigNews> reply) {
   if (reply.status != CallStatus::kOk) {
-    After(NoteFailure(config_, reply.status, reply.error),
-          &FeedService::ReadConfig);
+    StepAfter(config_, NoteFailure(config_, reply.status, reply.error),
+              &FeedService::FollowConfig);
     return;
   }
   NoteSuccess(config_);
   LogProblems(config_, reply.value.problems);
   if (reply.value.history_lost) {
-    config_.position.reset();
+    config_.track.Restart();
     ReadConfig();
     return;
   }
-  config_.position = reply.value.next;
-  if (reply.value.newest &&
-      (!version_ || reply.value.newest->version > *version_)) {
-    version_ = reply.value.newest->version;
-    const auto view =
-        std::make_shared<const FleetConfigView>(std::move(*reply.value.newest));
-    log_.Write(LogLine("config_applied")
-                   .Add("version", view->version())
-                   .Add("routes", view->config().routes.size())
-                   .Add("services", view->config().services.size())
-                   .Add("accounts", view->config().accounts.size()));
-    hooks_.on_config(view);
-  }
-  key_evidence_.OnProof(sent);
+  const FeedProof proof{.sent_at = config_.sent_at,
+                        .answered_at = BootClock::now()};
+  config_.track.OnRead(proof, reply.value.next);
+  if (reply.value.newest)
+    ApplyConfig(std::move(*reply.value.newest), reply.value.next);
+  key_evidence_.OnProof(proof.sent_at);
   // Before the first configuration there is nothing to wait behind.
   if (!version_)
-    After(settings_.first_backoff, &FeedService::ReadConfig);
+    StepAfter(config_, settings_.first_backoff, &FeedService::ReadConfig);
   else
-    ReadConfig();
+    FollowConfig();
+}
+
+void FeedService::ApplyConfig(FleetConfig config, std::uint64_t next) {
+  if (version_ && config.version <= *version_)
+    return;
+  version_ = config.version;
+  config_changed_at_ = next;
+  const auto view = std::make_shared<const FleetConfigView>(std::move(config));
+  log_.Write(LogLine("config_applied")
+                 .Add("version", view->version())
+                 .Add("routes", view->config().routes.size())
+                 .Add("services", view->config().services.size())
+                 .Add("accounts", view->config().accounts.size()));
+  hooks_.on_config(view);
+  if (config_.track.ReadsItself(BootClock::now()))
+    hooks_.on_news();
 }
 
 void FeedService::ReadServers() {
-  platform_.ReadServers(servers_.position, [this](CallReply<ServerNews> reply) {
-    if (!stopped_)
-      OnServers(std::move(reply));
-  });
+  if (servers_.in_flight)
+    return;
+  timers_.Cancel(servers_.timer);
+  servers_.in_flight = true;
+  servers_.sent_at = BootClock::now();
+  platform_.ReadServers(servers_.track.position(),
+                        [this](CallReply<ServerNews> reply) {
+                          if (!stopped_)
+                            OnServers(std::move(reply));
+                        });
 }
 
 void FeedService::OnServers(CallReply<ServerNews> reply) {
   const MonoTime now = Now();
   if (reply.status != CallStatus::kOk) {
     directory_.OnReadFailed(now);
-    After(NoteFailure(servers_, reply.status, reply.error),
-          &FeedService::ReadServers);
+    StepAfter(servers_, NoteFailure(servers_, reply.status, reply.error),
+              &FeedService::FollowServers);
     return;
   }
   NoteSuccess(servers_);
   LogProblems(servers_, reply.value.problems);
   if (reply.value.history_lost) {
-    servers_.position.reset();
+    servers_.track.Restart();
     ReadServers();
     return;
   }
-  servers_.position = reply.value.next;
+  const BootTime answered_at = BootClock::now();
+  const bool newest = servers_.track.OnRead(
+      {.sent_at = servers_.sent_at, .answered_at = answered_at},
+      reply.value.next);
   servers_read_ = true;
-  ApplyServers(now, reply.value);
-  After(settings_.servers_interval, &FeedService::ReadServers);
+  if (newest) {
+    ServerBatch applied{.next = reply.value.next, .changes = {}};
+    ApplyServers(now, reply.value.changes, reply.value.whole, applied);
+    const bool news = !applied.changes.empty();
+    if (reply.value.whole)
+      relay_.Restart(reply.value.next);
+    else
+      relay_.Add(now, std::move(applied));
+    if (news && servers_.track.ReadsItself(answered_at))
+      hooks_.on_news();
+  }
+  FollowServers();
 }
 
-void FeedService::ApplyServers(MonoTime now, const ServerNews& news) {
+void FeedService::ApplyServers(MonoTime now,
+                               const std::vector<ServerChange>& changes,
+                               bool whole,
+                               ServerBatch& applied) {
   std::vector<ServerId> removed;
-  bool any = false;
   const auto note = [&](const ServerId& id, ServerChangeEffect effect) {
-    any = true;
     if (effect == ServerChangeEffect::kRemoved)
       removed.push_back(id);
     const auto entry = directory_.servers().find(id);
-    log_.Write(LogLine("server_list")
-                   .Add("server", id.value())
-                   .Add("change", EffectName(effect))
-                   .Add("position", news.next)
-                   .Add("models", entry == directory_.servers().end()
-                                      ? std::string()
-                                      : ModelNames(entry->second)));
+    const bool gone = entry == directory_.servers().end();
+    log_.Write(
+        LogLine("server_list")
+            .Add("server", id.value())
+            .Add("change", EffectName(effect))
+            .Add("position", applied.next)
+            .Add("models", gone ? std::string() : ModelNames(entry->second)));
   };
-  if (news.whole) {
+  if (whole) {
     std::vector<ServerEntry> entries;
-    for (const ServerChange& it : news.changes) {
+    for (const ServerChange& it : changes) {
       if (it.entry)
         entries.push_back(*it.entry);
     }
-    directory_.Replace(now, entries, note);
+    bool any = false;
+    directory_.Replace(now, entries,
+                       [&](const ServerId& id, ServerChangeEffect effect) {
+                         any = true;
+                         note(id, effect);
+                       });
+    if (any)
+      hooks_.on_servers(directory_.servers(), removed);
   } else {
-    for (const ServerChange& it : news.changes) {
+    for (const ServerChange& it : changes) {
       const ServerChangeEffect effect = directory_.Apply(now, it);
-      if (effect != ServerChangeEffect::kNone)
-        note(it.id, effect);
+      if (effect == ServerChangeEffect::kNone)
+        continue;
+      note(it.id, effect);
+      applied.changes.push_back(it);
     }
+    if (!applied.changes.empty())
+      hooks_.on_servers(directory_.servers(), removed);
   }
   ExpireServers(now);
-  if (any)
-    hooks_.on_servers(directory_.servers(), removed);
 }
 
 void FeedService::ExpireServers(MonoTime now) {
@@ -221,6 +300,73 @@
                    .Add("change", "removed_after_grace"));
   if (!gone.empty())
     hooks_.on_servers(directory_.servers(), gone);
+  timers_.Cancel(expiry_timer_);
+  if (const auto next = directory_.NextExpiry())
+    expiry_timer_ = timers_.Add(*next, [this](MonoTime due) {
+      expiry_timer_ = TimerQueue::kNoTicket;
+      if (!stopped_)
+        ExpireServers(due);
+    });
+}
+
+FeedWords FeedService::OwnWords(BootTime now) const {
+  FeedWords out;
+  if (version_)
+    out.config = config_.track.OwnWord(now, config_changed_at_);
+  out.servers = servers_.track.OwnWord(now, relay_.changed_at());
+  return out;
+}
+
+FeedWords FeedService::OwnWordsSince(MonoTime now,
+                                     BootTime boot_now,
+                                     std::uint64_t position) {
+  FeedWords out = OwnWords(boot_now);
+  if (!out.servers)
+    return out;
+  out.batches = relay_.Since(now, position);
+  out.servers->complete_from = relay_.complete_from();
+  return out;
+}
+
+void FeedService::OnPeerWords(MonoTime now, const FeedWords& words) {
+  if (stopped_)
+    return;
+  if (words.config)
+    OnConfigWord(*words.config);
+  if (words.servers)
+    OnServersWord(now, words);
+}
+
+void FeedService::OnConfigWord(const FeedWord& word) {
+  if (!version_)
+    return;
+  if (config_.track.OnWord(word) == WordUse::kCurrent) {
+    if (word.proof)
+      key_evidence_.OnProof(word.proof->sent_at);
+    return;
+  }
+  config_.track.ReadSoon();
+  // While calls fail, the pauses between them hold.
+  if (config_.backoff == Duration::zero())
+    FollowConfig();
+}
+
+void FeedService::OnServersWord(MonoTime now, const FeedWords& words) {
+  const FeedWord& word = *words.servers;
+  // A word that does not reach back far enough proves nothing here. Another
+  // reader's may, or this host reads for itself soon.
+  if (servers_.track.Judge(word) == WordUse::kBehind)
+    return;
+  for (const ServerBatch& it : words.batches) {
+    if (it.next <= relay_.position() || it.next > word.position)
+      continue;
+    ServerBatch applied{.next = it.next, .changes = {}};
+    ApplyServers(now, it.changes, /*whole=*/false, applied);
+    relay_.Add(now, std::move(applied));
+  }
+  servers_.track.OnWord(word);
+  if (word.position > relay_.position())
+    relay_.Add(now, {.next = word.position, .changes = {}});
 }
 
 void FeedService::Announce() {
@@ -228,8 +374,8 @@
     if (stopped_)
       return;
     if (reply.status != CallStatus::kOk) {
-      After(NoteFailure(hosts_, reply.status, reply.error),
-            &FeedService::Announce);
+      StepAfter(hosts_, NoteFailure(hosts_, reply.status, reply.error),
+                &FeedService::Announce);
       return;
     }
     ReadHosts();
@@ -241,13 +387,13 @@
     if (stopped_)
       return;
     if (reply.status != CallStatus::kOk) {
-      After(NoteFailure(hosts_, reply.status, reply.error),
-            &FeedService::ReadHosts);
+      StepAfter(hosts_, NoteFailure(hosts_, reply.status, reply.error),
+                &FeedService::ReadHosts);
       return;
     }
     NoteSuccess(hosts_);
     hooks_.on_hosts(reply.value);
-    After(settings_.hosts_interval, &FeedService::ReadHosts);
+    StepAfter(hosts_, settings_.hosts_interval, &FeedService::ReadHosts);
   });
 }
 
--- a/lib/edge/soft_state_service.cc
+++ b/lib/edge/soft_state_service.cc
@@ -3,6 +3,8 @@
 #include <asio/buffer.hpp>
 #include <utility>
 
+#include "mangoport/membership/feed_readers.h"
+
 namespace mangoport {
 namespace {
 
@@ -37,7 +39,7 @@
       address_(address),
       hooks_(std::move(hooks)),
       socket_(io),
-      peers_(host, SoftStateSettings{}),
+      peers_(host, zone, SoftStateSettings{}),
       incarnation_(NewIncarnation()) {}
 
 void SoftStateService::Start() {
@@ -89,7 +91,7 @@
                    .Add("host", message.host())
                    .Add("change", message.leaving() ? "leaving" : "heard")
                    .Add("incarnation", message.incarnation()));
-  hooks_.on_state(now, message);
+  hooks_.on_state(now, SentAfter(message, incarnation_), message);
 }
 
 void SoftStateService::OnHosts(const std::vector<HostAddress>& hosts) {
@@ -98,9 +100,29 @@
     peers_.OnListed(now, it.host, it.address);
 }
 
+void SoftStateService::ChooseReaders(MonoTime now) {
+  std::vector<FleetHost> hosts;
+  if (!leaving_)
+    hosts.push_back({.host = host_, .zone = zone_});
+  for (const PeerHost& it : peers_.InTouch(now))
+    hosts.push_back({.host = it.host, .zone = it.zone});
+  const std::set<HostId> readers = ChooseFeedReaders(hosts);
+  if (readers == readers_)
+    return;
+  const bool reads = readers.contains(host_);
+  if (reads != readers_.contains(host_))
+    log_.Write(LogLine("feed_reader")
+                   .Add("reads", reads)
+                   .Add("hosts_in_touch", hosts.size()));
+  readers_ = readers;
+  peers_.SetReaders(readers_);
+  hooks_.on_reader(reads);
+}
+
 void SoftStateService::TellDue(MonoTime now) {
-  for (const PeerHost& it : peers_.DuePeers(now))
-    Send(now, it);
+  ChooseReaders(now);
+  for (const DuePeer& it : peers_.DuePeers(now))
+    Send(now, it.peer, it.whole);
   timers_.Add(peers_.next_due(), [this](MonoTime due) { TellDue(due); });
 }
 
@@ -122,13 +144,23 @@
   });
 }
 
+void SoftStateService::TellFeedsSoon() {
+  if (std::exchange(tell_feeds_pending_, true))
+    return;
+  timers_.Add(Now() + kGatherTime, [this](MonoTime now) {
+    tell_feeds_pending_ = false;
+    for (const PeerHost& it : peers_.ZonePeers())
+      Send(now, it, /*whole=*/false);
+  });
+}
+
 void SoftStateService::TellLeaving() {
   leaving_ = true;
   for (const auto& [host, peer] : peers_.peers())
     Send(Now(), peer);
 }
 
-void SoftStateService::Send(MonoTime now, const PeerHost& peer) {
+void SoftStateService::Send(MonoTime now, const PeerHost& peer, bool whole) {
   Endpoint endpoint;
   if (!ParseEndpoint(peer.address, endpoint))
     return;
@@ -139,7 +171,16 @@
   message.set_incarnation(incarnation_);
   message.set_sequence(++sequence_);
   message.set_leaving(leaving_);
-  hooks_.fill(now, peer, message);
+  message.set_sent_at_us(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          BootClock::now().time_since_epoch())
+          .count()));
+  message.set_echo_us(peer.clock_us);
+  message.set_echo_incarnation(peer.incarnation);
+  message.set_feeds_only(!whole);
+  hooks_.fill_feeds(now, peer, message);
+  if (whole)
+    hooks_.fill(now, peer, message);
   const std::string bytes = message.SerializeAsString();
   asio::error_code ec;
   // A datagram that does not leave now is made good by the next one.
--- a/lib/forward/attempt_policy.cc
+++ b/lib/forward/attempt_policy.cc
@@ -36,6 +36,10 @@
          end == AttemptEnd::kNotConnected;
 }
 
+bool CountsAsRepeat(AttemptEnd end) {
+  return end != AttemptEnd::kNotConnected;
+}
+
 bool WantsAnother(const RequestProgress& progress, AttemptEnd end) {
   if (progress.sends >= kMaxSends || progress.time_left < kLeastTimeLeft)
     return false;
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -417,7 +417,8 @@
     ++runs_;
   const RequestProgress progress = Progress(now);
   if (!may_repeat && WantsAnother(progress, end))
-    may_repeat = host_.StateOf(service_).budget.TryTake(now, AccountId());
+    may_repeat = !CountsAsRepeat(end) ||
+                 host_.StateOf(service_).budget.TryTake(now, AccountId());
   switch (DecideNextStep(progress, end, may_repeat)) {
     case NextStep::kTryAnother:
       routing_.excluded.push_back(server_);
--- a/lib/gossip/soft_state.cc
+++ b/lib/gossip/soft_state.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "mangoport/core/mutant.h"
+
 namespace mangoport {
 namespace {
 
@@ -11,6 +13,15 @@
 
 }  // namespace
 
+std::optional<BootTime> SentAfter(const wire::HostState& message,
+                                  std::uint64_t own_incarnation) {
+  const bool this_run = message.echo_incarnation() == own_incarnation ||
+                        MutantEnabled("echo_of_any_run");
+  if (message.echo_us() == 0 || !this_run)
+    return std::nullopt;
+  return BootTime(std::chrono::microseconds(message.echo_us()));
+}
+
 void PeerTable::OnListed(MonoTime now,
                          const HostId& host,
                          const std::string& address) {
@@ -39,10 +50,13 @@
   if (!newer)
     return false;
   peer.host = host;
+  peer.zone = ZoneId(message.zone());
   peer.address = message.address();
   peer.incarnation = message.incarnation();
   peer.sequence = message.sequence();
   peer.heard_at = now;
+  peer.clock_us = message.sent_at_us();
+  peer.servers_position = message.servers_position();
   peer.leaving = message.leaving();
   return true;
 }
@@ -54,36 +68,79 @@
                   std::chrono::duration_cast<Duration>(by_rate));
 }
 
-std::vector<PeerHost> PeerTable::DuePeers(MonoTime now) {
-  std::erase_if(peers_, [&](const auto& it) {
-    const auto listed = listed_at_.find(it.first);
-    MonoTime last = it.second.heard_at.value_or(MonoTime());
-    if (listed != listed_at_.end())
-      last = std::max(last, listed->second);
-    return now - last > settings_.forget_after;
-  });
-  if (peers_.empty()) {
-    next_due_ = now + settings_.interval;
-    return {};
+void PeerTable::SetReaders(const std::set<HostId>& readers) {
+  readers_ = readers;
+}
+
+std::vector<PeerHost> PeerTable::InTouch(MonoTime now) const {
+  // A lost datagram or two must not put a peer out of touch.
+  constexpr int kPeriods = 3;
+  const Duration limit = std::max(settings_.in_touch, Period() * kPeriods);
+  std::vector<PeerHost> out;
+  for (const auto& [host, peer] : peers_) {
+    if (peer.heard_at && now - *peer.heard_at <= limit && !peer.leaving)
+      out.push_back(peer);
   }
+  return out;
+}
+
+std::set<HostId> PeerTable::NextInTurn() {
   // In a fleet so large that a round takes longer than an interval, each
   // interval tells the next part of the round.
   const double part = std::chrono::duration<double>(settings_.interval) /
                       std::chrono::duration<double>(Period());
-  const auto n = static_cast<std::size_t>(
-      std::ceil(part * static_cast<double>(peers_.size())));
-  std::vector<PeerHost> due;
+  const auto n = std::min(static_cast<std::size_t>(std::ceil(
+                              part * static_cast<double>(peers_.size()))),
+                          peers_.size());
+  std::set<HostId> out;
   auto it = last_told_ ? peers_.upper_bound(*last_told_) : peers_.begin();
   for (std::size_t i = 0; i < n; ++i) {
     if (it == peers_.end())
       it = peers_.begin();
-    if (!it->second.leaving)
-      due.push_back(it->second);
+    out.insert(it->first);
     last_told_ = it->first;
     ++it;
   }
+  return out;
+}
+
+std::vector<DuePeer> PeerTable::DuePeers(MonoTime now) {
+  std::erase_if(peers_, [&](const auto& it) {
+    const auto listed = listed_at_.find(it.first);
+    MonoTime last = it.second.heard_at.value_or(MonoTime());
+    if (listed != listed_at_.end())
+      last = std::max(last, listed->second);
+    return now - last > settings_.forget_after;
+  });
   next_due_ = now + settings_.interval;
-  return due;
+  if (peers_.empty())
+    return {};
+  const std::set<HostId> turn = NextInTurn();
+  std::vector<DuePeer> out;
+  for (auto& [host, peer] : peers_) {
+    const bool whole = turn.contains(host);
+    const bool waited =
+        !peer.told_at || now - *peer.told_at >= settings_.reader_interval;
+    if (peer.leaving || !(whole || (waited && SharesReader(peer))))
+      continue;
+    peer.told_at = now;
+    out.push_back({.peer = peer, .whole = whole});
+  }
+  return out;
+}
+
+bool PeerTable::SharesReader(const PeerHost& peer) const {
+  return peer.zone == zone_ &&
+         (readers_.contains(self_) || readers_.contains(peer.host));
+}
+
+std::vector<PeerHost> PeerTable::ZonePeers() const {
+  std::vector<PeerHost> out;
+  for (const auto& [host, peer] : peers_) {
+    if (peer.zone == zone_ && !peer.leaving)
+      out.push_back(peer);
+  }
+  return out;
 }
 
 }  // namespace mangoport
--- a/lib/settings/edge_settings.cc
+++ b/lib/settings/edge_settings.cc
@@ -55,6 +55,8 @@
                          milliseconds(1000), minutes(60));
   bounds.server_drain = table.Milliseconds(
       "server_drain_ms", bounds.server_drain, milliseconds(100), minutes(10));
+  bounds.config_apply = table.Milliseconds(
+      "config_apply_ms", bounds.config_apply, milliseconds(100), minutes(10));
   const std::chrono::duration<double> grace(
       ReadNumber(table, "stop_grace_s",
                  std::chrono::duration<double>(bounds.stop_grace).count(),
--- /dev/null
+++ b/unittests/edge/feed_relay_soak.cc
@@ -0,0 +1,341 @@
+// A fleet of which a few hosts read a feed of the store and tell the others in
+// datagrams, while hosts stand still, restart with another clock, lose the
+// store or each other. No host may take its keys for proven when it lacks news,
+// each host that reaches the store must have news in time, and the store must
+// not be read by all once the trouble is over.
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "lib/edge/feed_wire.h"
+#include "mangoport/core/invariant.h"
+#include "mangoport/fleet/feed_track.h"
+#include "mangoport/fleet/key_evidence.h"
+#include "mangoport/gossip/soft_state.h"
+#include "mangoport/membership/feed_readers.h"
+#include "unittests/support/soak_main.h"
+
+namespace mangoport {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kStep = milliseconds(20);
+constexpr int kHosts = 12;
+constexpr int kZones = 3;
+constexpr Duration kReaderInterval = milliseconds(800);
+constexpr Duration kPatience = milliseconds(1500);
+/// News older than this is known to each host that reaches the store.
+constexpr Duration kApplyBound = seconds(2);
+constexpr Duration kCallTime = milliseconds(40);
+constexpr Duration kMaxKeyAge = seconds(5);
+/// A period of trouble and a calm one, in steps.
+constexpr std::uint64_t kPeriod = 1500;
+constexpr std::uint64_t kCalmFrom = 900;
+/// Calm steps in which the fleet settles before its calls are counted.
+constexpr std::uint64_t kSettle = 250;
+
+struct Datagram {
+  int to = 0;
+  MonoTime arrives;
+  wire::HostState message;
+};
+
+struct Read {
+  MonoTime answered;
+  BootTime sent;
+};
+
+struct Host {
+  std::uint64_t incarnation = 0;
+  /// This run's clock against the world's.
+  Duration clock_offset{};
+  std::unique_ptr<PeerTable> peers;
+  std::optional<FeedTrack> track;
+  std::optional<KeyEvidence> evidence;
+  std::uint64_t changed_at = 0;
+  std::uint64_t sequence = 0;
+  std::optional<Read> read;
+  MonoTime tells_at;
+  MonoTime frozen_until;
+  /// Since then it runs and reaches the store.
+  MonoTime sound_since;
+  bool no_store = false;
+  bool cut_off = false;
+};
+
+class FeedWorld {
+ public:
+  FeedWorld(const SoakOptions& options, SoakProgress& progress)
+      : random_(options.seed), progress_(progress) {
+    for (int i = 0; i < kHosts; ++i)
+      Start(i);
+  }
+
+  void Step(std::uint64_t step) {
+    progress_.step = step;
+    now_ += kStep;
+    const bool calm = step % kPeriod >= kCalmFrom;
+    if (calm)
+      EndTrouble();
+    else
+      MakeTrouble();
+    if (Chance(120))
+      news_.push_back(now_);
+    for (int i = 0; i < kHosts; ++i) {
+      if (now_ >= hosts_[i].frozen_until)
+        StepHost(i);
+    }
+    CheckHosts();
+    CheckCalls(step);
+  }
+
+ private:
+  bool Chance(int one_in) { return random_() % one_in == 0; }
+  static HostId Name(int i) { return HostId("h" + std::to_string(i)); }
+  static ZoneId Zone(int i) { return ZoneId("z" + std::to_string(i % kZones)); }
+  BootTime Clock(const Host& host) const {
+    return BootTime(now_.time_since_epoch() + host.clock_offset);
+  }
+  MonoTime World(const Host& host, BootTime time) const {
+    return MonoTime(time.time_since_epoch() - host.clock_offset);
+  }
+
+  void Start(int i) {
+    Host& host = hosts_[i];
+    ++host.incarnation;
+    host.clock_offset = milliseconds(random_() % 100000);
+    host.peers =
+        std::make_unique<PeerTable>(Name(i), Zone(i), SoftStateSettings{});
+    for (int other = 0; other < kHosts; ++other)
+      host.peers->OnListed(now_, Name(other), std::to_string(other));
+    host.track.emplace(FeedTrackSettings{.patience = kPatience});
+    host.evidence.emplace(kMaxKeyAge);
+    host.changed_at = 0;
+    host.read.reset();
+    host.tells_at = now_;
+    host.frozen_until = now_;
+    host.sound_since = now_;
+    progress_.Note("start " + Name(i).value());
+  }
+
+  void MakeTrouble() {
+    const int i = static_cast<int>(random_() % kHosts);
+    Host& host = hosts_[i];
+    if (Chance(250))
+      Start(i);
+    if (Chance(250))
+      Freeze(i);
+    if (Chance(100)) {
+      host.no_store = !host.no_store;
+      host.sound_since = std::max(now_, host.frozen_until);
+      progress_.Note(Name(i).value() +
+                     (host.no_store ? " lost the store" : " has the store"));
+    }
+    if (Chance(150)) {
+      host.cut_off = !host.cut_off;
+      progress_.Note(Name(i).value() + (host.cut_off ? " cut off" : " heard"));
+    }
+  }
+
+  void Freeze(int i) {
+    hosts_[i].frozen_until = now_ + milliseconds(random_() % 6000);
+    hosts_[i].sound_since = hosts_[i].frozen_until;
+    progress_.Note("freeze " + Name(i).value());
+  }
+
+  void EndTrouble() {
+    for (Host& it : hosts_) {
+      if (it.no_store)
+        it.sound_since = std::max(now_, it.frozen_until);
+      it.no_store = false;
+      it.cut_off = false;
+    }
+  }
+
+  void StepHost(int i) {
+    Host& host = hosts_[i];
+    ChooseReaders(i);
+    Receive(i);
+    FinishRead(host);
+    if (!host.read && host.track->Wait(Clock(host)) == Duration::zero()) {
+      ++calls_;
+      const bool fails = host.no_store;
+      // A regular reader's call waits for news.
+      const bool waits = host.track->ReadsItself(Clock(host));
+      const Duration held = fails || waits ? kReaderInterval : kCallTime;
+      host.read = Read{.answered = now_ + held, .sent = Clock(host)};
+    }
+    if (now_ >= host.tells_at)
+      Tell(i);
+  }
+
+  /// Everything that `host` has been shown by position.
+  void Take(Host& host, std::uint64_t position) const {
+    host.changed_at = std::max(host.changed_at, position);
+  }
+
+  void FinishRead(Host& host) {
+    if (!host.read)
+      return;
+    const std::uint64_t end = news_.size();
+    const bool news = host.track->position().value_or(0) < end;
+    if (now_ < host.read->answered && !news)
+      return;
+    const BootTime sent = host.read->sent;
+    host.read.reset();
+    if (host.no_store)
+      return;
+    host.track->OnRead({.sent_at = sent, .answered_at = Clock(host)}, end);
+    Take(host, end);
+    host.evidence->OnProof(sent);
+  }
+
+  void Tell(int i) {
+    Host& host = hosts_[i];
+    for (const DuePeer& due : host.peers->DuePeers(now_)) {
+      const PeerHost& peer = due.peer;
+      Datagram out;
+      out.to = std::stoi(peer.address);
+      out.message.set_host(Name(i).value());
+      out.message.set_zone(Zone(i).value());
+      out.message.set_address(std::to_string(i));
+      out.message.set_incarnation(host.incarnation);
+      out.message.set_sequence(++host.sequence);
+      out.message.set_sent_at_us(static_cast<std::uint64_t>(
+          std::chrono::duration_cast<std::chrono::microseconds>(
+              Clock(host).time_since_epoch())
+              .count()));
+      out.message.set_echo_us(peer.clock_us);
+      out.message.set_echo_incarnation(peer.incarnation);
+      FeedWords words;
+      words.config = host.track->OwnWord(Clock(host), host.changed_at);
+      WriteFeeds(Clock(host), words, out.message);
+      const bool lost = host.cut_off || hosts_[out.to].cut_off || Chance(20);
+      out.arrives = now_ + milliseconds(random_() % 30);
+      if (!lost)
+        flying_.push_back(std::move(out));
+    }
+    host.tells_at = host.peers->next_due();
+  }
+
+  void Receive(int i) {
+    Host& host = hosts_[i];
+    for (auto it = flying_.begin(); it != flying_.end();) {
+      if (it->to != i || it->arrives > now_) {
+        ++it;
+        continue;
+      }
+      const wire::HostState message = std::move(it->message);
+      it = flying_.erase(it);
+      if (!host.peers->OnMessage(now_, message))
+        continue;
+      const auto sent_after = SentAfter(message, host.incarnation);
+      const FeedWords words = ReadFeeds(sent_after, message);
+      if (!words.config || !host.track->position())
+        continue;
+      if (host.track->OnWord(*words.config) == WordUse::kBehind)
+        host.track->ReadSoon();
+      else if (words.config->proof)
+        host.evidence->OnProof(words.config->proof->sent_at);
+    }
+  }
+
+  void ChooseReaders(int i) {
+    Host& host = hosts_[i];
+    std::vector<FleetHost> fleet = {{.host = Name(i), .zone = Zone(i)}};
+    for (const PeerHost& it : host.peers->InTouch(now_))
+      fleet.push_back({.host = it.host, .zone = it.zone});
+    const std::set<HostId> readers = ChooseFeedReaders(fleet);
+    host.peers->SetReaders(readers);
+    host.track->set_reader(readers.contains(Name(i)));
+  }
+
+  /// News that was written by `time`.
+  std::uint64_t NewsBy(MonoTime time) const {
+    return std::upper_bound(news_.begin(), news_.end(), time) - news_.begin();
+  }
+
+  void CheckHosts() {
+    for (int i = 0; i < kHosts; ++i) {
+      const Host& host = hosts_[i];
+      const auto age = host.evidence->Age(Clock(host));
+      if (age) {
+        const MonoTime proven = World(host, Clock(host) - *age);
+        CheckInvariant(host.changed_at >= NewsBy(proven - kStep),
+                       "keys are proven only with all news",
+                       [&] { return Name(i).value(); });
+      }
+      if (host.no_store || now_ - host.sound_since < seconds(3))
+        continue;
+      CheckInvariant(
+          host.changed_at >= NewsBy(now_ - kApplyBound),
+          "news is known in time", [&] {
+            return Name(i).value() + " knows " +
+                   std::to_string(host.changed_at) + " of " +
+                   std::to_string(news_.size()) + ", next read in " +
+                   std::to_string(host.track->Wait(Clock(host)) /
+                                  milliseconds(1)) +
+                   " ms, reads itself " +
+                   std::to_string(host.track->ReadsItself(Clock(host))) +
+                   ", call under way " + std::to_string(host.read.has_value()) +
+                   ", at " + std::to_string(host.track->position().value_or(0));
+          });
+    }
+  }
+
+  void CheckCalls(std::uint64_t step) {
+    const std::uint64_t at = step % kPeriod;
+    if (at == kCalmFrom + kSettle) {
+      calls_ = 0;
+      news_counted_ = news_.size();
+    }
+    if (at != kPeriod - 1 || step < kPeriod)
+      return;
+    const std::chrono::duration<double> passed =
+        kStep * (kPeriod - 1 - kCalmFrom - kSettle);
+    const std::chrono::duration<double> interval = kReaderInterval;
+    // Three readers' own calls, and each host's one for each piece of news.
+    const double most =
+        1.5 * (3 * passed.count() / interval.count() +
+               kHosts * static_cast<double>(news_.size() - news_counted_));
+    CheckInvariant(static_cast<double>(calls_) <= most,
+                   "few hosts read the store in calm times", [&] {
+                     return std::to_string(calls_) + " calls, at most " +
+                            std::to_string(most);
+                   });
+  }
+
+  std::mt19937_64 random_;
+  SoakProgress& progress_;
+  MonoTime now_ = MonoTime(seconds(1000));
+  Host hosts_[kHosts];
+  std::deque<Datagram> flying_;
+  /// When each piece of news was written; its position is its index.
+  std::vector<MonoTime> news_;
+  std::uint64_t calls_ = 0;
+  std::size_t news_counted_ = 0;
+};
+
+void Run(const SoakOptions& options, SoakProgress& progress) {
+  FeedWorld world(options, progress);
+  for (std::uint64_t step = 0; step < options.steps; ++step)
+    world.Step(step);
+}
+
+}  // namespace
+}  // namespace mangoport
+
+int main(int argc, char** argv) {
+  return mangoport::SoakMain(
+      argc, argv,
+      {"echo_of_any_run", "gap_overlooked", "readers_trusted_for_ever"},
+      mangoport::Run);
+}
--- a/unittests/forward/decisions_test.cc
+++ b/unittests/forward/decisions_test.cc
@@ -51,6 +51,17 @@
                NextStep::kTryAnother);
 }
 
+// A tenth of the engines crash at once under load: connections to them are
+// refused until all hosts have noticed, many more than the retry budget covers.
+Test(attempt_policy, a_connection_that_was_not_made_costs_no_budget) {
+  cr_assert_not(CountsAsRepeat(AttemptEnd::kNotConnected));
+  for (const AttemptEnd end :
+       {AttemptEnd::kRefusedFull, AttemptEnd::kMisdirected,
+        AttemptEnd::kNoAnswer, AttemptEnd::kBroken, AttemptEnd::kServerError,
+        AttemptEnd::kSilent})
+    cr_assert(CountsAsRepeat(end));
+}
+
 Test(attempt_policy, runs_stay_within_the_routes_attempts) {
   RequestProgress progress = OneSend(/*idempotent=*/true);
   progress.runs = 1;
