Copies go to overloaded models sooner, and busy ones are not dropped for idle ones

(1) A model without a copy dropped a copy of the busiest model, 3 s until its runs ended, while an empty engine would have had room after 0.84 s; (2) a model got one copy in 4 s however overloaded; (3) two or three copies of a model with a quarter of the load stayed, since any load above 0.25 a place protected them.

Ruled out: the store's rate (2 loads a second, rarely reached), engine memory (three engines stood half empty at second 11), the order lease (one holder throughout).

Change: AwaitRoom, MayGrow without a pause above one request a place, and a copy moves where it carries at least twice as much, counted after the change.

--- a/include/mangoport/placement/copy_planner.h
+++ b/include/mangoport/placement/copy_planner.h
@@ -60,7 +60,14 @@
   Duration missing_grace = std::chrono::seconds(4);
   /// Room that was made for a model is kept for it for this long.
   Duration reservation = std::chrono::seconds(10);
-  /// A model that was moved is not moved again for this time.
+  /// Requests per place in the batch above which callers wait for places, so
+  /// that copies are added one after the other without a cooldown.
+  double overload = 1.0;
+  /// A copy of a less loaded model goes to one that has this many times its
+  /// load, each counted after the change.
+  double worthwhile_gain = 2.0;
+  /// A model that was loaded is not dropped for this time, and one that was
+  /// moved gets no further copy.
   Duration cooldown = std::chrono::seconds(4);
   /// An adapter without a request for this time makes room for others.
   Duration adapter_idle = std::chrono::seconds(5);
@@ -150,6 +157,22 @@
                                     const Engine& engine,
                                     const ModelId& model,
                                     bool urgent) const;
+  /// Keeps room for the model on an engine that has it once its present order
+  /// is done, rather than drop another copy. False if there is none.
+  bool AwaitRoom(MonoTime now,
+                 const EngineCapacity& capacity,
+                 const ModelId& model);
+  /// Orders the model's copy to the best place, if there is one.
+  void PlanCopy(MonoTime now,
+                const EngineCapacity& capacity,
+                const ModelId& model,
+                bool urgent,
+                const std::string& reason,
+                std::vector<CopyOrder>& out);
+  /// True if the model may get another copy now, as far as time goes.
+  bool MayGrow(MonoTime now,
+               const EngineCapacity& capacity,
+               const ModelId& model) const;
   bool Order(MonoTime now,
              const Place& place,
              const ModelId& model,
@@ -167,7 +190,8 @@
   std::map<ModelId, Model> models_;
   std::map<ModelId, double> smoothed_;
   std::map<ServerId, Reservation> reservations_;
-  std::map<ModelId, MonoTime> moved_at_;
+  std::map<ModelId, MonoTime> loaded_at_;
+  std::map<ModelId, MonoTime> dropped_at_;
   std::map<ModelId, MonoTime> missing_since_;
   std::map<ModelId, MonoTime> adapter_used_at_;
   double store_budget_ = 0;
--- a/lib/placement/copy_planner.cc
+++ b/lib/placement/copy_planner.cc
@@ -27,6 +27,15 @@
   return std::find(list.begin(), list.end(), model) != list.end();
 }
 
+/// True if `id` was noted in `times` less than `span` ago.
+bool IsWithin(MonoTime now,
+              const std::map<ModelId, MonoTime>& times,
+              const ModelId& id,
+              Duration span) {
+  const auto it = times.find(id);
+  return it != times.end() && now - it->second < span;
+}
+
 ModelId AdapterName(const ModelId& model, const AdapterId& adapter) {
   return ModelId(model.value() + "/" + adapter.value());
 }
@@ -131,7 +140,11 @@
                                                const Engine& engine,
                                                const ModelId& model,
                                                bool urgent) const {
-  const std::uint64_t needed = models_.at(model).spec->weights_mb;
+  const Model& gaining = models_.at(model);
+  const std::uint64_t needed = gaining.spec->weights_mb;
+  const double most_load = std::max(
+      settings_.low_load, LoadPerPlace(gaining, capacity, gaining.copies + 1) /
+                              settings_.worthwhile_gain);
   std::optional<ModelId> best;
   double best_load = 0;
   for (const ModelId& it : engine.models) {
@@ -145,12 +158,10 @@
         engine.used_mb - std::min(engine.used_mb, held.spec->weights_mb);
     if (left + needed > capacity.weights_mb)
       continue;
-    const auto moved = moved_at_.find(it);
-    if (!urgent && moved != moved_at_.end() &&
-        now - moved->second < settings_.cooldown)
+    if (!urgent && IsWithin(now, loaded_at_, it, settings_.cooldown))
       continue;
     const double load = LoadPerPlace(held, capacity, held.copies - 1);
-    if (!urgent && load > settings_.low_load)
+    if (!urgent && load > most_load)
       continue;
     if (!best || load < best_load) {
       best = it;
@@ -213,7 +224,7 @@
     order.reason += ", room for " + model.value();
     --models_.at(*place.victim).copies;
     --models_.at(*place.victim).held;
-    moved_at_[*place.victim] = now;
+    dropped_at_[*place.victim] = now;
     reservations_[order.engine] = {.model = model,
                                    .until = now + settings_.reservation};
     ++models_.at(model).copies;
@@ -229,7 +240,7 @@
   order.from_store = place.from_store;
   ++models_.at(model).copies;
   place.engine->models.push_back(model);
-  moved_at_[model] = now;
+  loaded_at_[model] = now;
   out.push_back(std::move(order));
   return true;
 }
@@ -285,12 +296,53 @@
               return x.waiting + x.arrivals_per_second >
                      y.waiting + y.arrivals_per_second;
             });
-  for (const ModelId& it : missing) {
-    const std::optional<Place> place =
-        FindPlace(now, capacity, it, /*urgent=*/IsWanted(models_.at(it)));
-    if (place)
-      Order(now, *place, it, "no copy", out);
+  for (const ModelId& it : missing)
+    PlanCopy(now, capacity, it, /*urgent=*/IsWanted(models_.at(it)), "no copy",
+             out);
+}
+
+bool CopyPlanner::AwaitRoom(MonoTime now,
+                            const EngineCapacity& capacity,
+                            const ModelId& model) {
+  Model& gaining = models_.at(model);
+  for (Engine& it : engines_) {
+    const bool loads =
+        it.source->pending_kind == PlacementOrderKind::kLoadModel;
+    const bool fits =
+        it.used_mb + gaining.spec->weights_mb <= capacity.weights_mb;
+    if (!it.taken || !loads || it.reserved_for || !fits ||
+        Contains(it.models, model))
+      continue;
+    it.reserved_for = model;
+    reservations_[it.source->entry.id] = {.model = model,
+                                          .until = now + settings_.reservation};
+    ++gaining.copies;
+    return true;
   }
+  return false;
+}
+
+void CopyPlanner::PlanCopy(MonoTime now,
+                           const EngineCapacity& capacity,
+                           const ModelId& model,
+                           bool urgent,
+                           const std::string& reason,
+                           std::vector<CopyOrder>& out) {
+  const std::optional<Place> place = FindPlace(now, capacity, model, urgent);
+  if ((!place || place->victim) && AwaitRoom(now, capacity, model))
+    return;
+  if (place)
+    Order(now, *place, model, reason, out);
+}
+
+bool CopyPlanner::MayGrow(MonoTime now,
+                          const EngineCapacity& capacity,
+                          const ModelId& model) const {
+  if (IsWithin(now, dropped_at_, model, settings_.cooldown))
+    return false;
+  const Model& it = models_.at(model);
+  return LoadPerPlace(it, capacity, it.copies) > settings_.overload ||
+         !IsWithin(now, loaded_at_, model, settings_.cooldown);
 }
 
 void CopyPlanner::PlanBusy(MonoTime now,
@@ -298,10 +350,7 @@
                            std::vector<CopyOrder>& out) {
   std::vector<ModelId> busy;
   for (const auto& [id, model] : models_) {
-    const auto moved = moved_at_.find(id);
-    const bool settled =
-        moved == moved_at_.end() || now - moved->second >= settings_.cooldown;
-    if (model.copies > 0 && settled &&
+    if (model.copies > 0 && MayGrow(now, capacity, id) &&
         LoadPerPlace(model, capacity, model.copies) > settings_.high_load)
       busy.push_back(id);
   }
@@ -311,12 +360,8 @@
     return LoadPerPlace(x, capacity, x.copies) >
            LoadPerPlace(y, capacity, y.copies);
   });
-  for (const ModelId& it : busy) {
-    const std::optional<Place> place =
-        FindPlace(now, capacity, it, /*urgent=*/false);
-    if (place)
-      Order(now, *place, it, "busy", out);
-  }
+  for (const ModelId& it : busy)
+    PlanCopy(now, capacity, it, /*urgent=*/false, "busy", out);
 }
 
 void CopyPlanner::PlanAdapters(MonoTime now,
--- a/unittests/placement/copy_planner_test.cc
+++ b/unittests/placement/copy_planner_test.cc
@@ -163,6 +163,74 @@
   cr_assert_eq(second[0].model.value(), "m2");
 }
 
+// Engines come back empty after a crash and take one order at a time, while
+// models without a copy wait: a busy model's copy was dropped for one of them
+// although an empty engine had room a moment later.
+Test(copy_planner, a_missing_model_waits_for_room_that_comes_soon) {
+  CopyPlanner planner;
+  PlannedEngine loading = Engine("c", {});
+  loading.busy = true;
+  loading.pending_kind = PlacementOrderKind::kLoadModel;
+  loading.pending_model = ModelId("m0");
+  const std::vector<PlannedEngine> engines = {
+      Engine("a", {"m0", "m1"}), Engine("b", {"m0", "m2"}), loading};
+  std::map<ModelId, CopyDemand> demand = {{ModelId("m0"), Running(18)}};
+  demand[ModelId("m3")].waiting = 1;
+  planner.Plan(kStart, Capacity(4), engines, demand);
+  cr_assert(
+      planner.Plan(kStart + seconds(1), Capacity(4), engines, demand).empty());
+  std::vector<PlannedEngine> loaded = engines;
+  loaded[2] = Engine("c", {"m0"});
+  const auto orders =
+      planner.Plan(kStart + seconds(2), Capacity(4), loaded, demand);
+  cr_assert_eq(orders.size(), 1);
+  cr_assert_eq(orders[0].kind, PlacementOrderKind::kLoadModel);
+  cr_assert_eq(orders[0].engine.value(), "c");
+  cr_assert_eq(orders[0].model.value(), "m3");
+}
+
+// Demand jumps to another model: it ran three requests for each place of its
+// copies for eight seconds, since it got one copy in four.
+Test(copy_planner, an_overloaded_model_gets_copies_without_a_pause) {
+  CopyPlanner planner;
+  std::vector<PlannedEngine> engines = {
+      Engine("a", {"m0", "m1"}), Engine("b", {"m2"}), Engine("c", {"m2"})};
+  const std::map<ModelId, CopyDemand> demand = {{ModelId("m0"), Running(50)}};
+  planner.Plan(kStart, Capacity(3), engines, demand);
+  const auto first =
+      planner.Plan(kStart + seconds(5), Capacity(3), engines, demand);
+  cr_assert_eq(first.size(), 1);
+  engines[1] = Engine("b", {"m2", "m0"});
+  const auto second =
+      planner.Plan(kStart + milliseconds(5900), Capacity(3), engines, demand);
+  cr_assert_eq(second.size(), 1);
+  cr_assert_eq(second[0].kind, PlacementOrderKind::kLoadModel);
+  cr_assert_eq(second[0].engine.value(), "c");
+}
+
+// Two copies of a model that has some work stood beside one copy of a model
+// with five times as much.
+Test(copy_planner, a_copy_goes_where_it_carries_much_more) {
+  CopyPlanner planner;
+  const std::vector<PlannedEngine> engines = {Engine("a", {"m0", "m1"}),
+                                              Engine("b", {"m2", "m1"})};
+  std::map<ModelId, CopyDemand> demand = {{ModelId("m0"), Running(30)}};
+  demand[ModelId("m1")] = Running(6);
+  demand[ModelId("m2")] = Running(1);
+  planner.Plan(kStart, Capacity(3), engines, demand);
+  const auto orders =
+      planner.Plan(kStart + seconds(5), Capacity(3), engines, demand);
+  cr_assert_eq(orders.size(), 1);
+  cr_assert_eq(orders[0].kind, PlacementOrderKind::kUnloadModel);
+  cr_assert_eq(orders[0].engine.value(), "b");
+  cr_assert_eq(orders[0].model.value(), "m1");
+  demand[ModelId("m0")] = Running(12);
+  CopyPlanner calm;
+  calm.Plan(kStart, Capacity(3), engines, demand);
+  cr_assert(
+      calm.Plan(kStart + seconds(5), Capacity(3), engines, demand).empty());
+}
+
 Test(copy_planner, loads_from_the_store_keep_to_its_rate) {
   CopyPlanner planner;
   EngineCapacity capacity = Capacity(40);
