A host that starts shares quotas with the listed hosts before it has heard them

All 114 hosts are killed at second 13.0 while one account sends many times its rate; each comes back, has heard no other host and gives the account the whole rate until it has, up to a round of 1.5 s.

Change: nothing of a limited account is spent until the list of hosts has been read, and the list counts as the number of hosts for 5 s or two silences, in which those that live are heard.

Tests: hosts_that_all_start_at_once_share_the_rate, a_list_that_names_lost_hosts_counts_for_a_time.

--- a/include/mangoport/limits/shared_quota.h
+++ b/include/mangoport/limits/shared_quota.h
@@ -66,6 +66,8 @@
     /// fleet, and where rounds are long, after so many of them.
     Duration silence = std::chrono::milliseconds(1200);
     double silent_rounds = 2.5;
+    /// For how long after its reading the list of hosts counts, at least.
+    Duration list_lifetime = std::chrono::seconds(5);
     /// A silent host is forgotten after this time.
     Duration forget = std::chrono::seconds(60);
     /// The longest time for which a share is saved up.
@@ -77,6 +79,14 @@
   /// How long it takes until each host has told each other once; longer in a
   /// large fleet.
   void set_round(Duration round) { round_ = round; }
+
+  /// Spends nothing of limited accounts until `OnListed`: a host that has just
+  /// started does not know with how many it shares them.
+  void AwaitList() { awaits_list_ = true; }
+
+  /// The list of hosts names so many, this one among them. Counts once and for
+  /// a time, in which those that live are heard; some of it may be gone.
+  void OnListed(MonoTime now, std::size_t hosts);
   SharedQuota() : SharedQuota(Settings{}) {}
 
   /// Takes new limits. Accounts that are not named have none.
@@ -124,6 +134,7 @@
 
   /// The part of the fleet that is in touch with this host.
   double HeardPart(MonoTime now) const;
+  void DropOldList(MonoTime now);
   void Fill(MonoTime now, Bucket& bucket);
   Duration Silence() const;
   /// The level below which a host spends only its share: what all hosts may
@@ -134,6 +145,9 @@
 
   Settings settings_;
   Duration round_{};
+  std::size_t listed_ = 0;
+  MonoTime listed_until_;
+  bool awaits_list_ = false;
   std::unordered_map<AccountId, Bucket> buckets_;
   std::map<HostId, Host> hosts_;
 };
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -154,6 +154,7 @@
               LeaseSettingsFor(settings_.bounds),
               DrawClaimDelay()),
       signals_(io_, SIGTERM, SIGINT, SIGHUP) {
+  quota_.AwaitList();
   forwarder_.set_on_missing([this] { TellHolder(); });
   orders_.set_own_uses([this] { return forwarder_.ModelUses(); });
   orders_.set_on_changes([this] { TellChanges(); });
@@ -180,6 +181,7 @@
           .on_hosts =
               [this](const std::vector<HostAddress>& hosts) {
                 soft_state_.OnHosts(hosts);
+                quota_.OnListed(Now(), hosts.size());
               },
           .on_news = [this] { soft_state_.TellFeedsSoon(); }};
 }
--- a/lib/limits/shared_quota.cc
+++ b/lib/limits/shared_quota.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <utility>
 
 namespace mangoport {
 namespace {
@@ -50,6 +51,18 @@
   }
 }
 
+void SharedQuota::OnListed(MonoTime now, std::size_t hosts) {
+  if (!std::exchange(awaits_list_, false))
+    return;
+  listed_ = hosts;
+  listed_until_ = now + std::max(settings_.list_lifetime, 2 * Silence());
+}
+
+void SharedQuota::DropOldList(MonoTime now) {
+  if (now >= listed_until_)
+    listed_ = 0;
+}
+
 Duration SharedQuota::Silence() const {
   return std::max(settings_.silence, std::chrono::duration_cast<Duration>(
                                          round_ * settings_.silent_rounds));
@@ -78,8 +91,9 @@
   const double seconds =
       std::chrono::duration<double>(now - bucket.filled_at).count();
   bucket.filled_at = now;
-  if (!bucket.limited || seconds <= 0)
+  if (!bucket.limited || seconds <= 0 || awaits_list_)
     return;
+  DropOldList(now);
   const double heard = HeardPart(now);
   const auto rate = static_cast<double>(bucket.limit.tokens_per_second);
   const auto burst = static_cast<double>(bucket.limit.burst_tokens);
@@ -196,7 +210,7 @@
   std::size_t n = 1;
   for (const auto& [id, host] : hosts_)
     n += host.leaving ? 0 : 1;
-  return n;
+  return std::max(n, listed_);
 }
 
 std::vector<AccountUse> SharedQuota::OwnUse() const {
--- a/unittests/limits/shared_quota_test.cc
+++ b/unittests/limits/shared_quota_test.cc
@@ -134,6 +134,41 @@
   cr_assert_geq(spent, kAllowed * 8 / 10, "%ld", static_cast<long>(spent));
 }
 
+// All hosts of a large fleet were killed at once while an account sent eight
+// times its rate: each came back knowing no other and gave it the whole rate.
+Test(shared_quota, hosts_that_all_start_at_once_share_the_rate) {
+  constexpr std::size_t kHosts = 60;
+  std::vector<SharedQuota> quotas(kHosts);
+  for (SharedQuota& it : quotas) {
+    it.set_round(milliseconds(1500));
+    it.AwaitList();
+    it.SetLimits(kStart, {{kAccount, kRate, kBurst}});
+  }
+  std::int64_t spent = 0;
+  for (int step = 1; step <= 15; ++step) {
+    const MonoTime now = kStart + milliseconds(100) * step;
+    for (SharedQuota& it : quotas) {
+      if (step == 3)
+        it.OnListed(now, kHosts);
+      spent += it.TrySpend(now, kAccount, 13).admitted ? 13 : 0;
+    }
+  }
+  // A second and a half, and the last request of each host.
+  cr_assert_leq(spent, kRate * 3 / 2 + 13 * kHosts, "%ld",
+                static_cast<long>(spent));
+}
+
+Test(shared_quota, a_list_that_names_lost_hosts_counts_for_a_time) {
+  SharedQuota quota;
+  quota.AwaitList();
+  quota.SetLimits(kStart, {{kAccount, kRate, kBurst}});
+  quota.OnListed(kStart, 10);
+  quota.TrySpend(kStart + seconds(1), kAccount, 1);
+  cr_assert_eq(quota.host_count(), 10);
+  quota.TrySpend(kStart + seconds(6), kAccount, 1);
+  cr_assert_eq(quota.host_count(), 1);
+}
+
 Test(shared_quota, an_account_within_its_rate_is_not_refused) {
   QuotaFleet fleet(10);
   // All of its requests come to one host.
