--- a/unittests/limits/shared_quota_test.cc
+++ b/unittests/limits/shared_quota_test.cc
@@ -137,7 +137,7 @@
 // All hosts of a large fleet were killed at once while an account sent eight
 // times its rate: each came back knowing no other and gave it the whole rate.
 Test(shared_quota, hosts_that_all_start_at_once_share_the_rate) {
-  constexpr std::size_t kHosts = 60;
+  constexpr std::int64_t kHosts = 60;
   std::vector<SharedQuota> quotas(kHosts);
   for (SharedQuota& it : quotas) {
     it.set_round(milliseconds(1500));
