Pass on every change of the servers' listing, and compare digests of it

Cause: a server whose lease lapsed while the store was away renews its entry unchanged. ServerDirectory::Apply only ended the grace period and reported no effect, and FeedService passed on only changes with an effect, so hosts that did not read the store heard of the removal and never of the renewal; they dropped each server when its grace period was over and had it back only after a restart. Ruled out: the readers' own lists, which were right.

Change: the decisions of the server feed are a pure part, ServerFeed, which takes the time as an argument; FeedService keeps the calls. ServerListing is what the store lists, apart from a host's own grace periods; a reader passes on each change of it. Hosts compare digests of it at equal positions; a difference is logged, counted and mended by a whole read, ever more rarely while it lasts.

--- a/include/mangoport/edge/feed_service.h
+++ b/include/mangoport/edge/feed_service.h
@@ -11,8 +11,7 @@
 #include "mangoport/fleet/feed_tracker.h"
 #include "mangoport/fleet/fleet_config.h"
 #include "mangoport/fleet/key_evidence.h"
-#include "mangoport/fleet/server_directory.h"
-#include "mangoport/fleet/server_relay.h"
+#include "mangoport/fleet/server_feed.h"
 #include "mangoport/forward/timer_queue.h"
 #include "mangoport/ports/fleet_platform.h"
 #include "mangoport/telemetry/decision_log.h"
@@ -38,9 +37,7 @@
 /// it does not read, or could not read lately, is left out.
 struct FeedWords {
   std::optional<FeedUpdate> config = std::nullopt;
-  std::optional<FeedUpdate> servers = std::nullopt;
-  /// Changes of the list of servers, oldest first.
-  std::vector<ServerBatch> batches = {};
+  std::optional<ServerFeedUpdate> servers = std::nullopt;
 };
 
 /// What the feeds bring.
@@ -53,6 +50,9 @@
   std::function<void(const std::vector<HostAddress>& hosts)> on_hosts;
   /// This host has read news that the others should hear of at once.
   std::function<void()> on_news;
+  /// Another host lists other servers at the same position; this host now reads
+  /// the whole list.
+  std::function<void()> on_difference;
 };
 
 /// Follows the operators' configuration, the list of backend servers and the
@@ -94,22 +94,21 @@
 
   /// How far this host knows the list of servers.
   std::uint64_t servers_position() const {
-    return servers_.track.position().value_or(0);
+    return server_feed_.position().value_or(0);
   }
 
-  /// What another host has read.
-  void OnPeerWords(MonoTime now, const FeedWords& words);
+  /// What another host, `peer`, has read.
+  void OnPeerWords(MonoTime now, const HostId& peer, const FeedWords& words);
 
   bool has_config() const { return version_.has_value(); }
-  bool has_servers() const { return servers_read_; }
+  bool has_servers() const { return server_feed_.has_list(); }
 
  private:
   using Step = void (FeedService::*)();
 
-  /// One of the things that are read over and over.
+  /// The calls for one of the things that are read over and over.
   struct Feed {
     std::string_view name;
-    FeedTracker track;
     /// When the newest read was sent.
     BootTime sent_at = {};
     Duration backoff{};
@@ -121,18 +120,18 @@
   /// Reads the feed if that is due, and otherwise waits until it is.
   void FollowConfig();
   void FollowServers();
-  void Follow(Feed& feed, Step follow, Step read);
+  void Follow(Feed& feed, Duration wait, Step follow, Step read);
   void ReadConfig();
   void OnConfig(CallReply<ConfigNews> reply);
   void ApplyConfig(FleetConfig config, std::uint64_t next);
   void ReadServers();
   void OnServers(const CallReply<ServerNews>& reply);
-  void ApplyServers(MonoTime now,
-                    const std::vector<ServerChange>& changes,
-                    bool whole,
-                    ServerBatch& applied);
+  /// Logs what the feed made of an input and tells the other parts.
+  void OnServerOutcome(MonoTime now, const ServerFeedOutcome& outcome);
   void OnConfigWord(const FeedUpdate& word);
-  void OnServersWord(MonoTime now, const FeedWords& words);
+  void OnServersWord(MonoTime now,
+                     const HostId& peer,
+                     const ServerFeedUpdate& word);
   void ExpireServers(MonoTime now);
   void Announce();
   void ReadHosts();
@@ -156,10 +155,9 @@
   std::optional<std::uint64_t> version_;
   /// The position behind the newest configuration.
   std::uint64_t config_changed_at_ = 0;
-  ServerDirectory directory_;
-  ServerRelay relay_;
+  FeedTracker config_track_;
+  ServerFeed server_feed_;
   TimerQueue::Ticket expiry_timer_ = TimerQueue::kNoTicket;
-  bool servers_read_ = false;
   bool stopped_ = false;
   std::mt19937_64 random_;
 };
--- a/include/mangoport/fleet/server_directory.h
+++ b/include/mangoport/fleet/server_directory.h
@@ -70,6 +70,8 @@
   kRemoved,
   /// Removed from the store's list, but kept for the grace period.
   kHeld,
+  /// Kept for the grace period in vain.
+  kRemovedAfterGrace,
 };
 
 /// This host's view of the backend servers.
--- a/include/mangoport/forward/forward_metrics.h
+++ b/include/mangoport/forward/forward_metrics.h
@@ -33,6 +33,9 @@
   /// A call to the platform or to an engine's own interface.
   void OnCall(std::string_view call, bool ok, Duration time);
 
+  /// This host's list of servers differed from another host's.
+  void OnListingDifference();
+
   void SetConfigVersion(std::uint64_t version);
   void SetActive(std::size_t requests);
   void SetOrderHolder(bool holds);
--- a/include/mangoport/ports/fleet_platform.h
+++ b/include/mangoport/ports/fleet_platform.h
@@ -11,7 +11,7 @@
 #include "mangoport/core/time.h"
 #include "mangoport/fleet/engine_calls.h"
 #include "mangoport/fleet/fleet_config.h"
-#include "mangoport/fleet/server_directory.h"
+#include "mangoport/fleet/server_feed.h"
 #include "mangoport/membership/order_lease.h"
 
 namespace mangoport {
@@ -30,16 +30,6 @@
   std::vector<std::string> problems = {};
 };
 
-/// News of the backend servers.
-struct ServerNews {
-  /// True if `changes` are the whole present state.
-  bool whole = false;
-  std::vector<ServerChange> changes = {};
-  std::uint64_t next = 0;
-  bool history_lost = false;
-  std::vector<std::string> problems = {};
-};
-
 /// Where a host takes datagrams of other hosts.
 struct HostAddress {
   HostId host;
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -183,7 +183,8 @@
                 soft_state_.OnHosts(hosts);
                 quota_.OnListed(Now(), hosts.size());
               },
-          .on_news = [this] { soft_state_.TellFeedsSoon(); }};
+          .on_news = [this] { soft_state_.TellFeedsSoon(); },
+          .on_difference = [this] { metrics_.OnListingDifference(); }};
 }
 
 void EdgeHost::Run() {
@@ -356,7 +357,8 @@
                            std::optional<BootTime> sent_after,
                            const wire::HostState& message) {
   if (!message.leaving())
-    feeds_.OnPeerWords(now, ReadFeeds(sent_after, message));
+    feeds_.OnPeerWords(now, HostId(message.host()),
+                       ReadFeeds(sent_after, message));
   if (!message.feeds_only())
     OnPeerRest(now, message);
 }
--- a/lib/edge/feed_service.cc
+++ b/lib/edge/feed_service.cc
@@ -27,6 +27,8 @@
       return "removed";
     case ServerChangeEffect::kHeld:
       return "held_after_outage";
+    case ServerChangeEffect::kRemovedAfterGrace:
+      return "removed_after_grace";
   }
   return "none";
 }
@@ -60,12 +62,13 @@
       self_(std::move(self)),
       settings_(settings),
       hooks_(std::move(hooks)),
-      config_{.name = "config",
-              .track = FeedTracker({.patience = settings.config_patience})},
-      servers_{.name = "servers",
-               .track = FeedTracker({.interval = settings.servers_interval,
-                                     .patience = settings.servers_patience})},
-      hosts_{.name = "hosts", .track = FeedTracker({})},
+      config_{.name = "config"},
+      servers_{.name = "servers"},
+      hosts_{.name = "hosts"},
+      config_track_({.patience = settings.config_patience}),
+      server_feed_({.tracker = {.interval = settings.servers_interval,
+                                .patience = settings.servers_patience},
+                    .directory = {}}),
       random_(std::random_device{}()) {}
 
 void FeedService::Start() {
@@ -87,10 +90,9 @@
   });
 }
 
-void FeedService::Follow(Feed& feed, Step follow, Step read) {
+void FeedService::Follow(Feed& feed, Duration wait, Step follow, Step read) {
   if (feed.in_flight)
     return;
-  const Duration wait = feed.track.Wait(BootClock::now());
   if (wait > Duration::zero())
     StepAfter(feed, wait, follow);
   else
@@ -98,16 +100,18 @@
 }
 
 void FeedService::FollowConfig() {
-  Follow(config_, &FeedService::FollowConfig, &FeedService::ReadConfig);
+  Follow(config_, config_track_.Wait(BootClock::now()),
+         &FeedService::FollowConfig, &FeedService::ReadConfig);
 }
 
 void FeedService::FollowServers() {
-  Follow(servers_, &FeedService::FollowServers, &FeedService::ReadServers);
+  Follow(servers_, server_feed_.Wait(BootClock::now()),
+         &FeedService::FollowServers, &FeedService::ReadServers);
 }
 
 void FeedService::SetReader(bool reader) {
-  config_.track.set_reader(reader);
-  servers_.track.set_reader(reader);
+  config_track_.set_reader(reader);
+  server_feed_.set_reader(reader);
   FollowConfig();
   FollowServers();
 }
@@ -149,8 +153,8 @@
   timers_.Cancel(config_.timer);
   config_.in_flight = true;
   config_.sent_at = BootClock::now();
-  const bool regular = config_.track.ReadsFeedDirectly(config_.sent_at);
-  platform_.ReadConfig(config_.track.position(),
+  const bool regular = config_track_.ReadsFeedDirectly(config_.sent_at);
+  platform_.ReadConfig(config_track_.position(),
                        regular ? settings_.config_wait : Duration::zero(),
                        [this](CallReply<ConfigNews> reply) {
                          if (!stopped_)
@@ -167,13 +171,13 @@
   NoteSuccess(config_);
   LogProblems(config_, reply.value.problems);
   if (reply.value.history_lost) {
-    config_.track.Restart();
+    config_track_.Restart();
     ReadConfig();
     return;
   }
   const FeedConfirmation proof{.sent_at = config_.sent_at,
                                .answered_at = BootClock::now()};
-  config_.track.OnRead(proof, reply.value.next);
+  config_track_.OnRead(proof, reply.value.next);
   if (reply.value.newest)
     ApplyConfig(std::move(*reply.value.newest), reply.value.next);
   key_evidence_.OnCurrentRead(proof.sent_at);
@@ -196,7 +200,7 @@
                  .Add("services", view->config().services.size())
                  .Add("accounts", view->config().accounts.size()));
   hooks_.on_config(view);
-  if (config_.track.ReadsFeedDirectly(BootClock::now()))
+  if (config_track_.ReadsFeedDirectly(BootClock::now()))
     hooks_.on_news();
 }
 
@@ -206,7 +210,7 @@
   timers_.Cancel(servers_.timer);
   servers_.in_flight = true;
   servers_.sent_at = BootClock::now();
-  platform_.ReadServers(servers_.track.position(),
+  platform_.ReadServers(server_feed_.position(),
                         [this](const CallReply<ServerNews>& reply) {
                           if (!stopped_)
                             OnServers(reply);
@@ -216,7 +220,7 @@
 void FeedService::OnServers(const CallReply<ServerNews>& reply) {
   const MonoTime now = Now();
   if (reply.status != CallStatus::kOk) {
-    directory_.OnReadFailed(now);
+    server_feed_.OnReadFailed(now);
     StepAfter(servers_, NoteFailure(servers_, reply.status, reply.error),
               &FeedService::FollowServers);
     return;
@@ -224,96 +228,55 @@
   NoteSuccess(servers_);
   LogProblems(servers_, reply.value.problems);
   if (reply.value.history_lost) {
-    servers_.track.Restart();
+    server_feed_.OnHistoryLost();
     ReadServers();
     return;
   }
-  const BootTime answered_at = BootClock::now();
-  const bool newest = servers_.track.OnRead(
-      {.sent_at = servers_.sent_at, .answered_at = answered_at},
-      reply.value.next);
-  servers_read_ = true;
-  if (newest) {
-    ServerBatch applied{.next = reply.value.next, .changes = {}};
-    ApplyServers(now, reply.value.changes, reply.value.whole, applied);
-    const bool news = !applied.changes.empty();
-    if (reply.value.whole)
-      relay_.Restart(reply.value.next);
-    else
-      relay_.Add(now, std::move(applied));
-    if (news && servers_.track.ReadsFeedDirectly(answered_at))
-      hooks_.on_news();
-  }
+  OnServerOutcome(now, server_feed_.OnRead(now,
+                                           {.sent_at = servers_.sent_at,
+                                            .answered_at = BootClock::now()},
+                                           reply.value));
   FollowServers();
 }
 
-void FeedService::ApplyServers(MonoTime now,
-                               const std::vector<ServerChange>& changes,
-                               bool whole,
-                               ServerBatch& applied) {
+void FeedService::OnServerOutcome(MonoTime now,
+                                  const ServerFeedOutcome& outcome) {
   std::vector<ServerId> removed;
-  const auto note = [&](const ServerId& id, ServerChangeEffect effect) {
-    if (effect == ServerChangeEffect::kRemoved)
-      removed.push_back(id);
-    const auto entry = directory_.servers().find(id);
-    const bool gone = entry == directory_.servers().end();
+  for (const ServerFeedOutcome::Effect& it : outcome.effects) {
+    if (it.effect == ServerChangeEffect::kRemoved ||
+        it.effect == ServerChangeEffect::kRemovedAfterGrace)
+      removed.push_back(it.id);
+    const auto entry = server_feed_.servers().find(it.id);
+    const bool gone = entry == server_feed_.servers().end();
     log_.Write(
         LogLine("server_list")
-            .Add("server", id.value())
-            .Add("change", EffectName(effect))
-            .Add("position", applied.next)
+            .Add("server", it.id.value())
+            .Add("change", EffectName(it.effect))
+            .Add("position", it.position)
             .Add("models", gone ? std::string() : ModelNames(entry->second)));
-  };
-  if (whole) {
-    std::vector<ServerEntry> entries;
-    for (const ServerChange& it : changes) {
-      if (it.entry)
-        entries.push_back(*it.entry);
-    }
-    bool any = false;
-    directory_.Replace(now, entries,
-                       [&](const ServerId& id, ServerChangeEffect effect) {
-                         any = true;
-                         note(id, effect);
-                       });
-    if (any)
-      hooks_.on_servers(directory_.servers(), removed);
-  } else {
-    for (const ServerChange& it : changes) {
-      const ServerChangeEffect effect = directory_.Apply(now, it);
-      if (effect == ServerChangeEffect::kNone)
-        continue;
-      note(it.id, effect);
-      applied.changes.push_back(it);
-    }
-    if (!applied.changes.empty())
-      hooks_.on_servers(directory_.servers(), removed);
   }
-  ExpireServers(now);
-}
-
-void FeedService::ExpireServers(MonoTime now) {
-  const std::vector<ServerId> gone = directory_.Expire(now);
-  for (const ServerId& it : gone)
-    log_.Write(LogLine("server_list")
-                   .Add("server", it.value())
-                   .Add("change", "removed_after_grace"));
-  if (!gone.empty())
-    hooks_.on_servers(directory_.servers(), gone);
+  if (!outcome.effects.empty())
+    hooks_.on_servers(server_feed_.servers(), removed);
+  if (outcome.news)
+    hooks_.on_news();
   timers_.Cancel(expiry_timer_);
-  if (const auto next = directory_.NextExpiry())
-    expiry_timer_ = timers_.Add(*next, [this](MonoTime due) {
+  if (const auto next = server_feed_.NextExpiry())
+    expiry_timer_ = timers_.Add(std::max(*next, now), [this](MonoTime due) {
       expiry_timer_ = TimerQueue::kNoTicket;
       if (!stopped_)
         ExpireServers(due);
     });
 }
 
+void FeedService::ExpireServers(MonoTime now) {
+  OnServerOutcome(now, server_feed_.Expire(now));
+}
+
 FeedWords FeedService::OwnWords(BootTime now) const {
   FeedWords out;
   if (version_)
-    out.config = config_.track.MakeFeedUpdate(now, config_changed_at_);
-  out.servers = servers_.track.MakeFeedUpdate(now, relay_.changed_at());
+    out.config = config_track_.MakeFeedUpdate(now, config_changed_at_);
+  out.servers = server_feed_.OwnUpdate(now);
   return out;
 }
 
@@ -321,52 +284,51 @@
                                      BootTime boot_now,
                                      std::uint64_t position) {
   FeedWords out = OwnWords(boot_now);
-  if (!out.servers)
-    return out;
-  out.batches = relay_.Since(now, position);
-  out.servers->complete_from = relay_.complete_from();
+  out.servers = server_feed_.OwnUpdateSince(now, boot_now, position);
   return out;
 }
 
-void FeedService::OnPeerWords(MonoTime now, const FeedWords& words) {
+void FeedService::OnPeerWords(MonoTime now,
+                              const HostId& peer,
+                              const FeedWords& words) {
   if (stopped_)
     return;
   if (words.config)
     OnConfigWord(*words.config);
   if (words.servers)
-    OnServersWord(now, words);
+    OnServersWord(now, peer, *words.servers);
 }
 
 void FeedService::OnConfigWord(const FeedUpdate& word) {
   if (!version_)
     return;
-  if (config_.track.OnFeedUpdate(word) == FeedUpdateCoverage::kCurrent) {
+  if (config_track_.OnFeedUpdate(word) == FeedUpdateCoverage::kCurrent) {
     if (word.proof)
       key_evidence_.OnCurrentRead(word.proof->sent_at);
     return;
   }
-  config_.track.RequestImmediateRead();
+  config_track_.RequestImmediateRead();
   // While calls fail, the pauses between them hold.
   if (config_.backoff == Duration::zero())
     FollowConfig();
 }
 
-void FeedService::OnServersWord(MonoTime now, const FeedWords& words) {
-  const FeedUpdate& word = *words.servers;
-  // A word that does not reach back far enough proves nothing here. Another
-  // reader's may, or this host reads for itself soon.
-  if (servers_.track.Judge(word) == FeedUpdateCoverage::kBehind)
+void FeedService::OnServersWord(MonoTime now,
+                                const HostId& peer,
+                                const ServerFeedUpdate& word) {
+  const ServerFeedOutcome outcome = server_feed_.OnPeerUpdate(now, word);
+  OnServerOutcome(now, outcome);
+  if (!outcome.difference)
     return;
-  for (const ServerBatch& it : words.batches) {
-    if (it.next <= relay_.position() || it.next > word.position)
-      continue;
-    ServerBatch applied{.next = it.next, .changes = {}};
-    ApplyServers(now, it.changes, /*whole=*/false, applied);
-    relay_.Add(now, std::move(applied));
-  }
-  servers_.track.OnFeedUpdate(word);
-  if (word.position > relay_.position())
-    relay_.Add(now, {.next = word.position, .changes = {}});
+  log_.Write(LogLine("server_list_differs")
+                 .Add("peer", peer.value())
+                 .Add("position", outcome.difference->position)
+                 .Add("own_digest", outcome.difference->own_digest)
+                 .Add("peer_digest", outcome.difference->peer_digest));
+  hooks_.on_difference();
+  // While calls fail, the pauses between them hold.
+  if (servers_.backoff == Duration::zero())
+    FollowServers();
 }
 
 void FeedService::Announce() {
--- a/lib/edge/feed_wire.cc
+++ b/lib/edge/feed_wire.cc
@@ -102,8 +102,11 @@
     WriteWord(now, *words.config, *message.mutable_config_feed());
   if (!words.servers)
     return;
-  WriteWord(now, *words.servers, *message.mutable_servers_feed());
-  for (const ServerBatch& batch : words.batches) {
+  wire::FeedNote& feed = *message.mutable_servers_feed();
+  WriteWord(now, words.servers->feed, feed);
+  if (words.servers->digest)
+    feed.set_digest(*words.servers->digest);
+  for (const ServerBatch& batch : words.servers->batches) {
     wire::ServerBatchNote& note = *message.add_server_batches();
     note.set_next(batch.next);
     for (const ServerChange& it : batch.changes)
@@ -118,9 +121,13 @@
     out.config = ReadWord(sent_after, message.config_feed());
   if (!message.has_servers_feed())
     return out;
-  out.servers = ReadWord(sent_after, message.servers_feed());
+  const wire::FeedNote& feed = message.servers_feed();
+  ServerFeedUpdate& servers = out.servers.emplace();
+  servers.feed = ReadWord(sent_after, feed);
+  if (feed.has_digest())
+    servers.digest = feed.digest();
   for (const wire::ServerBatchNote& note : message.server_batches()) {
-    ServerBatch& batch = out.batches.emplace_back();
+    ServerBatch& batch = servers.batches.emplace_back();
     batch.next = note.next();
     for (const wire::ServerEntryNote& it : note.entries())
       batch.changes.push_back(ReadChange(it));
--- a/lib/forward/forward_metrics.cc
+++ b/lib/forward/forward_metrics.cc
@@ -77,6 +77,12 @@
       AddHistogram(registry,
                    "mangoport_platform_call_seconds",
                    "Calls to the platform and to engines by name and success");
+  Counter& listing_differences =
+      AddCounter(registry,
+                 "mangoport_server_list_differences_total",
+                 "Times at which another host listed other servers at the same "
+                 "position, so that the whole list was read again")
+          .Add({});
   Gauge& config_version = AddGauge(registry,
                                    "mangoport_forward_config_version",
                                    "Version of the configuration in force");
@@ -128,6 +134,10 @@
       .Observe(Seconds(time));
 }
 
+void ForwardMetrics::OnListingDifference() {
+  state_->listing_differences.Increment();
+}
+
 void ForwardMetrics::SetConfigVersion(std::uint64_t version) {
   state_->config_version.Set(static_cast<double>(version));
 }
--- a/unittests/edge/feed_relay_soak.cc
+++ b/unittests/edge/feed_relay_soak.cc
@@ -1,8 +1,9 @@
 // A fleet of which a few hosts read a feed of the store and tell the others in
 // datagrams, while hosts stand still, restart with another clock, lose the
-// store or each other. No host may take its keys for proven when it lacks news,
-// each host that reaches the store must have news in time, and the store must
-// not be read by all once the trouble is over.
+// store or each other, and backend servers lose and renew their entries. No
+// host may take its keys for proven when it lacks news, each host that reaches
+// the store must have news and each registered server in time, and the store
+// must not be read by all once the trouble is over.
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -17,8 +18,10 @@
 #include "mangoport/core/invariant.h"
 #include "mangoport/fleet/feed_tracker.h"
 #include "mangoport/fleet/key_evidence.h"
+#include "mangoport/fleet/server_feed.h"
 #include "mangoport/gossip/soft_state.h"
 #include "mangoport/membership/feed_readers.h"
+#include "unittests/edge/server_store.h"
 #include "unittests/support/soak_main.h"
 
 namespace mangoport {
@@ -36,6 +39,9 @@
 constexpr Duration kApplyBound = seconds(2);
 constexpr Duration kCallTime = milliseconds(40);
 constexpr Duration kMaxKeyAge = seconds(5);
+constexpr Duration kServersInterval = milliseconds(900);
+constexpr Duration kRetryPause = milliseconds(400);
+constexpr ServerDirectorySettings kDirectory;
 /// A period of trouble and a calm one, in steps.
 constexpr std::uint64_t kPeriod = 1500;
 constexpr std::uint64_t kCalmFrom = 900;
@@ -63,6 +69,9 @@
   std::uint64_t changed_at = 0;
   std::uint64_t sequence = 0;
   std::optional<Read> read;
+  std::optional<ServerFeed> servers;
+  std::optional<Read> servers_read;
+  MonoTime servers_pause_until;
   MonoTime tells_at;
   MonoTime frozen_until;
   /// Since then it runs and reaches the store.
@@ -74,7 +83,9 @@
 class FeedWorld {
  public:
   FeedWorld(const SoakOptions& options, SoakProgress& progress)
-      : random_(options.seed), progress_(progress) {
+      : random_(options.seed),
+        progress_(progress),
+        store_(MonoTime(seconds(1000)), random_) {
     for (int i = 0; i < kHosts; ++i)
       Start(i);
   }
@@ -87,8 +98,9 @@
       EndTrouble();
     else
       MakeTrouble();
-    if (Chance(120))
-      news_.push_back(now_);
+    if (!store_.IsDown(now_))
+      ChangeStore(calm);
+    store_.Step(now_);
     for (int i = 0; i < kHosts; ++i) {
       if (now_ >= hosts_[i].frozen_until)
         StepHost(i);
@@ -120,12 +132,39 @@
     host.evidence.emplace(kMaxKeyAge);
     host.changed_at = 0;
     host.read.reset();
+    host.servers.emplace(ServerFeedSettings{
+        .tracker = {.interval = kServersInterval, .patience = kPatience},
+        .directory = kDirectory});
+    host.servers_read.reset();
+    host.servers_pause_until = now_;
     host.tells_at = now_;
     host.frozen_until = now_;
     host.sound_since = now_;
     progress_.Note("start " + Name(i).value());
   }
 
+  void ChangeStore(bool calm) {
+    if (Chance(120))
+      news_.push_back(now_);
+    if (Chance(150))
+      store_.ChangeOne(now_);
+    if (Chance(200))
+      store_.LapseOne(now_);
+    if (Chance(500)) {
+      store_.Forget();
+      ++forgotten_;
+    }
+    if (calm || !Chance(400))
+      return;
+    store_.GoDown(now_, now_ + milliseconds(500 + random_() % 7500));
+    progress_.Note("store down");
+  }
+
+  /// This host can read the store.
+  bool Reaches(const Host& host) const {
+    return !host.no_store && !store_.IsDown(now_);
+  }
+
   void MakeTrouble() {
     const int i = static_cast<int>(random_() % kHosts);
     Host& host = hosts_[i];
@@ -167,16 +206,42 @@
     FinishRead(host);
     if (!host.read && host.track->Wait(Clock(host)) == Duration::zero()) {
       ++calls_;
-      const bool fails = host.no_store;
+      const bool fails = !Reaches(host);
       // A regular reader's call waits for news.
       const bool waits = host.track->ReadsFeedDirectly(Clock(host));
       const Duration held = fails || waits ? kReaderInterval : kCallTime;
       host.read = Read{.answered = now_ + held, .sent = Clock(host)};
     }
+    StepServers(host);
     if (now_ >= host.tells_at)
       Tell(i);
   }
 
+  void StepServers(Host& host) {
+    host.servers->Expire(now_);
+    if (host.servers_read && now_ >= host.servers_read->answered) {
+      const BootTime sent = host.servers_read->sent;
+      host.servers_read.reset();
+      if (Reaches(host)) {
+        const ServerNews news = store_.Read(host.servers->position());
+        if (news.history_lost)
+          host.servers->OnHistoryLost();
+        else
+          host.servers->OnRead(
+              now_, {.sent_at = sent, .answered_at = Clock(host)}, news);
+      } else {
+        host.servers->OnReadFailed(now_);
+        host.servers_pause_until = now_ + kRetryPause;
+      }
+    }
+    if (!host.servers_read && now_ >= host.servers_pause_until &&
+        host.servers->Wait(Clock(host)) == Duration::zero()) {
+      ++calls_;
+      host.servers_read =
+          Read{.answered = now_ + kCallTime, .sent = Clock(host)};
+    }
+  }
+
   /// Everything that `host` has been shown by position.
   void Take(Host& host, std::uint64_t position) const {
     host.changed_at = std::max(host.changed_at, position);
@@ -191,7 +256,7 @@
       return;
     const BootTime sent = host.read->sent;
     host.read.reset();
-    if (host.no_store)
+    if (!Reaches(host))
       return;
     host.track->OnRead({.sent_at = sent, .answered_at = Clock(host)}, end);
     Take(host, end);
@@ -217,6 +282,11 @@
       out.message.set_echo_incarnation(peer.incarnation);
       FeedWords words;
       words.config = host.track->MakeFeedUpdate(Clock(host), host.changed_at);
+      words.servers = peer.zone == Zone(i)
+                          ? host.servers->OwnUpdateSince(now_, Clock(host),
+                                                         peer.servers_position)
+                          : host.servers->OwnUpdate(Clock(host));
+      out.message.set_servers_position(host.servers->position().value_or(0));
       WriteFeeds(Clock(host), words, out.message);
       const bool lost = host.cut_off || hosts_[out.to].cut_off || Chance(20);
       out.arrives = now_ + milliseconds(random_() % 30);
@@ -239,6 +309,8 @@
         continue;
       const auto sent_after = SentAfter(message, host.incarnation);
       const FeedWords words = ReadFeeds(sent_after, message);
+      if (words.servers)
+        host.servers->OnPeerUpdate(now_, *words.servers);
       if (!words.config || !host.track->position())
         continue;
       if (host.track->OnFeedUpdate(*words.config) ==
@@ -257,6 +329,7 @@
     const std::set<HostId> readers = ChooseFeedReaders(fleet);
     host.peers->SetReaders(readers);
     host.track->set_reader(readers.contains(Name(i)));
+    host.servers->set_reader(readers.contains(Name(i)));
   }
 
   /// News that was written by `time`.
@@ -264,6 +337,27 @@
     return std::upper_bound(news_.begin(), news_.end(), time) - news_.begin();
   }
 
+  /// A server that has been registered for long is in the host's list, and one
+  /// that has not been for long is not.
+  void CheckServers(int i, MonoTime up_since) {
+    const Host& host = hosts_[i];
+    for (int j = 0; j < ServerStore::kServers; ++j) {
+      const ServerStore::Server& server = store_.server(j);
+      const bool known = host.servers->servers().contains(ServerStore::Name(j));
+      const Duration stable = now_ - std::max(server.changed_at, up_since);
+      const auto detail = [&] {
+        return Name(i).value() + ", server " + std::to_string(j) +
+               ", stable for " + std::to_string(stable / milliseconds(1)) +
+               " ms";
+      };
+      if (server.listed && stable >= kApplyBound)
+        CheckInvariant(known, "registered servers are known in time", detail);
+      if (!server.listed && stable >= kApplyBound + kDirectory.reregister_grace)
+        CheckInvariant(!known, "servers that are gone are dropped in time",
+                       detail);
+    }
+  }
+
   void CheckHosts() {
     for (int i = 0; i < kHosts; ++i) {
       const Host& host = hosts_[i];
@@ -274,8 +368,10 @@
                        "keys are proven only with all news",
                        [&] { return Name(i).value(); });
       }
-      if (host.no_store || now_ - host.sound_since < seconds(3))
+      const MonoTime up_since = std::max(host.sound_since, store_.down_until());
+      if (!Reaches(host) || now_ - up_since < seconds(3))
         continue;
+      CheckServers(i, up_since);
       CheckInvariant(
           host.changed_at >= NewsBy(now_ - kApplyBound),
           "news is known in time", [&] {
@@ -296,6 +392,7 @@
     const std::uint64_t at = step % kPeriod;
     if (at == kCalmFrom + kSettle) {
       calls_ = 0;
+      forgotten_ = 0;
       news_counted_ = news_.size();
     }
     if (at != kPeriod - 1 || step < kPeriod)
@@ -303,10 +400,12 @@
     const std::chrono::duration<double> passed =
         kStep * (kPeriod - 1 - kCalmFrom - kSettle);
     const std::chrono::duration<double> interval = kReaderInterval;
-    // Three readers' own calls, and each host's one for each piece of news.
+    // Three readers' own calls for two feeds, each host's one for each piece of
+    // news and each whole read after a forgotten history.
     const double most =
-        1.5 * (3 * passed.count() / interval.count() +
-               kHosts * static_cast<double>(news_.size() - news_counted_));
+        1.5 * (2 * 3 * passed.count() / interval.count() +
+               kHosts * static_cast<double>(news_.size() - news_counted_ +
+                                            forgotten_));
     CheckInvariant(static_cast<double>(calls_) <= most,
                    "few hosts read the store in calm times", [&] {
                      return std::to_string(calls_) + " calls, at most " +
@@ -321,7 +420,9 @@
   std::deque<Datagram> flying_;
   /// When each piece of news was written; its position is its index.
   std::vector<MonoTime> news_;
+  ServerStore store_;
   std::uint64_t calls_ = 0;
+  std::uint64_t forgotten_ = 0;
   std::size_t news_counted_ = 0;
 };
 
@@ -337,6 +438,7 @@
 int main(int argc, char** argv) {
   return mangoport::SoakMain(
       argc, argv,
-      {"echo_of_any_run", "gap_overlooked", "readers_trusted_for_ever"},
+      {"digests_not_compared", "echo_of_any_run", "gap_overlooked",
+       "readers_trusted_for_ever", "unchanged_renewal_dropped"},
       mangoport::Run);
 }
--- /dev/null
+++ b/unittests/fleet/server_feed_test.cc
@@ -0,0 +1,194 @@
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include "mangoport/fleet/server_feed.h"
+
+namespace mangoport {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr MonoTime kStart{seconds(500)};
+constexpr Duration kPatience = milliseconds(1500);
+
+BootTime Boot(MonoTime now) {
+  return BootTime(now.time_since_epoch());
+}
+
+ServerEntry Entry(const char* id) {
+  ServerEntry out;
+  out.id = ServerId(id);
+  out.started_at_ms = 1;
+  return out;
+}
+
+ServerChange Listed(const char* id) {
+  return {ServerId(id), Entry(id)};
+}
+
+ServerChange Removal(const char* id) {
+  return {ServerId(id), std::nullopt};
+}
+
+/// A host with its view of the list.
+struct Host {
+  ServerFeed feed{ServerFeedSettings{
+      .tracker = {.interval = milliseconds(900), .patience = kPatience},
+      .directory = {}}};
+
+  ServerFeedOutcome Read(MonoTime now, ServerNews news) {
+    if (news.exact_from == 0)
+      news.exact_from = news.next;
+    return feed.OnRead(now, {.sent_at = Boot(now), .answered_at = Boot(now)},
+                       news);
+  }
+
+  /// Tells `other` what this host has read and what the other lacks.
+  ServerFeedOutcome Tell(MonoTime now, Host& other) {
+    const auto update =
+        feed.OwnUpdateSince(now, Boot(now), other.feed.position().value_or(0));
+    cr_assert(update.has_value());
+    return other.feed.OnPeerUpdate(now, *update);
+  }
+
+  bool Knows(const char* id) const {
+    return feed.servers().contains(ServerId(id));
+  }
+};
+
+void ReadWhole(MonoTime now, Host& host) {
+  host.Read(now,
+            {.whole = true, .changes = {Listed("a"), Listed("b")}, .next = 10});
+}
+
+// The store was away, the leases lapsed meanwhile, and the servers renew their
+// entries unchanged: to the reader, which still holds the entries, the renewal
+// changes nothing.
+Test(server_feed, an_unchanged_renewal_after_an_outage_reaches_all_hosts) {
+  Host reader;
+  Host other;
+  reader.feed.set_reader(true);
+  ReadWhole(kStart, reader);
+  ReadWhole(kStart, other);
+  reader.feed.OnReadFailed(kStart + seconds(5));
+  other.feed.OnReadFailed(kStart + seconds(5));
+  const MonoTime back = kStart + seconds(6);
+  reader.Read(back, {.changes = {Removal("a"), Removal("b")}, .next = 12});
+  reader.Tell(back, other);
+  const MonoTime renewed = back + seconds(1);
+  const ServerFeedOutcome outcome =
+      reader.Read(renewed, {.changes = {Listed("a")}, .next = 13});
+  cr_assert(outcome.news);
+  reader.Tell(renewed, other);
+  const MonoTime late = back + seconds(4);
+  reader.feed.Expire(late);
+  other.feed.Expire(late);
+  for (const Host* it : {&reader, &other}) {
+    cr_assert(it->Knows("a"));
+    cr_assert_not(it->Knows("b"));
+  }
+}
+
+// A removal and its renewal came to the reader in one read as no change at all,
+// while the other host had read the removal itself.
+Test(server_feed, a_missed_renewal_is_found_by_the_digest) {
+  Host reader;
+  Host other;
+  reader.feed.set_reader(true);
+  ReadWhole(kStart, reader);
+  ReadWhole(kStart, other);
+  const MonoTime now = kStart + seconds(2);
+  other.Read(now, {.changes = {Removal("a")}, .next = 11});
+  reader.Read(now, {.changes = {Listed("a")}, .next = 12});
+  const ServerFeedOutcome outcome = reader.Tell(now, other);
+  cr_assert(outcome.difference.has_value());
+  cr_assert_eq(outcome.difference->position, 12);
+  cr_assert_not(other.feed.position().has_value());
+  cr_assert_eq(other.feed.Wait(Boot(now)), Duration::zero());
+  other.Read(
+      now, {.whole = true, .changes = {Listed("a"), Listed("b")}, .next = 12});
+  cr_assert(other.Knows("a"));
+  cr_assert_not(reader.Tell(now, other).difference.has_value());
+}
+
+// A difference that a whole read doesn't remove must not make the fleet read
+// the whole list over and over.
+Test(server_feed, whole_reads_for_a_lasting_difference_become_rarer) {
+  Host reader;
+  Host other;
+  reader.feed.set_reader(true);
+  ReadWhole(kStart, reader);
+  int whole_reads = 0;
+  for (Duration passed{}; passed < seconds(60); passed += milliseconds(200)) {
+    const MonoTime now = kStart + passed;
+    reader.Read(now, {.next = 10});
+    if (!other.feed.position()) {
+      other.Read(now, {.whole = true, .changes = {Listed("a")}, .next = 10});
+      ++whole_reads;
+    }
+    reader.Tell(now, other);
+  }
+  cr_assert_leq(whole_reads, 7);
+  cr_assert_geq(whole_reads, 4);
+}
+
+// The pages of a whole read are not of one moment: the later ones may contain
+// what comes after the position, so the list is not compared before it.
+Test(server_feed, a_whole_read_of_several_pages_is_compared_from_its_end_on) {
+  Host reader;
+  Host other;
+  reader.feed.set_reader(true);
+  ReadWhole(kStart, reader);
+  other.Read(kStart, {.whole = true,
+                      .changes = {Listed("a"), Listed("b"), Listed("c")},
+                      .next = 10,
+                      .exact_from = 11});
+  cr_assert_not(reader.Tell(kStart, other).difference.has_value());
+  reader.Read(kStart, {.changes = {Listed("c")}, .next = 11});
+  cr_assert_not(reader.Tell(kStart, other).difference.has_value());
+  reader.Read(kStart, {.changes = {Removal("c")}, .next = 12});
+  cr_assert_not(reader.Tell(kStart, other).difference.has_value());
+  cr_assert_not(other.Knows("c"));
+}
+
+// A reader that had to read the whole list cannot tell what changed meanwhile.
+Test(server_feed, after_a_forgotten_history_hosts_read_for_themselves) {
+  Host reader;
+  Host other;
+  reader.feed.set_reader(true);
+  ReadWhole(kStart, reader);
+  ReadWhole(kStart, other);
+  reader.feed.OnHistoryLost();
+  reader.Read(kStart, {.whole = true, .changes = {Listed("a")}, .next = 30});
+  reader.Tell(kStart, other);
+  cr_assert_eq(other.feed.position(), 10);
+  cr_assert(other.Knows("b"));
+  cr_assert_leq(other.feed.Wait(Boot(kStart)), kPatience);
+}
+
+// A host that started during the outage reads a list from which the lapsed
+// entries are missing; the renewals must reach it like all others.
+Test(server_feed, a_host_that_starts_during_an_outage_hears_renewals) {
+  Host reader;
+  Host started;
+  reader.feed.set_reader(true);
+  ReadWhole(kStart, reader);
+  reader.feed.OnReadFailed(kStart + seconds(5));
+  started.feed.OnReadFailed(kStart + seconds(5));
+  const MonoTime back = kStart + seconds(6);
+  started.Read(back, {.whole = true, .changes = {}, .next = 12});
+  reader.Read(back, {.changes = {Removal("a"), Removal("b")}, .next = 12});
+  reader.Read(back + seconds(1), {.changes = {Listed("a")}, .next = 13});
+  cr_assert_not(reader.Tell(back + seconds(1), started).difference.has_value());
+  cr_assert(started.Knows("a"));
+  cr_assert_not(started.Knows("b"));
+}
+
+}  // namespace
+}  // namespace mangoport
--- /dev/null
+++ b/unittests/forward/backend_table_test.cc
@@ -0,0 +1,70 @@
+#include "mangoport/forward/backend_table.h"
+
+#include <chrono>
+#include <map>
+
+#include <criterion/criterion.h>
+
+namespace mangoport {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr MonoTime kStart{seconds(500)};
+const ServiceId kService("drafts");
+const ServerId kEngine("e1");
+const ModelId kModel("m1");
+
+std::map<ServerId, ServerEntry> List(std::uint64_t started,
+                                     const std::vector<ModelId>& models) {
+  ServerEntry entry;
+  entry.id = kEngine;
+  entry.service = kService;
+  entry.address = "127.0.0.1:9000";
+  entry.started_at_ms = started;
+  for (const ModelId& it : models)
+    entry.models.push_back({.model = it, .weights_version = 1, .adapters = {}});
+  return {{kEngine, entry}};
+}
+
+ResidencyChange Loaded(std::uint64_t orders) {
+  return {.server = kEngine,
+          .item = kModel,
+          .orders_accepted = orders,
+          .gone = false};
+}
+
+// The holder's report of a copy counts until the engine's own entry must show
+// it; a report that was wrong or has become outdated doesn't last.
+Test(backend_table, a_reported_copy_counts_only_until_the_list_must_show_it) {
+  BackendTable table(ZoneId("a"));
+  table.SetServers(kStart, List(1, {}));
+  table.NoteResidency(kStart, Loaded(3));
+  cr_assert(table.HasModel(kStart + seconds(1), kService, kModel));
+  cr_assert_not(table.HasModel(kStart + seconds(5), kService, kModel));
+  table.SetServers(kStart + seconds(5), List(1, {kModel}));
+  cr_assert(table.HasModel(kStart + seconds(60), kService, kModel));
+}
+
+// Datagrams overtake each other: an older report changes nothing.
+Test(backend_table, an_older_report_of_a_copy_is_ignored) {
+  BackendTable table(ZoneId("a"));
+  table.SetServers(kStart, List(1, {}));
+  table.NoteResidency(kStart, Loaded(3));
+  ResidencyChange older = Loaded(2);
+  older.gone = true;
+  table.NoteResidency(kStart, older);
+  cr_assert(table.HasModel(kStart, kService, kModel));
+}
+
+// An engine that starts again holds nothing of what was reported before.
+Test(backend_table, reports_from_before_a_restart_are_dropped) {
+  BackendTable table(ZoneId("a"));
+  table.SetServers(kStart, List(1, {}));
+  table.NoteResidency(kStart, Loaded(3));
+  table.SetServers(kStart, List(2, {}));
+  cr_assert_not(table.HasModel(kStart, kService, kModel));
+}
+
+}  // namespace
+}  // namespace mangoport
