Planner: idle adapters give up their slots, and models short of slots get a copy

Change: an adapter is in use while it has requests or arrivals above a least rate; rates of arrivals fade with time instead of with messages, so that they do not last ten times as long in a large fleet; a model with an adapter for which no engine has room gets a copy on an engine with free slots, before adapters that are loaded already get further copies.

--- a/include/mangoport/placement/copy_planner.h
+++ b/include/mangoport/placement/copy_planner.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -153,15 +154,26 @@
   void PlanMissing(MonoTime now,
                    const EngineCapacity& capacity,
                    std::vector<CopyOrder>& out);
-  /// Plans further copies of models above `high_load`.
+  /// Plans further copies of models above `high_load`, and of models whose
+  /// adapters in use need more slots than the engines with a copy have.
   void PlanHighLoad(MonoTime now,
                     const EngineCapacity& capacity,
                     std::vector<CopyOrder>& out);
+  enum class AdapterPass {
+    /// Adapters that no engine holds.
+    kMissing,
+    /// Further copies of the others.
+    kFurther,
+  };
   /// Plans loads and evictions of adapters on engines that hold their model.
   void PlanAdapters(MonoTime now,
                     const EngineCapacity& capacity,
                     const std::map<ModelId, CopyDemand>& demand,
+                    AdapterPass pass,
                     std::vector<CopyOrder>& out);
+  /// Returns the part of the engine's adapter slots that is in use.
+  static double AdapterSlotsUsed(const Engine& engine,
+                                 const EngineCapacity& capacity);
   /// Returns the engine with the lowest cost for a new copy of the model.
   /// `urgent` is true if the model has demand and no copy.
   std::optional<LoadTarget> FindTarget(MonoTime now,
@@ -218,6 +230,8 @@
   std::map<ModelId, MonoTime> unloaded_at_;
   std::map<ModelId, MonoTime> missing_since_;
   std::map<ModelId, MonoTime> adapter_used_at_;
+  /// Models with an adapter in demand for which no engine has room.
+  std::set<ModelId> short_of_adapter_slots_;
   double store_budget_ = 0;
   std::optional<MonoTime> refilled_at_;
 };
--- a/lib/edge/order_service.cc
+++ b/lib/edge/order_service.cc
@@ -1,6 +1,7 @@
 #include "mangoport/edge/order_service.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace mangoport {
@@ -17,8 +18,8 @@
 /// The demand for each model is logged this often by the holder.
 constexpr Duration kDemandLogInterval = std::chrono::seconds(3);
 
-/// Weight of the newest rate of arrivals in the smoothed one.
-constexpr double kArrivalGain = 0.2;
+/// Time over which rates of arrivals are averaged.
+constexpr double kArrivalSpanSeconds = 1.0;
 
 MonoTime Now() {
   return std::chrono::steady_clock::now();
@@ -90,8 +91,8 @@
     if (counts) {
       const double rate =
           static_cast<double>(it.arrivals - use.use.arrivals) / seconds;
-      use.arrivals_per_second +=
-          (rate - use.arrivals_per_second) * kArrivalGain;
+      const double gain = 1 - std::exp(-seconds / kArrivalSpanSeconds);
+      use.arrivals_per_second += (rate - use.arrivals_per_second) * gain;
     }
     use.use = it;
   }
--- a/lib/placement/copy_planner.cc
+++ b/lib/placement/copy_planner.cc
@@ -17,6 +17,9 @@
 /// immediately because no copy exists never wait, so only their arrivals count.
 constexpr double kMinArrivalsPerSecond = 0.2;
 
+/// Arrival rate up to which an adapter without requests counts as idle.
+constexpr double kMinAdapterArrivalsPerSecond = 0.05;
+
 /// Relative costs for comparing target engines: a load from the weight store, a
 /// load from local disk, and an eviction. The engine's present load is added.
 constexpr double kStoreLoadCost = 4;
@@ -36,6 +39,16 @@
   return it != times.end() && now - it->second < span;
 }
 
+/// Returns true if the adapter has requests, or has had some lately. The rate
+/// of arrivals only approaches zero once they have ended.
+bool IsInUse(const std::map<ModelId, CopyDemand>& demand,
+             const ModelId& adapter) {
+  const auto it = demand.find(adapter);
+  return it != demand.end() &&
+         (it->second.running > 0 || it->second.waiting > 0 ||
+          it->second.arrivals_per_second > kMinAdapterArrivalsPerSecond);
+}
+
 ModelId AdapterName(const ModelId& model, const AdapterId& adapter) {
   return ModelId(model.value() + "/" + adapter.value());
 }
@@ -74,6 +87,7 @@
                           const std::map<ModelId, CopyDemand>& demand) {
   models_.clear();
   engines_.clear();
+  short_of_adapter_slots_.clear();
   for (const ModelSpec& it : capacity.models) {
     Model& model = models_[it.model];
     model.spec = &it;
@@ -173,6 +187,15 @@
   return best;
 }
 
+double CopyPlanner::AdapterSlotsUsed(const Engine& engine,
+                                     const EngineCapacity& capacity) {
+  std::size_t used = 0;
+  for (const ResidentModel& it : engine.source->entry.models)
+    used += it.adapters.size();
+  return static_cast<double>(used) /
+         std::max<std::uint32_t>(capacity.adapter_slots, 1);
+}
+
 std::optional<CopyPlanner::LoadTarget> CopyPlanner::FindTarget(
     MonoTime now,
     const EngineCapacity& capacity,
@@ -198,6 +221,13 @@
         continue;
       target.cost += kEvictionCost;
     }
+    // Its adapter slots too.
+    if (models_.at(model).spec->adapter_count > 0) {
+      const double used = AdapterSlotsUsed(it, capacity);
+      if (used >= 1 && short_of_adapter_slots_.contains(model))
+        continue;
+      target.cost += used;
+    }
     // The engine divides its capacity between its models.
     for (const ModelId& held : it.models) {
       const auto found = models_.find(held);
@@ -352,8 +382,10 @@
                                std::vector<CopyOrder>& out) {
   std::vector<ModelId> high_load_models;
   for (const auto& [id, model] : models_) {
-    if (model.copies > 0 && MayAddCopy(now, capacity, id) &&
-        LoadPerSlot(model, capacity, model.copies) > settings_.high_load)
+    const bool wants_copy =
+        short_of_adapter_slots_.contains(id) ||
+        LoadPerSlot(model, capacity, model.copies) > settings_.high_load;
+    if (model.copies > 0 && wants_copy && MayAddCopy(now, capacity, id))
       high_load_models.push_back(id);
   }
   std::sort(high_load_models.begin(), high_load_models.end(),
@@ -363,13 +395,17 @@
               return LoadPerSlot(x, capacity, x.copies) >
                      LoadPerSlot(y, capacity, y.copies);
             });
-  for (const ModelId& it : high_load_models)
-    PlanCopy(now, capacity, it, /*urgent=*/false, "busy", out);
+  for (const ModelId& it : high_load_models) {
+    const bool for_adapters = short_of_adapter_slots_.contains(it);
+    PlanCopy(now, capacity, it, /*urgent=*/false,
+             for_adapters ? "room for adapters" : "busy", out);
+  }
 }
 
 void CopyPlanner::PlanAdapters(MonoTime now,
                                const EngineCapacity& capacity,
                                const std::map<ModelId, CopyDemand>& demand,
+                               AdapterPass pass,
                                std::vector<CopyOrder>& out) {
   const auto load_of = [&demand](const ModelId& name) {
     const auto it = demand.find(name);
@@ -402,28 +438,28 @@
                           .copies = 0};
       it.name = AdapterName(id, it.adapter);
       it.load = load_of(it.name);
-      if (it.load > 0)
+      if (IsInUse(demand, it.name))
         adapter_used_at_[it.name] = now;
       const auto held = adapter_copies.find(it.name);
       it.copies = held == adapter_copies.end() ? 0 : held->second;
-      candidates.push_back(std::move(it));
+      if ((it.copies == 0) == (pass == AdapterPass::kMissing))
+        candidates.push_back(std::move(it));
     }
   }
-  // Adapters without a copy come first, then those with the most load per copy.
+  // Those with the most load per copy come first.
   std::sort(candidates.begin(), candidates.end(),
             [](const AdapterCandidate& a, const AdapterCandidate& b) {
-              const double x = a.load / static_cast<double>(a.copies + 1);
-              const double y = b.load / static_cast<double>(b.copies + 1);
-              return std::pair(a.copies == 0, x) > std::pair(b.copies == 0, y);
+              return a.load / static_cast<double>(a.copies + 1) >
+                     b.load / static_cast<double>(b.copies + 1);
             });
   for (const AdapterCandidate& it : candidates) {
     if (it.copies > 0 && it.load <= 0)
       continue;
     Engine* best = nullptr;
     std::size_t best_count = 0;
+    // An engine with an order may have room once the order is carried out.
+    bool may_have_room = false;
     for (Engine& engine : engines_) {
-      if (engine.has_order || engine.reserved_for)
-        continue;
       std::size_t count = 0;
       bool has_model = false;
       bool has_adapter = false;
@@ -437,6 +473,10 @@
       }
       if (!has_model || has_adapter)
         continue;
+      if (engine.has_order || engine.reserved_for) {
+        may_have_room = may_have_room || count < capacity.adapter_slots;
+        continue;
+      }
       if (!best || count < best_count) {
         best = &engine;
         best_count = count;
@@ -475,8 +515,11 @@
         }
       }
     }
-    if (!victim)
+    if (!victim) {
+      if (!may_have_room)
+        short_of_adapter_slots_.insert(it.model);
       continue;
+    }
     order.kind = PlacementOrderKind::kUnloadAdapter;
     order.model = victim->first;
     order.adapter = victim->second;
@@ -496,8 +539,9 @@
   std::vector<CopyOrder> out;
   PlanReserved(now, capacity, out);
   PlanMissing(now, capacity, out);
-  PlanAdapters(now, capacity, demand, out);
+  PlanAdapters(now, capacity, demand, AdapterPass::kMissing, out);
   PlanHighLoad(now, capacity, out);
+  PlanAdapters(now, capacity, demand, AdapterPass::kFurther, out);
   return out;
 }
 
--- a/unittests/placement/copy_planner_test.cc
+++ b/unittests/placement/copy_planner_test.cc
@@ -268,6 +268,61 @@
   cr_assert_eq(orders[0].adapter.value(), "a2");
 }
 
+// The rate of arrivals only approaches zero after the last request. An adapter
+// must not count as in use for that, or its slot is never free again.
+Test(copy_planner, adapter_whose_arrivals_ended_is_evicted) {
+  CopyPlanner planner;
+  EngineCapacity capacity = Capacity(1);
+  capacity.models[0].adapter_count = 3;
+  PlannedEngine engine = Engine("a", {"m0"});
+  engine.entry.models[0].adapters = {AdapterId("a1"), AdapterId("a2")};
+  CopyDemand ended;
+  ended.arrivals_per_second = 0.8;
+  CopyDemand waiting;
+  waiting.waiting = 1;
+  std::map<ModelId, CopyDemand> demand = {{ModelId("m0/a1"), Running(1)},
+                                          {ModelId("m0/a2"), ended}};
+  planner.Plan(kStart, capacity, {engine}, demand);
+  demand[ModelId("m0/a2")].arrivals_per_second = 0.001;
+  demand[ModelId("m0/a3")] = waiting;
+  const auto orders =
+      planner.Plan(kStart + seconds(6), capacity, {engine}, demand);
+  cr_assert_eq(orders.size(), 1);
+  cr_assert_eq(orders[0].kind, PlacementOrderKind::kUnloadAdapter);
+  cr_assert_eq(orders[0].adapter.value(), "a2");
+}
+
+// More adapters of a model are in use than the engines that hold the model have
+// slots: the model needs a copy on an engine with free slots, however little
+// its batch is used.
+Test(copy_planner, model_short_of_adapter_slots_gets_a_copy) {
+  CopyPlanner planner;
+  EngineCapacity capacity = Capacity(2);
+  capacity.models[0].adapter_count = 3;
+  capacity.models[1].adapter_count = 2;
+  PlannedEngine full = Engine("a", {"m0"});
+  full.entry.models[0].adapters = {AdapterId("a1"), AdapterId("a2")};
+  PlannedEngine others = Engine("b", {"m1"});
+  others.entry.models[0].adapters = {AdapterId("a1"), AdapterId("a2")};
+  const std::vector<PlannedEngine> engines = {full, others,
+                                              Engine("c", {"m1"})};
+  CopyDemand waiting;
+  waiting.waiting = 1;
+  const std::map<ModelId, CopyDemand> demand = {
+      {ModelId("m0"), Running(3)},    {ModelId("m0/a1"), Running(1)},
+      {ModelId("m0/a2"), Running(1)}, {ModelId("m0/a3"), waiting},
+      {ModelId("m1/a1"), Running(1)}, {ModelId("m1/a2"), Running(1)}};
+  planner.Plan(kStart, capacity, engines, {});
+  const auto orders =
+      planner.Plan(kStart + seconds(1), capacity, engines, demand);
+  bool loads_copy = false;
+  for (const CopyOrder& it : orders)
+    loads_copy =
+        loads_copy || (it.kind == PlacementOrderKind::kLoadModel &&
+                       it.model == ModelId("m0") && it.engine == ServerId("c"));
+  cr_assert(loads_copy);
+}
+
 /// An order tracker with one engine whose count of accepted orders is known.
 class TrackerFixture {
  public:
