Count the load of engines in time: choice of engine, copies, admission

An engine there has 64 slots and reads 19 prompt tokens a ms, so eight long prompts a second fill its time with ten slots taken: it counted as 15% loaded, models got no copies and hosts sent to the busiest engine 2.1 times the mean.

Change: lib/routing/engine_work learns from the times to first events how fast engines read prompts (a high quantile for each engine, the median over engines) and keeps the part of each engine's time that prompts take, its own and, from datagrams, other hosts'. The router takes the larger of slots and time for an engine's load; the planner the larger of requests a slot and engine time a copy, of which each host tells the holder its callers' share. Waits that this host's requests just had at an engine refuse what would outlast its caller, whose patience with a silent stream counts as its deadline.

--- a/include/mangoport/edge/order_service.h
+++ b/include/mangoport/edge/order_service.h
@@ -34,6 +34,8 @@
   struct Use {
     ModelUse use;
     double arrivals_per_second = 0;
+    /// Engine time for prompts, per second.
+    double work = 0;
   };
   struct Host {
     MonoTime heard_at;
--- a/include/mangoport/forward/backend_table.h
+++ b/include/mangoport/forward/backend_table.h
@@ -25,6 +25,8 @@
   std::uint32_t running = 0;
   /// For how long the server has sent nothing to the host that has them.
   Duration silent{};
+  /// The part of the server's time that the host's prompts take.
+  double work = 0;
 };
 
 /// A server begins or ceases to hold a model or adapter.
@@ -44,6 +46,8 @@
   /// Requests at backend servers, and such as wait for a copy.
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
+  /// Engine time for the prompts of the arrivals.
+  Duration work{};
 };
 
 /// The backend servers of all services as this host routes to them: what each
@@ -74,6 +78,9 @@
                      const ServiceId& service,
                      RouteRequest request);
 
+  /// The time that a server of the service needs for a prompt; zero if unknown.
+  Duration PromptTime(const ServiceId& service, std::int64_t tokens) const;
+
   /// True if some server of the service holds the model.
   bool HasModel(MonoTime now,
                 const ServiceId& service,
@@ -83,10 +90,16 @@
   std::optional<asio::ip::tcp::endpoint> AddressOf(
       const ServerId& server) const;
 
-  void OnDispatched(MonoTime now, const ServerId& server);
+  void OnDispatched(MonoTime now,
+                    const ServerId& server,
+                    std::int64_t prompt_tokens);
   /// Bytes have arrived from the server.
   void OnActivity(MonoTime now, const ServerId& server);
-  void OnFirstToken(MonoTime now, const ServerId& server);
+  /// The first token came `time` after the request was dispatched.
+  void OnFirstToken(MonoTime now,
+                    const ServerId& server,
+                    std::int64_t prompt_tokens,
+                    Duration time);
   void OnFinished(MonoTime now,
                   const ServerId& server,
                   AttemptOutcome outcome,
@@ -134,7 +147,7 @@
   std::map<ServerId, ServerEntry> servers_;
   std::unordered_map<ServerId, Backend> backends_;
   std::map<ServiceId, Router> routers_;
-  std::map<HostId, std::map<ServerId, std::uint32_t>> peer_loads_;
+  std::map<HostId, std::map<ServerId, ServerLoad>> peer_loads_;
   std::function<void(const ModelId&)> on_resident_;
 };
 
--- a/include/mangoport/placement/copy_planner.h
+++ b/include/mangoport/placement/copy_planner.h
@@ -24,6 +24,8 @@
   double waiting = 0;
   /// Recent arrival rate.
   double arrivals_per_second = 0;
+  /// Engine time that the arriving prompts take, per second.
+  double work = 0;
 };
 
 /// An engine as the planner sees it.
@@ -121,6 +123,8 @@
     double load = 0;
     double waiting = 0;
     double arrivals_per_second = 0;
+    /// Smoothed engine time for prompts, per second.
+    double work = 0;
     /// Copies that are loaded, being loaded or planned, including reservations.
     std::size_t copies = 0;
     /// Copies known to be loaded and not being unloaded.
@@ -215,7 +219,8 @@
   /// Returns true if requests wait for a copy of the model, or arrive at more
   /// than a minimum rate.
   static bool HasDemand(const Model& model);
-  /// Returns the requests per batch slot if the model had `copies` copies.
+  /// Returns the load of each engine if the model had `copies` copies: the
+  /// larger of the requests per batch slot and the engine time for prompts.
   double LoadPerSlot(const Model& model,
                      const EngineCapacity& capacity,
                      std::size_t copies) const;
@@ -225,6 +230,7 @@
   std::vector<Engine> engines_;
   std::map<ModelId, Model> models_;
   std::map<ModelId, double> smoothed_load_;
+  std::map<ModelId, double> smoothed_work_;
   std::map<ServerId, Reservation> reservations_;
   std::map<ModelId, MonoTime> loaded_at_;
   std::map<ModelId, MonoTime> unloaded_at_;
--- a/include/mangoport/routing/router.h
+++ b/include/mangoport/routing/router.h
@@ -12,6 +12,7 @@
 #include "mangoport/core/error.h"
 #include "mangoport/core/ids.h"
 #include "mangoport/core/time.h"
+#include "mangoport/routing/engine_work.h"
 #include "mangoport/routing/load_estimate.h"
 #include "mangoport/routing/server.h"
 #include "mangoport/routing/server_health.h"
@@ -22,6 +23,7 @@
 struct BackendState {
   ServerSpec spec;
   LoadEstimate load;
+  EngineWorkLoad work;
   ServerHealth health;
   /// Time of the newest evidence that the server is leaving.
   std::optional<MonoTime> leaving_since;
@@ -107,6 +109,10 @@
   /// Processes a load report; reports of unknown servers are ignored.
   void OnReport(MonoTime now, const ServerReport& report);
 
+  /// Records that other hosts send `server` prompts that take this part of its
+  /// time.
+  void OnPeerWork(MonoTime now, const ServerId& server, double work);
+
   /// Chooses a server for `request`, or refuses it.
   RouteChoice Choose(MonoTime now, const RouteRequest& request);
 
@@ -115,14 +121,30 @@
                const RouteRequest& request,
                const ServerId& server) const;
 
-  void OnDispatched(MonoTime now, const ServerId& server);
-  void OnFirstToken(MonoTime now, const ServerId& server);
+  /// `prompt_tokens` are the request's own; zero if it has no prompt.
+  void OnDispatched(MonoTime now,
+                    const ServerId& server,
+                    std::int64_t prompt_tokens = 0);
+  /// The first token came `time` after the request was dispatched.
+  void OnFirstToken(MonoTime now,
+                    const ServerId& server,
+                    std::int64_t prompt_tokens = 0,
+                    Duration time = {});
   /// `ran_for` is the time since dispatch; it updates the mean service time.
   void OnFinished(MonoTime now,
                   const ServerId& server,
                   AttemptOutcome outcome,
                   Duration ran_for = {});
 
+  /// The time that a server needs to read a prompt, as learnt; zero while
+  /// nothing is known.
+  Duration PromptTime(std::int64_t tokens) const {
+    return prompt_rate_.TimeFor(tokens);
+  }
+
+  /// The part of `server`'s time that prompts from this host take.
+  double OwnWork(MonoTime now, const ServerId& server) const;
+
   /// True if there is evidence that `server` is leaving.
   bool IsLeaving(const ServerId& server) const;
 
@@ -165,7 +187,9 @@
                   Slot slot,
                   Pool pool) const;
   bool IsExcluded(const RouteRequest& request, Slot slot) const;
-  /// Load over batch size.
+  /// Requests over batch size.
+  double SlotLoad(MonoTime now, Slot slot) const;
+  /// The larger of the slots and the time in use; 1 if either is used up.
   double RelativeLoad(MonoTime now, Slot slot) const;
   std::optional<Candidate> SampleTwo(MonoTime now,
                                      const RouteRequest& request,
@@ -208,6 +232,7 @@
   std::unordered_map<AdapterId, std::vector<Slot>> adapters_;
   /// Moving average of the duration of completed requests.
   Duration service_time_;
+  PromptRateEstimate prompt_rate_;
 };
 
 }  // namespace mangoport
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -1,6 +1,7 @@
 #include "mangoport/edge/edge_host.h"
 
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 #include <random>
 #include <utility>
@@ -11,6 +12,8 @@
 namespace mangoport {
 namespace {
 
+constexpr double kPerMille = 1000;
+
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds(250);
 
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(100);
@@ -63,7 +66,8 @@
   return {.model = ModelId(note.model()),
           .arrivals = note.arrivals(),
           .running = note.running(),
-          .waiting = note.waiting()};
+          .waiting = note.waiting(),
+          .work = std::chrono::milliseconds(note.work_ms())};
 }
 
 void ToWire(const ModelUse& use, wire::ModelDemandNote& note) {
@@ -71,6 +75,8 @@
   note.set_arrivals(use.arrivals);
   note.set_running(use.running);
   note.set_waiting(use.waiting);
+  note.set_work_ms(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(use.work).count()));
 }
 
 }  // namespace
@@ -320,6 +326,8 @@
     wire::BackendLoad& load = *message.add_loads();
     load.set_server(it.server.value());
     load.set_running(it.running);
+    load.set_work_per_mille(
+        static_cast<std::uint32_t>(std::lround(it.work * kPerMille)));
     load.set_silent_ms(static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(it.silent)
             .count()));
@@ -378,7 +386,8 @@
   for (const wire::BackendLoad& it : message.loads())
     loads.push_back({.server = ServerId(it.server()),
                      .running = it.running(),
-                     .silent = std::chrono::milliseconds(it.silent_ms())});
+                     .silent = std::chrono::milliseconds(it.silent_ms()),
+                     .work = it.work_per_mille() / kPerMille});
   backends_.SetPeerLoads(now, host, loads);
   for (const wire::CrashSuspicionNote& it : message.suspicions())
     forwarder_.crash_suspects().OnPeerServerLost(
--- a/lib/edge/order_service.cc
+++ b/lib/edge/order_service.cc
@@ -93,6 +93,8 @@
           static_cast<double>(it.arrivals - use.use.arrivals) / seconds;
       const double gain = 1 - std::exp(-seconds / kArrivalSpanSeconds);
       use.arrivals_per_second += (rate - use.arrivals_per_second) * gain;
+      const std::chrono::duration<double> work = it.work - use.use.work;
+      use.work += (work.count() / seconds - use.work) * gain;
     }
     use.use = it;
   }
@@ -108,6 +110,7 @@
     sum.running += use.use.running;
     sum.waiting += use.use.waiting;
     sum.arrivals_per_second += use.arrivals_per_second;
+    sum.work += use.work;
   };
   for (const auto& [host, entry] : hosts_) {
     for (const auto& [model, use] : entry.uses) {
@@ -305,7 +308,8 @@
             .Add("running", static_cast<int>(asked->second.running))
             .Add("waiting", static_cast<int>(asked->second.waiting))
             .Add("arrivals_per_s",
-                 static_cast<int>(asked->second.arrivals_per_second)));
+                 static_cast<int>(asked->second.arrivals_per_second))
+            .Add("work_percent", static_cast<int>(asked->second.work * 100)));
   }
 }
 
--- a/lib/forward/backend_table.cc
+++ b/lib/forward/backend_table.cc
@@ -10,6 +10,9 @@
 /// By then a server's own entry shows what it holds.
 constexpr Duration kToldLifetime = std::chrono::seconds(4);
 
+/// Less of a server's time is not reported to other hosts.
+constexpr double kLeastWork = 0.005;
+
 std::optional<asio::ip::tcp::endpoint> ParseAddress(std::string_view text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos)
@@ -141,19 +144,19 @@
 void BackendTable::SetPeerLoads(MonoTime now,
                                 const HostId& host,
                                 const std::vector<ServerLoad>& loads) {
-  std::map<ServerId, std::uint32_t>& known = peer_loads_[host];
-  std::map<ServerId, std::uint32_t> next;
+  std::map<ServerId, ServerLoad>& known = peer_loads_[host];
+  std::map<ServerId, ServerLoad> next;
   for (const ServerLoad& it : loads) {
-    next.emplace(it.server, it.running);
+    next.emplace(it.server, it);
     const auto backend = backends_.find(it.server);
     if (backend != backends_.end())
       backend->second.peers_activity =
           std::max(backend->second.peers_activity, now - it.silent);
   }
   known.swap(next);
-  for (const auto& [server, running] : known)
+  for (const auto& [server, load] : known)
     ReportLoad(now, server);
-  for (const auto& [server, running] : next) {
+  for (const auto& [server, load] : next) {
     if (!known.contains(server))
       ReportLoad(now, server);
   }
@@ -164,13 +167,18 @@
   if (it == backends_.end())
     return;
   std::uint32_t total = it->second.own_running;
+  double work = 0;
   for (const auto& [host, loads] : peer_loads_) {
     const auto load = loads.find(server);
-    if (load != loads.end())
-      total += load->second;
+    if (load == loads.end())
+      continue;
+    total += load->second.running;
+    work += load->second.work;
   }
-  routers_[it->second.service].OnReport(
-      now, {.server = server, .measured_at = now, .running = total});
+  Router& router = routers_[it->second.service];
+  router.OnReport(now,
+                  {.server = server, .measured_at = now, .running = total});
+  router.OnPeerWork(now, server, work);
 }
 
 RouteChoice BackendTable::Choose(MonoTime now,
@@ -203,13 +211,22 @@
   return it->second.address;
 }
 
-void BackendTable::OnDispatched(MonoTime now, const ServerId& server) {
+Duration BackendTable::PromptTime(const ServiceId& service,
+                                  std::int64_t tokens) const {
+  const auto it = routers_.find(service);
+  return it == routers_.end() ? Duration::zero()
+                              : it->second.PromptTime(tokens);
+}
+
+void BackendTable::OnDispatched(MonoTime now,
+                                const ServerId& server,
+                                std::int64_t prompt_tokens) {
   const auto it = backends_.find(server);
   if (it == backends_.end())
     return;
   if (it->second.own_running++ == 0)
     it->second.last_activity = now;
-  routers_[it->second.service].OnDispatched(now, server);
+  routers_[it->second.service].OnDispatched(now, server, prompt_tokens);
 }
 
 void BackendTable::OnActivity(MonoTime now, const ServerId& server) {
@@ -218,10 +235,13 @@
     it->second.last_activity = now;
 }
 
-void BackendTable::OnFirstToken(MonoTime now, const ServerId& server) {
+void BackendTable::OnFirstToken(MonoTime now,
+                                const ServerId& server,
+                                std::int64_t prompt_tokens,
+                                Duration time) {
   const auto it = backends_.find(server);
   if (it != backends_.end())
-    routers_[it->second.service].OnFirstToken(now, server);
+    routers_[it->second.service].OnFirstToken(now, server, prompt_tokens, time);
 }
 
 void BackendTable::OnFinished(MonoTime now,
@@ -255,10 +275,14 @@
 std::vector<ServerLoad> BackendTable::OwnLoads(MonoTime now) const {
   std::vector<ServerLoad> out;
   for (const auto& [id, backend] : backends_) {
-    if (backend.own_running > 0)
+    const auto router = routers_.find(backend.service);
+    const double work =
+        router == routers_.end() ? 0 : router->second.OwnWork(now, id);
+    if (backend.own_running > 0 || work >= kLeastWork)
       out.push_back({.server = id,
                      .running = backend.own_running,
-                     .silent = now - backend.last_activity});
+                     .silent = now - backend.last_activity,
+                     .work = work});
   }
   return out;
 }
--- a/lib/forward/request_admission.cc
+++ b/lib/forward/request_admission.cc
@@ -24,8 +24,13 @@
   return value;
 }
 
+struct TokenUsage {
+  std::int64_t prompt = 0;
+  std::int64_t output = 0;
+};
+
 /// "prompt,output"
-std::optional<std::int64_t> ParseTokenUsage(std::string_view text) {
+std::optional<TokenUsage> ParseTokenUsage(std::string_view text) {
   const std::size_t comma = text.find(',');
   if (comma == std::string_view::npos)
     return std::nullopt;
@@ -33,7 +38,15 @@
   const auto output = ParseInteger(text.substr(comma + 1));
   if (!prompt || !output)
     return std::nullopt;
-  return *prompt + *output;
+  return TokenUsage{.prompt = *prompt, .output = *output};
+}
+
+/// The tokens of the last of "id:tokens,id:tokens".
+std::optional<std::int64_t> ParseOwnTokens(std::string_view parts) {
+  const std::size_t colon = parts.rfind(':');
+  if (colon == std::string_view::npos)
+    return std::nullopt;
+  return ParseInteger(parts.substr(colon + 1));
 }
 
 /// The parts that requests share: all but the last, which is the request's own.
@@ -129,15 +142,25 @@
     routing_.prefix_hash =
         shared.empty() ? 0 : XXH64(shared.data(), shared.size(), 0);
   }
+  const std::string* usage_field =
+      FindField(fields, host_.dialect_.token_usage);
+  const std::optional<TokenUsage> usage =
+      usage_field ? ParseTokenUsage(*usage_field) : std::nullopt;
+  if (usage)
+    prompt_tokens_ = usage->prompt;
+  if (parts)
+    prompt_tokens_ = ParseOwnTokens(*parts).value_or(prompt_tokens_);
   routing_.deadline = deadline_;
+  // The caller of a stream leaves sooner if no event comes.
+  if (route_->stall_limit > Duration::zero())
+    routing_.deadline =
+        std::min(deadline_, request_.arrived + route_->stall_limit);
   fingerprint_ = Fingerprint(request_, routing_.account);
   if (account_) {
     charge_ = 1;
     if (account_->counts_tokens) {
-      const std::string* usage = FindField(fields, host_.dialect_.token_usage);
-      charge_ = usage
-                    ? ParseTokenUsage(*usage).value_or(account_->default_tokens)
-                    : account_->default_tokens;
+      charge_ =
+          usage ? usage->prompt + usage->output : account_->default_tokens;
     }
   }
   const ServiceSpec* service = config_->FindService(service_);
@@ -146,6 +169,7 @@
   use_ = &host_.uses_[routing_.model];
   use_->model = routing_.model;
   ++use_->arrivals;
+  use_->work += host_.parts_.backends.PromptTime(service_, prompt_tokens_);
 }
 
 bool RequestExchange::AdmitQuota(MonoTime now) {
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -226,7 +226,7 @@
     host_.StateOf(service_).budget.OnRequest(now, AccountId());
   if (use_)
     ++use_->running;
-  host_.parts_.backends.OnDispatched(now, server);
+  host_.parts_.backends.OnDispatched(now, server, prompt_tokens_);
   connection_ = host_.parts_.pool.Acquire(now, server.value(), *address,
                                           /*fresh=*/runs_ > 0);
   const std::weak_ptr<RequestExchange> weak = weak_from_this();
@@ -319,7 +319,8 @@
 void RequestExchange::OnEvents(MonoTime now, std::string_view whole) {
   if (!first_event_at_) {
     first_event_at_ = now;
-    host_.parts_.backends.OnFirstToken(now, server_);
+    host_.parts_.backends.OnFirstToken(now, server_, prompt_tokens_,
+                                       now - sent_at_);
     host_.parts_.metrics.OnFirstEvent(now - request_.arrived);
   }
   if (!answer_begun_) {
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -95,6 +95,8 @@
   std::string request_id_;
   /// The same for each try of one request by its caller.
   std::uint64_t fingerprint_ = 0;
+  /// Tokens of the prompt that no other request shares.
+  std::int64_t prompt_tokens_ = 0;
   std::int64_t charge_ = 0;
   bool charged_ = false;
   MonoTime deadline_;
--- a/lib/placement/copy_planner.cc
+++ b/lib/placement/copy_planner.cc
@@ -77,8 +77,9 @@
 double CopyPlanner::LoadPerSlot(const Model& model,
                                 const EngineCapacity& capacity,
                                 std::size_t copies) const {
-  return model.load / (static_cast<double>(std::max<std::size_t>(copies, 1)) *
-                       capacity.batch_size);
+  const auto n = static_cast<double>(std::max<std::size_t>(copies, 1));
+  const double slots = model.load / (n * capacity.batch_size);
+  return std::max(slots, model.work / n);
 }
 
 void CopyPlanner::Prepare(MonoTime now,
@@ -93,7 +94,9 @@
     model.spec = &it;
     const auto current = demand.find(it.model);
     double load = 0;
+    double work = 0;
     if (current != demand.end()) {
+      work = current->second.work;
       load = current->second.running + current->second.waiting;
       model.waiting = current->second.waiting;
       model.arrivals_per_second = current->second.arrivals_per_second;
@@ -101,6 +104,10 @@
     double& smoothed = smoothed_load_[it.model];
     smoothed = std::max(load, smoothed + (load - smoothed) * kDemandSmoothing);
     model.load = smoothed;
+    double& smoothed_work = smoothed_work_[it.model];
+    smoothed_work = std::max(
+        work, smoothed_work + (work - smoothed_work) * kDemandSmoothing);
+    model.work = smoothed_work;
   }
   for (const PlannedEngine& it : engines) {
     if (it.entry.draining)
--- a/lib/routing/router.cc
+++ b/lib/routing/router.cc
@@ -151,11 +151,15 @@
   return !IsExcluded(request, slot);
 }
 
-double Router::RelativeLoad(MonoTime now, Slot slot) const {
+double Router::SlotLoad(MonoTime now, Slot slot) const {
   const BackendState& state = slots_[slot];
   return state.load.At(now) / std::max<std::uint32_t>(state.spec.batch_size, 1);
 }
 
+double Router::RelativeLoad(MonoTime now, Slot slot) const {
+  return std::max(SlotLoad(now, slot), slots_[slot].work.At(now));
+}
+
 std::optional<Router::Candidate> Router::SampleOne(MonoTime now,
                                                    const RouteRequest& request,
                                                    const Ring& ring,
@@ -348,7 +352,8 @@
     choice.retry_after = kUnavailableRetryAfter;
     return choice;
   }
-  const Duration wait = ExpectedWait(best->load);
+  const Duration wait = std::max(ExpectedWait(SlotLoad(now, best->slot)),
+                                 slots_[best->slot].work.ObservedWait(now));
   if (settings_.policy == RoutingPolicy::kMangoport &&
       request.deadline != MonoTime::max() && now + wait > request.deadline) {
     choice.refusal =
@@ -371,18 +376,38 @@
          IsEligible(now, request, it->second, Pool::kWithEjected);
 }
 
-void Router::OnDispatched(MonoTime now, const ServerId& server) {
+void Router::OnPeerWork(MonoTime now, const ServerId& server, double work) {
+  const auto it = by_id_.find(server);
+  if (it != by_id_.end())
+    slots_[it->second].work.OnPeers(now, work);
+}
+
+double Router::OwnWork(MonoTime now, const ServerId& server) const {
+  const BackendState* state = Find(server);
+  return state == nullptr ? 0 : state->work.Own(now);
+}
+
+void Router::OnDispatched(MonoTime now,
+                          const ServerId& server,
+                          std::int64_t prompt_tokens) {
   const auto it = by_id_.find(server);
   if (it == by_id_.end())
     return;
+  slots_[it->second].work.OnDispatched(now, PromptTime(prompt_tokens));
   slots_[it->second].load.OnDispatched(now);
   slots_[it->second].health.OnDispatched(now);
 }
 
-void Router::OnFirstToken(MonoTime /*now*/, const ServerId& server) {
+void Router::OnFirstToken(MonoTime now,
+                          const ServerId& server,
+                          std::int64_t prompt_tokens,
+                          Duration time) {
   const auto it = by_id_.find(server);
-  if (it != by_id_.end())
-    slots_[it->second].health.OnProgress();
+  if (it == by_id_.end())
+    return;
+  slots_[it->second].health.OnProgress();
+  prompt_rate_.OnFirstEvent(server, prompt_tokens, time);
+  slots_[it->second].work.OnFirstEvent(now, time - PromptTime(prompt_tokens));
 }
 
 void Router::OnFinished(MonoTime now,
--- a/unittests/placement/copy_planner_test.cc
+++ b/unittests/placement/copy_planner_test.cc
@@ -268,6 +268,23 @@
   cr_assert_eq(orders[0].adapter.value(), "a2");
 }
 
+// Few long prompts keep an engine with many slots busy: hardly a slot is taken,
+// and yet requests wait. The model needs copies by the time it takes.
+Test(copy_planner, model_whose_prompts_fill_its_engine_gets_a_copy) {
+  CopyPlanner planner;
+  EngineCapacity capacity = Capacity(1);
+  capacity.batch_size = 64;
+  const std::vector<PlannedEngine> engines = {Engine("a", {"m0"}),
+                                              Engine("b", {})};
+  planner.Plan(kStart, capacity, engines, {});
+  CopyDemand demand = Running(8);
+  demand.work = 0.8;
+  const auto orders = planner.Plan(kStart + seconds(1), capacity, engines,
+                                   {{ModelId("m0"), demand}});
+  cr_assert_eq(orders.size(), 1);
+  cr_assert_eq(orders[0].engine, ServerId("b"));
+}
+
 // The rate of arrivals only approaches zero after the last request. An adapter
 // must not count as in use for that, or its slot is never free again.
 Test(copy_planner, adapter_whose_arrivals_ended_is_evicted) {
