A resumed stream's caller leaves after its last event; waits by urgency

And a wait that only less urgent requests have, which engines admit later, refused urgent ones.

Change: CallerLeavesAt in wait_policy counts from the last event and decides for the choice of an engine and the wait for a copy alike; the waits that a host observes are kept by urgency.

--- a/include/mangoport/forward/backend_table.h
+++ b/include/mangoport/forward/backend_table.h
@@ -99,7 +99,8 @@
   void OnFirstToken(MonoTime now,
                     const ServerId& server,
                     std::int64_t prompt_tokens,
-                    Duration time);
+                    Duration time,
+                    std::uint32_t urgency);
   void OnFinished(MonoTime now,
                   const ServerId& server,
                   AttemptOutcome outcome,
--- a/include/mangoport/forward/wait_policy.h
+++ b/include/mangoport/forward/wait_policy.h
@@ -5,6 +5,14 @@
 
 namespace mangoport {
 
+/// When a caller stops waiting for an event: at its deadline, or sooner if its
+/// stream is silent for longer than `stall_limit` (zero if there is none).
+/// Counts from the last event, so that a stream which goes on at another server
+/// is not judged by the time at which it began.
+MonoTime CallerLeavesAt(MonoTime deadline,
+                        MonoTime last_event_at,
+                        Duration stall_limit);
+
 /// A request whose model or adapter no server holds yet.
 struct MissingCopy {
   /// Until the caller gives up.
--- a/include/mangoport/routing/engine_work.h
+++ b/include/mangoport/routing/engine_work.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <unordered_map>
 
@@ -43,22 +44,30 @@
   void OnPeers(MonoTime now, double work);
 
   /// A request's first event came this much later than its prompt explains.
-  void OnFirstEvent(MonoTime now, Duration wait);
+  /// Engines admit requests of lower `urgency` first.
+  void OnFirstEvent(MonoTime now, std::uint32_t urgency, Duration wait);
 
   double Own(MonoTime now) const { return own_.PerSecond(now); }
   /// The part of the engine's time in use by all hosts; above 1, requests that
   /// arrive wait ever longer.
   double At(MonoTime now) const;
 
-  /// The wait that this host's latest requests had, less with its age.
-  Duration ObservedWait(MonoTime now) const;
+  /// The wait that this host's latest requests of the same or a more urgent
+  /// class had, less with its age.
+  Duration ObservedWait(MonoTime now, std::uint32_t urgency) const;
 
  private:
   DecayingRate own_{std::chrono::seconds(1)};
   double peers_ = 0;
   MonoTime peers_at_;
-  Duration wait_{};
-  MonoTime wait_at_;
+  struct Wait {
+    Duration wait{};
+    MonoTime seen_at;
+  };
+  static Duration AgedWait(MonoTime now, const Wait& wait);
+
+  /// By urgency.
+  std::map<std::uint32_t, Wait> waits_;
 };
 
 /// Estimates the time that engines of one kind need to read a prompt, from the
--- a/include/mangoport/routing/router.h
+++ b/include/mangoport/routing/router.h
@@ -50,6 +50,8 @@
   std::vector<ServerId> excluded;
   /// When the first token is due.
   MonoTime deadline = MonoTime::max();
+  /// Servers admit requests of lower urgency first.
+  std::uint32_t urgency = 0;
   /// Must run without other unproven requests on its server.
   bool isolated = false;
 };
@@ -129,7 +131,8 @@
   void OnFirstToken(MonoTime now,
                     const ServerId& server,
                     std::int64_t prompt_tokens = 0,
-                    Duration time = {});
+                    Duration time = {},
+                    std::uint32_t urgency = 0);
   /// `ran_for` is the time since dispatch; it updates the mean service time.
   void OnFinished(MonoTime now,
                   const ServerId& server,
--- a/lib/forward/backend_table.cc
+++ b/lib/forward/backend_table.cc
@@ -238,10 +238,12 @@
 void BackendTable::OnFirstToken(MonoTime now,
                                 const ServerId& server,
                                 std::int64_t prompt_tokens,
-                                Duration time) {
+                                Duration time,
+                                std::uint32_t urgency) {
   const auto it = backends_.find(server);
   if (it != backends_.end())
-    routers_[it->second.service].OnFirstToken(now, server, prompt_tokens, time);
+    routers_[it->second.service].OnFirstToken(now, server, prompt_tokens, time,
+                                              urgency);
 }
 
 void BackendTable::OnFinished(MonoTime now,
--- a/lib/forward/request_admission.cc
+++ b/lib/forward/request_admission.cc
@@ -150,11 +150,9 @@
     prompt_tokens_ = usage->prompt;
   if (parts)
     prompt_tokens_ = ParseOwnTokens(*parts).value_or(prompt_tokens_);
-  routing_.deadline = deadline_;
-  // The caller of a stream leaves sooner if no event comes.
-  if (route_->stall_limit > Duration::zero())
-    routing_.deadline =
-        std::min(deadline_, request_.arrived + route_->stall_limit);
+  const std::uint32_t priority =
+      account_ && account_->priority ? *account_->priority : route_->priority;
+  routing_.urgency = std::min(priority, kLeastUrgent);
   fingerprint_ = Fingerprint(request_, routing_.account);
   if (account_) {
     charge_ = 1;
@@ -225,10 +223,7 @@
   AppendField(out, dialect.deadline_ms,
               std::to_string(std::max<std::int64_t>(left.count(), 1)));
   AppendField(out, dialect.expected_server, server_.value());
-  const std::uint32_t priority =
-      account_ && account_->priority ? *account_->priority : route_->priority;
-  AppendField(out, dialect.urgency,
-              std::to_string(std::min(priority, kLeastUrgent)));
+  AppendField(out, dialect.urgency, std::to_string(routing_.urgency));
   if (account_)
     AppendField(out, dialect.account, account_->id.value());
   if (events_.last_id())
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -122,6 +122,9 @@
                  .retry_after = kQuarantineRetryAfter});
     return;
   }
+  routing_.deadline = CallerLeavesAt(
+      deadline_, answer_begun_ ? last_byte_at_ : request_.arrived,
+      route_->stall_limit);
   RouteChoice choice = host_.parts_.backends.Choose(now, service_, routing_);
   if (!choice.server && !routing_.excluded.empty() && runs_ > 0) {
     // Better the same server again than none.
@@ -165,12 +168,7 @@
   if (!waiting_)
     waiting_since_ = now;
   MissingCopy missing;
-  missing.time_left = deadline_ - now;
-  // A caller of a stream may leave sooner, counted from the last event.
-  const MonoTime heard_at = answer_begun_ ? last_byte_at_ : request_.arrived;
-  if (route_->stall_limit > Duration::zero())
-    missing.time_left =
-        std::min(missing.time_left, heard_at + route_->stall_limit - now);
+  missing.time_left = routing_.deadline - now;
   missing.waited = now - waiting_since_;
   missing.is_adapter =
       slash != std::string_view::npos &&
@@ -320,7 +318,7 @@
   if (!first_event_at_) {
     first_event_at_ = now;
     host_.parts_.backends.OnFirstToken(now, server_, prompt_tokens_,
-                                       now - sent_at_);
+                                       now - sent_at_, routing_.urgency);
     host_.parts_.metrics.OnFirstEvent(now - request_.arrived);
   }
   if (!answer_begun_) {
--- a/lib/forward/wait_policy.cc
+++ b/lib/forward/wait_policy.cc
@@ -20,6 +20,14 @@
 
 }  // namespace
 
+MonoTime CallerLeavesAt(MonoTime deadline,
+                        MonoTime last_event_at,
+                        Duration stall_limit) {
+  if (stall_limit <= Duration::zero())
+    return deadline;
+  return std::min(deadline, last_event_at + stall_limit);
+}
+
 WaitDecision DecideWait(const MissingCopy& missing) {
   const Duration order_time =
       missing.is_adapter ? kAdapterOrderTime : kModelOrderTime;
--- a/lib/routing/engine_work.cc
+++ b/lib/routing/engine_work.cc
@@ -43,11 +43,15 @@
   peers_at_ = now;
 }
 
-void EngineWorkLoad::OnFirstEvent(MonoTime now, Duration wait) {
-  const Duration known = ObservedWait(now);
-  wait_ = known + std::chrono::duration_cast<Duration>(
-                      (std::max(wait, Duration::zero()) - known) * kWaitGain);
-  wait_at_ = now;
+void EngineWorkLoad::OnFirstEvent(MonoTime now,
+                                  std::uint32_t urgency,
+                                  Duration wait) {
+  Wait& known = waits_[urgency];
+  const Duration before = AgedWait(now, known);
+  known.wait =
+      before + std::chrono::duration_cast<Duration>(
+                   (std::max(wait, Duration::zero()) - before) * kWaitGain);
+  known.seen_at = now;
 }
 
 double EngineWorkLoad::At(MonoTime now) const {
@@ -56,10 +60,20 @@
   return Own(now) + peers_ * std::clamp(1 - age, 0.0, 1.0);
 }
 
-Duration EngineWorkLoad::ObservedWait(MonoTime now) const {
-  const double age = std::chrono::duration<double>(now - wait_at_) /
+Duration EngineWorkLoad::AgedWait(MonoTime now, const Wait& wait) {
+  const double age = std::chrono::duration<double>(now - wait.seen_at) /
                      std::chrono::duration<double>(kWaitSpan);
-  return std::chrono::duration_cast<Duration>(wait_ * std::exp(-age));
+  return std::chrono::duration_cast<Duration>(wait.wait * std::exp(-age));
+}
+
+Duration EngineWorkLoad::ObservedWait(MonoTime now,
+                                      std::uint32_t urgency) const {
+  Duration longest{};
+  for (const auto& [other, wait] : waits_) {
+    if (other <= urgency)
+      longest = std::max(longest, AgedWait(now, wait));
+  }
+  return longest;
 }
 
 void PromptRateEstimate::OnFirstEvent(const ServerId& server,
--- a/lib/routing/router.cc
+++ b/lib/routing/router.cc
@@ -352,8 +352,9 @@
     choice.retry_after = kUnavailableRetryAfter;
     return choice;
   }
-  const Duration wait = std::max(ExpectedWait(SlotLoad(now, best->slot)),
-                                 slots_[best->slot].work.ObservedWait(now));
+  const Duration wait =
+      std::max(ExpectedWait(SlotLoad(now, best->slot)),
+               slots_[best->slot].work.ObservedWait(now, request.urgency));
   if (settings_.policy == RoutingPolicy::kMangoport &&
       request.deadline != MonoTime::max() && now + wait > request.deadline) {
     choice.refusal =
@@ -401,13 +402,15 @@
 void Router::OnFirstToken(MonoTime now,
                           const ServerId& server,
                           std::int64_t prompt_tokens,
-                          Duration time) {
+                          Duration time,
+                          std::uint32_t urgency) {
   const auto it = by_id_.find(server);
   if (it == by_id_.end())
     return;
   slots_[it->second].health.OnProgress();
   prompt_rate_.OnFirstEvent(server, prompt_tokens, time);
-  slots_[it->second].work.OnFirstEvent(now, time - PromptTime(prompt_tokens));
+  slots_[it->second].work.OnFirstEvent(now, urgency,
+                                       time - PromptTime(prompt_tokens));
 }
 
 void Router::OnFinished(MonoTime now,
--- a/unittests/forward/decisions_test.cc
+++ b/unittests/forward/decisions_test.cc
@@ -93,6 +93,20 @@
                 Duration(milliseconds(4200)).count());
 }
 
+// A stream whose server is lost goes on elsewhere. Its caller has just had an
+// event, however long ago the request came.
+Test(wait_policy, a_caller_leaves_when_its_stream_is_silent_for_too_long) {
+  const MonoTime arrived{seconds(100)};
+  const MonoTime deadline = arrived + seconds(12);
+  cr_assert_eq(CallerLeavesAt(deadline, arrived, seconds(2)),
+               arrived + seconds(2));
+  cr_assert_eq(CallerLeavesAt(deadline, arrived + seconds(5), seconds(2)),
+               arrived + seconds(7));
+  cr_assert_eq(CallerLeavesAt(deadline, arrived + seconds(11), seconds(2)),
+               deadline);
+  cr_assert_eq(CallerLeavesAt(deadline, arrived, Duration::zero()), deadline);
+}
+
 Test(wait_policy, an_adapter_is_waited_for) {
   MissingCopy missing;
   missing.time_left = seconds(2);
--- a/unittests/routing/engine_work_test.cc
+++ b/unittests/routing/engine_work_test.cc
@@ -107,5 +107,35 @@
   cr_assert_leq(to_busy, 16);
 }
 
+// What waits at an engine is refused only if it would outlast its caller, and
+// not for the waits of less urgent requests, which are admitted later.
+Test(router, a_wait_that_outlasts_the_caller_is_refused) {
+  const ModelId model("m");
+  Router router;
+  ServerList list{.as_of = kStart, .servers = {}};
+  list.servers.push_back({.id = Engine(0),
+                          .zone = ZoneId("z"),
+                          .models = {model},
+                          .adapters = {},
+                          .batch_size = 64});
+  router.SetServers(kStart, list);
+  router.OnFirstToken(kStart, Engine(0), kPrompt, kPromptTime, /*urgency=*/2);
+  for (int i = 0; i < 10; ++i)
+    router.OnFirstToken(kStart, Engine(0), kPrompt, seconds(3), /*urgency=*/2);
+  RouteRequest request;
+  request.model = model;
+  request.urgency = 2;
+  request.deadline = kStart + seconds(1);
+  const RouteChoice refused = router.Choose(kStart, request);
+  cr_assert_not(refused.server.has_value());
+  cr_assert_eq(refused.refusal.code, ErrorCode::kOverloaded);
+  cr_assert_gt(refused.retry_after, seconds(1));
+  request.urgency = 0;
+  cr_assert(router.Choose(kStart, request).server.has_value());
+  request.urgency = 2;
+  request.deadline = kStart + seconds(8);
+  cr_assert(router.Choose(kStart, request).server.has_value());
+}
+
 }  // namespace
 }  // namespace mangoport
