Drop a request whose caller left while the host stood still

Change: when a request is whole, the session asks the system whether the peer has closed behind it, and then drops the request. One system call a request.

--- a/include/mangoport/forward/tcp_stream.h
+++ b/include/mangoport/forward/tcp_stream.h
@@ -64,6 +64,11 @@
   /// destroy the answer on its way; the owner closes on the peer's end.
   void EndAfterWrites();
 
+  /// True if the peer has closed or reset the connection and everything that it
+  /// sent before has been read. Asks the system, so it also tells of a close
+  /// that arrived while this process stood still.
+  bool PeerHasClosed();
+
   bool is_open() const { return open_; }
   std::size_t unsent() const { return out_.size(); }
   /// True if any byte has been given to the system.
--- a/lib/forward/client_session.cc
+++ b/lib/forward/client_session.cc
@@ -117,6 +117,11 @@
       ArmTimer(Now());
     return;
   }
+  // The request may have waited in the socket until its caller gave up.
+  if (stream_->PeerHasClosed()) {
+    Shut();
+    return;
+  }
   timers_.Cancel(timer_);
   busy_ = true;
   continue_sent_ = false;
