A host that stops answers what it cannot finish

Change: when a stopping host begins to refuse, requests that wait for a copy are refused as not run, with a Retry-After; when the process ends, each request still under way is answered with what is true then. The deadline takes the same path.

Test: a_stop_answers_what_waits_for_a_copy in edge_process_test; without the change it fails, the request was dropped.

--- a/include/mangoport/forward/forwarder.h
+++ b/include/mangoport/forward/forwarder.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -66,8 +67,13 @@
   void OnRequest(const std::shared_ptr<ClientSession>& session,
                  HttpRequest request);
 
-  /// From now on requests are refused as they arrive, since the host stops.
-  void RefuseNew() { refuses_new_ = true; }
+  /// From now on requests are refused as they arrive, since the host stops, and
+  /// so are those that wait for a copy.
+  void RefuseNew(MonoTime now);
+
+  /// Answers all requests that are still under way, as the process ends: those
+  /// that no server has seen are refused, the others fail.
+  void EndAll(MonoTime now);
 
   /// Called when a request waits for a model that no server holds, so that it
   /// is told to the host that orders engines without delay.
@@ -94,6 +100,9 @@
     RetryBudget budget;
   };
 
+  /// The requests under way that are still in use.
+  std::vector<std::shared_ptr<RequestExchange>> Exchanges();
+
   ServiceState& StateOf(const ServiceId& service);
   RetryBudgetSettings BudgetSettingsFor(std::size_t hosts) const;
   /// Lets requests that wait for `model` choose again.
@@ -112,6 +121,8 @@
   std::function<void()> on_missing_;
   std::mt19937_64 random_;
   std::size_t active_ = 0;
+  /// All requests under way; each removes itself at its end.
+  std::set<RequestExchange*> exchanges_;
   bool refuses_new_ = false;
 };
 
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -507,13 +507,14 @@
                   .connections = caller_sessions_.size(),
                   .lease_released = released_});
   if (decision.refuse_new)
-    forwarder_.RefuseNew();
+    forwarder_.RefuseNew(now);
   if (decision.close_idle) {
     const SessionSet sessions = caller_sessions_;
     for (const auto& it : sessions)
       it->CloseIfIdle();
   }
   if (decision.finish) {
+    forwarder_.EndAll(now);
     feeds_.Stop();
     io_.stop();
     return;
--- a/lib/forward/forwarder.cc
+++ b/lib/forward/forwarder.cc
@@ -73,6 +73,28 @@
   exchange->Start();
 }
 
+std::vector<std::shared_ptr<RequestExchange>> Forwarder::Exchanges() {
+  std::vector<std::shared_ptr<RequestExchange>> out;
+  out.reserve(exchanges_.size());
+  for (RequestExchange* it : exchanges_) {
+    if (auto exchange = it->weak_from_this().lock())
+      out.push_back(std::move(exchange));
+  }
+  return out;
+}
+
+void Forwarder::RefuseNew(MonoTime now) {
+  if (std::exchange(refuses_new_, true))
+    return;
+  for (const auto& it : Exchanges())
+    it->OnHostStopping(now);
+}
+
+void Forwarder::EndAll(MonoTime now) {
+  for (const auto& it : Exchanges())
+    it->OnHostEnding(now);
+}
+
 void Forwarder::WakeWaiting(const ModelId& model) {
   const auto it = waiting_.find(model);
   if (it == waiting_.end())
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -85,10 +85,12 @@
       config_(host.config_),
       deadline_(MonoTime::max()) {
   ++host_.active_;
+  host_.exchanges_.insert(this);
 }
 
 RequestExchange::~RequestExchange() {
   --host_.active_;
+  host_.exchanges_.erase(this);
 }
 
 void RequestExchange::Start() {
@@ -488,19 +490,32 @@
 }
 
 void RequestExchange::OnDeadline(MonoTime now) {
+  GiveUp(now, "deadline");
+}
+
+void RequestExchange::OnHostStopping(MonoTime now) {
+  if (!done_ && waiting_)
+    GiveUp(now, "stopping");
+}
+
+void RequestExchange::OnHostEnding(MonoTime now) {
+  GiveUp(now, "stopping");
+}
+
+void RequestExchange::GiveUp(MonoTime now, std::string_view reason) {
   if (done_)
     return;
   if (connection_) {
     std::exchange(connection_, nullptr)->Cancel();
     FinishAttempt(now, AttemptOutcome::kCancelled);
-    LogAttempt(now, "deadline");
+    LogAttempt(now, reason);
     ++runs_;
   }
   if (answer_begun_) {
-    Break(now, "deadline");
+    Break(now, reason);
     return;
   }
-  Refuse(now, {.status = runs_ > 0 ? 504 : 503, .reason = "deadline"});
+  Refuse(now, {.status = runs_ > 0 ? 504 : 503, .reason = reason});
 }
 
 void RequestExchange::ArmSilenceCheck(MonoTime now) {
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -29,6 +29,12 @@
   /// A server may hold the model now.
   void OnModelAppeared();
 
+  /// The host stops: a request that waits for a copy is refused, since the copy
+  /// may come too late.
+  void OnHostStopping(MonoTime now);
+  /// The process ends: the request is answered with what is true now.
+  void OnHostEnding(MonoTime now);
+
  private:
   /// A refusal or failure of this host's own.
   struct Verdict {
@@ -75,6 +81,8 @@
 
   // Time and the caller.
   void OnDeadline(MonoTime now);
+  /// Ends the attempt under way, if any, and answers the caller.
+  void GiveUp(MonoTime now, std::string_view reason);
   void ArmSilenceCheck(MonoTime now);
   void CheckSilence(MonoTime now);
   void OnCallerDisconnected();
--- a/unittests/process/edge_process_test.cc
+++ b/unittests/process/edge_process_test.cc
@@ -59,6 +59,21 @@
          R"(],"Unit":"requests","RatePerS":0,"Burst":0}]})";
 }
 
+/// The same with a model that no server holds, and callers of the stream who
+/// wait for it.
+std::string ConfigWithModel(int version, int load_s) {
+  std::string out = Config(version, R"("k1")");
+  const std::string service = R"("MaxConns":100)";
+  out.replace(out.find(service), service.size(),
+              service +
+                  R"(,"Engine":{"WeightsMb":100,"Models":[{"Name":"m1",)"
+                  R"("WeightsMb":50,"LoadS":)" +
+                  std::to_string(load_s) + "}]}");
+  const std::string gap = R"("GapGoalMs":250)";
+  out.replace(out.find(gap), gap.size(), R"("GapGoalMs":1000)");
+  return out;
+}
+
 /// A host with a store and two backend servers.
 class EdgeFixture {
  public:
@@ -321,6 +336,29 @@
   cr_assert_eq(it.process_->Wait(seconds(6)), 0);
 }
 
+// A copy that loads longer than the host may still run: the request is refused
+// as not run before the host ends, and not dropped.
+Test(edge, a_stop_answers_what_waits_for_a_copy, .timeout = 60) {
+  EdgeFixture it;
+  it.store_.Put("keyed.op", "config", ConfigWithModel(2, /*load_s=*/4));
+  cr_assert(EdgeFixture::Within(seconds(5), [&it] {
+    const auto reply = it.Ask("/stream/x", {{"X-Model", "unknown"}});
+    return reply && reply->body.find("unknown_model") != std::string::npos;
+  }));
+  std::thread stop([&it] {
+    std::this_thread::sleep_for(milliseconds(500));
+    it.process_->Signal(SIGTERM);
+  });
+  const auto reply = it.Ask("/stream/x", {{"X-Model", "m1"}});
+  stop.join();
+  cr_assert(reply, "the request was dropped");
+  cr_assert_eq(reply->status, 503);
+  cr_assert_neq(reply->body.find("\"stopping\""), std::string::npos, "%s",
+                reply->body.c_str());
+  cr_assert(reply->has_header("Retry-After"));
+  cr_assert_eq(it.process_->Wait(seconds(6)), 0);
+}
+
 Test(edge, a_server_that_leaves_gets_no_more, .timeout = 60) {
   EdgeFixture it;
   it.List(it.a_, "draining");
