Bound the sizes that callers state for their prompts

Cause, found in reading the change again: the number of tokens that a caller states became engine time without a bound, so that one header could make an engine look busy to all hosts, overflow a sum, or, below zero, give tokens back to an account. Change: numbers below zero are no statement, large ones are bounded, and no more counts as work than an engine's memory holds; services without engines take none. Samples of servers that are gone are dropped.

--- a/include/mangoport/routing/engine_work.h
+++ b/include/mangoport/routing/engine_work.h
@@ -57,15 +57,16 @@
   Duration ObservedWait(MonoTime now, std::uint32_t urgency) const;
 
  private:
-  DecayingRate own_{std::chrono::seconds(1)};
-  double peers_ = 0;
-  MonoTime peers_at_;
   struct Wait {
     Duration wait{};
     MonoTime seen_at;
   };
   static Duration AgedWait(MonoTime now, const Wait& wait);
 
+  DecayingRate own_{std::chrono::seconds(1)};
+  /// Other hosts' part, and when they reported it.
+  double peers_ = 0;
+  MonoTime peers_at_;
   /// By urgency.
   std::map<std::uint32_t, Wait> waits_;
 };
@@ -89,6 +90,7 @@
   /// Tokens per second; none while nothing is known.
   std::optional<double> tokens_per_second() const { return median_; }
 
+  /// The server is gone; its samples no longer count.
   void Forget(const ServerId& server) { log_rates_.erase(server); }
 
  private:
--- a/lib/forward/request_admission.cc
+++ b/lib/forward/request_admission.cc
@@ -29,13 +29,23 @@
   std::int64_t output = 0;
 };
 
+/// A number of tokens. Callers state it, so it is bounded before it is added
+/// up.
+std::optional<std::int64_t> ParseTokens(std::string_view text) {
+  constexpr std::int64_t kMostTokens = std::int64_t{1} << 40;
+  const auto tokens = ParseInteger(text);
+  if (!tokens || *tokens < 0)
+    return std::nullopt;
+  return std::min(*tokens, kMostTokens);
+}
+
 /// "prompt,output"
 std::optional<TokenUsage> ParseTokenUsage(std::string_view text) {
   const std::size_t comma = text.find(',');
   if (comma == std::string_view::npos)
     return std::nullopt;
-  const auto prompt = ParseInteger(text.substr(0, comma));
-  const auto output = ParseInteger(text.substr(comma + 1));
+  const auto prompt = ParseTokens(text.substr(0, comma));
+  const auto output = ParseTokens(text.substr(comma + 1));
   if (!prompt || !output)
     return std::nullopt;
   return TokenUsage{.prompt = *prompt, .output = *output};
@@ -46,7 +56,17 @@
   const std::size_t colon = parts.rfind(':');
   if (colon == std::string_view::npos)
     return std::nullopt;
-  return ParseInteger(parts.substr(colon + 1));
+  return ParseTokens(parts.substr(colon + 1));
+}
+
+/// No engine reads a prompt that is larger than its memory, so more than that
+/// is not counted as work.
+std::int64_t ReadableTokens(std::int64_t stated, const EngineCapacity& engine) {
+  constexpr std::uint64_t kMostTokens = std::uint64_t{1} << 20;
+  const std::uint64_t most = engine.kv_tokens > 0
+                                 ? std::min(engine.kv_tokens, kMostTokens)
+                                 : kMostTokens;
+  return std::min(stated, static_cast<std::int64_t>(most));
 }
 
 /// The parts that requests share: all but the last, which is the request's own.
@@ -162,8 +182,11 @@
     }
   }
   const ServiceSpec* service = config_->FindService(service_);
-  if (!service || !service->engine)
+  if (!service || !service->engine) {
+    prompt_tokens_ = 0;
     return;
+  }
+  prompt_tokens_ = ReadableTokens(prompt_tokens_, *service->engine);
   use_ = &host_.uses_[routing_.model];
   use_->model = routing_.model;
   ++use_->arrivals;
--- a/lib/routing/router.cc
+++ b/lib/routing/router.cc
@@ -69,6 +69,10 @@
     by_id.emplace(id, static_cast<Slot>(kept.size()));
     kept.push_back(std::move(slots_[slot]));
   }
+  for (const auto& [id, slot] : by_id_) {
+    if (!by_id.contains(id))
+      prompt_rate_.Forget(id);
+  }
   slots_ = std::move(kept);
   by_id_ = std::move(by_id);
   RebuildIndex();
--- a/unittests/process/edge_process_test.cc
+++ b/unittests/process/edge_process_test.cc
@@ -336,6 +336,19 @@
   cr_assert_eq(it.process_->Wait(seconds(6)), 0);
 }
 
+// Callers state how long their prompts are. A host that takes any number for
+// work would count without end.
+Test(edge, absurd_prompt_sizes_are_served_like_others, .timeout = 60) {
+  EdgeFixture it;
+  it.a_.set_plan({.events = 2});
+  it.b_.set_plan({.events = 2});
+  for (const char* usage :
+       {"9223372036854775807,1", "-9223372036854775807,1", "1,2", "x,y"}) {
+    const auto reply = it.Ask("/stream/x", {{"X-Token-Usage", usage}});
+    cr_assert(reply && reply->status == 200, "%s", usage);
+  }
+}
+
 // A copy that loads longer than the host may still run: the request is refused
 // as not run before the host ends, and not dropped.
 Test(edge, a_stop_answers_what_waits_for_a_copy, .timeout = 60) {
