feed_relay_soak: an outage of the store ends with the other trouble

An outage that began late in the period of trouble went on into the calm one, unlike lost stores and cuts, which end with the trouble; and the model repeated a failed read of the configuration at each step if there was news, where the product pauses.

Change: the calm period ends the outage too; a failed read ends at its time.

--- a/unittests/edge/feed_relay_soak.cc
+++ b/unittests/edge/feed_relay_soak.cc
@@ -191,6 +191,7 @@
   }
 
   void EndTrouble() {
+    store_.ComeBack(now_);
     for (Host& it : hosts_) {
       if (it.no_store)
         it.sound_since = std::max(now_, it.frozen_until);
@@ -252,7 +253,8 @@
       return;
     const std::uint64_t end = news_.size();
     const bool news = host.track->position().value_or(0) < end;
-    if (now_ < host.read->answered && !news)
+    // A call that fails does so at its end; news answers one at once.
+    if (now_ < host.read->answered && !(news && Reaches(host)))
       return;
     const BootTime sent = host.read->sent;
     host.read.reset();
--- a/unittests/edge/server_store.h
+++ b/unittests/edge/server_store.h
@@ -81,6 +81,17 @@
     }
   }
 
+  /// Ends an outage before its time.
+  void ComeBack(MonoTime now) {
+    if (!IsDown(now))
+      return;
+    down_until_ = now;
+    for (Server& it : servers_) {
+      if (!it.listed)
+        it.registers_at = now + std::chrono::milliseconds(random_() % 1900);
+    }
+  }
+
   /// One server's lease lapses while the store serves the hosts, as when the
   /// server's availability zone is cut off; it is renewed unchanged.
   void LapseOne(MonoTime now) {
