Sum other hosts' loads by server, and drop those of silent hosts

What a host had reported of its load counted for ever once it was gone: an engine that a killed host had used looked busy to all others from then on. And each report was summed anew over all hosts for each server that it named, so its cost grew with hosts times servers.

Change: PeerLoads keeps the sums; a report changes those of its own servers only, and a host that is silent for 4 s or three rounds no longer counts. Two constants for the same lifetime became one.

--- a/include/mangoport/forward/backend_table.h
+++ b/include/mangoport/forward/backend_table.h
@@ -15,20 +15,11 @@
 #include "mangoport/core/time.h"
 #include "mangoport/fleet/fleet_config.h"
 #include "mangoport/fleet/server_directory.h"
+#include "mangoport/forward/peer_loads.h"
 #include "mangoport/routing/router.h"
 
 namespace mangoport {
 
-/// Requests under way at one backend server.
-struct ServerLoad {
-  ServerId server;
-  std::uint32_t running = 0;
-  /// For how long the server has sent nothing to the host that has them.
-  Duration silent{};
-  /// The part of the server's time that the host's prompts take.
-  double work = 0;
-};
-
 /// A server begins or ceases to hold a model or adapter.
 struct ResidencyChange {
   ServerId server;
@@ -69,6 +60,11 @@
   /// `server` has denied that it holds `model`.
   void NoteMissing(MonoTime now, const ServerId& server, const ModelId& model);
 
+  /// Sets how long what a silent host reported counts.
+  void set_peer_load_lifetime(Duration lifetime) {
+    peer_loads_.set_lifetime(lifetime);
+  }
+
   /// Requests of another host at a server.
   void SetPeerLoads(MonoTime now,
                     const HostId& host,
@@ -148,7 +144,7 @@
   std::map<ServerId, ServerEntry> servers_;
   std::unordered_map<ServerId, Backend> backends_;
   std::map<ServiceId, Router> routers_;
-  std::map<HostId, std::map<ServerId, ServerLoad>> peer_loads_;
+  PeerLoads peer_loads_;
   std::function<void(const ModelId&)> on_resident_;
 };
 
--- a/include/mangoport/routing/load_estimate.h
+++ b/include/mangoport/routing/load_estimate.h
@@ -2,12 +2,16 @@
 #define MANGOPORT_ROUTING_LOAD_ESTIMATE_H_
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 
 #include "mangoport/core/time.h"
 
 namespace mangoport {
 
+/// A load that was reported longer ago says nothing of the present one.
+constexpr Duration kReportLifetime = std::chrono::seconds(4);
+
 /// Estimates the load of one backend server from the requests that this host
 /// dispatched and from the server's load reports.
 ///
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -29,6 +29,10 @@
 constexpr Duration kHolderDoubt = std::chrono::milliseconds(1000);
 constexpr int kHolderDoubtRounds = 3;
 
+/// What a silent host reported of its load counts for so long, and for some
+/// rounds at the least.
+constexpr Duration kPeerLoadLifetime = std::chrono::seconds(4);
+
 /// Hosts that see no holder claim the lease at different times.
 constexpr int kClaimSpreadMs = 500;
 
@@ -420,6 +424,8 @@
 void EdgeHost::FitToFleet() {
   const Duration round = soft_state_.peers().RoundDuration();
   quota_.set_update_round(round);
+  backends_.set_peer_load_lifetime(
+      std::max(kPeerLoadLifetime, round * kHolderDoubtRounds));
   orders_.SetDoubtAfter(
       soft_state_.is_reader()
           ? kHolderDoubt
--- a/lib/edge/order_service.cc
+++ b/lib/edge/order_service.cc
@@ -19,7 +19,7 @@
 constexpr Duration kDemandLogInterval = std::chrono::seconds(3);
 
 /// Time over which rates of arrivals are averaged.
-constexpr double kArrivalSpanSeconds = 1.0;
+constexpr Duration kArrivalSpan = std::chrono::seconds(1);
 
 MonoTime Now() {
   return std::chrono::steady_clock::now();
@@ -91,7 +91,9 @@
     if (counts) {
       const double rate =
           static_cast<double>(it.arrivals - use.use.arrivals) / seconds;
-      const double gain = 1 - std::exp(-seconds / kArrivalSpanSeconds);
+      const double gain =
+          1 - std::exp(-seconds /
+                       std::chrono::duration<double>(kArrivalSpan).count());
       use.arrivals_per_second += (rate - use.arrivals_per_second) * gain;
       const std::chrono::duration<double> work = it.work - use.use.work;
       use.work += (work.count() / seconds - use.work) * gain;
--- a/lib/forward/backend_table.cc
+++ b/lib/forward/backend_table.cc
@@ -144,41 +144,26 @@
 void BackendTable::SetPeerLoads(MonoTime now,
                                 const HostId& host,
                                 const std::vector<ServerLoad>& loads) {
-  std::map<ServerId, ServerLoad>& known = peer_loads_[host];
-  std::map<ServerId, ServerLoad> next;
   for (const ServerLoad& it : loads) {
-    next.emplace(it.server, it);
     const auto backend = backends_.find(it.server);
     if (backend != backends_.end())
       backend->second.peers_activity =
           std::max(backend->second.peers_activity, now - it.silent);
   }
-  known.swap(next);
-  for (const auto& [server, load] : known)
-    ReportLoad(now, server);
-  for (const auto& [server, load] : next) {
-    if (!known.contains(server))
-      ReportLoad(now, server);
-  }
+  for (const ServerId& it : peer_loads_.Set(now, host, loads))
+    ReportLoad(now, it);
 }
 
 void BackendTable::ReportLoad(MonoTime now, const ServerId& server) {
   const auto it = backends_.find(server);
   if (it == backends_.end())
     return;
-  std::uint32_t total = it->second.own_running;
-  double work = 0;
-  for (const auto& [host, loads] : peer_loads_) {
-    const auto load = loads.find(server);
-    if (load == loads.end())
-      continue;
-    total += load->second.running;
-    work += load->second.work;
-  }
+  const PeerLoads::Sum peers = peer_loads_.Of(server);
   Router& router = routers_[it->second.service];
-  router.OnReport(now,
-                  {.server = server, .measured_at = now, .running = total});
-  router.OnPeerWork(now, server, work);
+  router.OnReport(now, {.server = server,
+                        .measured_at = now,
+                        .running = it->second.own_running + peers.running});
+  router.OnPeerWork(now, server, peers.work);
 }
 
 RouteChoice BackendTable::Choose(MonoTime now,
--- a/lib/routing/engine_work.cc
+++ b/lib/routing/engine_work.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <vector>
 
+#include "mangoport/routing/load_estimate.h"
+
 namespace mangoport {
 namespace {
 
@@ -15,8 +17,6 @@
 constexpr std::int64_t kLeastTokens = 64;
 constexpr std::uint32_t kSamplesPerMedian = 16;
 
-/// Other hosts' work counts less with the age of their report.
-constexpr Duration kPeersLifetime = std::chrono::seconds(4);
 /// Weight of the newest wait, and the time in which a wait loses its meaning.
 constexpr double kWaitGain = 0.3;
 constexpr Duration kWaitSpan = std::chrono::seconds(1);
@@ -56,7 +56,7 @@
 
 double EngineWorkLoad::At(MonoTime now) const {
   const double age = std::chrono::duration<double>(now - peers_at_) /
-                     std::chrono::duration<double>(kPeersLifetime);
+                     std::chrono::duration<double>(kReportLifetime);
   return Own(now) + peers_ * std::clamp(1 - age, 0.0, 1.0);
 }
 
--- a/lib/routing/load_estimate.cc
+++ b/lib/routing/load_estimate.cc
@@ -7,9 +7,6 @@
 
 constexpr Duration kBucketWidth = std::chrono::milliseconds(250);
 
-/// A report older than this is not used to estimate other hosts' requests.
-constexpr Duration kReportLifetime = std::chrono::seconds(4);
-
 std::int64_t BucketOf(MonoTime time) {
   return time.time_since_epoch() / kBucketWidth;
 }
