Split the planner's adapters, an edge host's peers and the end of a request

PlanAdapters, one function of 130 lines that the planner ran twice, is now short functions that share one list of adapters; an adapter looks only at the engines that hold its model, no longer at all engines (938 adapters and 204 engines on the largest site).

--- a/include/mangoport/placement/copy_planner.h
+++ b/include/mangoport/placement/copy_planner.h
@@ -2,6 +2,7 @@
 #define MANGOPORT_PLACEMENT_COPY_PLANNER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -145,6 +146,22 @@
     double cost = 0;
   };
 
+  /// An adapter of a model.
+  struct Adapter {
+    ModelId model;
+    AdapterId adapter;
+    /// Requests and arrivals, waiting ones with more weight.
+    double load = 0;
+    std::size_t copies = 0;
+  };
+  /// An engine for a copy of an adapter.
+  struct AdapterTarget {
+    Engine* engine = nullptr;
+    std::size_t slots_used = 0;
+    /// Another engine with free slots is busy with an order.
+    bool may_have_room = false;
+  };
+
   /// Computes the state of engines and models on which a plan is based.
   void Prepare(MonoTime now,
                const EngineCapacity& capacity,
@@ -163,18 +180,32 @@
   void PlanHighLoad(MonoTime now,
                     const EngineCapacity& capacity,
                     std::vector<CopyOrder>& out);
-  enum class AdapterPass {
-    /// Adapters that no engine holds.
-    kMissing,
-    /// Further copies of the others.
-    kFurther,
-  };
-  /// Plans loads and evictions of adapters on engines that hold their model.
-  void PlanAdapters(MonoTime now,
-                    const EngineCapacity& capacity,
-                    const std::map<ModelId, CopyDemand>& demand,
-                    AdapterPass pass,
-                    std::vector<CopyOrder>& out);
+  /// Computes the demand and the copies of all adapters.
+  void PrepareAdapters(MonoTime now,
+                       const std::map<ModelId, CopyDemand>& demand);
+  /// Plans loads of adapters that no engine holds, and evictions for those that
+  /// find no free slot.
+  void PlanMissingAdapters(MonoTime now,
+                           const EngineCapacity& capacity,
+                           std::vector<CopyOrder>& out);
+  /// Plans further copies of adapters with requests, in free slots.
+  void PlanFurtherAdapters(const EngineCapacity& capacity,
+                           std::vector<CopyOrder>& out);
+  /// Returns the wanted adapters; those with the most load per copy come first.
+  std::vector<const Adapter*> AdaptersByLoad(
+      const std::function<bool(const Adapter&)>& wanted) const;
+  /// Returns the engine with the fewest adapters among those that hold the
+  /// adapter's model, but not the adapter.
+  AdapterTarget FindAdapterTarget(const EngineCapacity& capacity,
+                                  const Adapter& adapter) const;
+  /// Returns the order to unload the adapter with the least load that is idle
+  /// or has another copy, if there is one.
+  std::optional<CopyOrder> EvictAdapter(MonoTime now,
+                                        const Engine& engine) const;
+  static void LoadAdapter(const Adapter& adapter,
+                          Engine& engine,
+                          std::string reason,
+                          std::vector<CopyOrder>& out);
   /// Returns the part of the engine's adapter slots that is in use.
   static double AdapterSlotsUsed(const Engine& engine,
                                  const EngineCapacity& capacity);
@@ -236,6 +267,10 @@
   std::map<ModelId, MonoTime> unloaded_at_;
   std::map<ModelId, MonoTime> missing_since_;
   std::map<ModelId, MonoTime> adapter_used_at_;
+  /// By "model/adapter".
+  std::map<ModelId, Adapter> adapters_;
+  /// The engines that hold each model.
+  std::map<ModelId, std::vector<Engine*>> holders_;
   /// Models with an adapter in demand for which no engine has room.
   std::set<ModelId> short_of_adapter_slots_;
   double store_budget_ = 0;
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -1,19 +1,15 @@
 #include "mangoport/edge/edge_host.h"
 
 #include <algorithm>
-#include <cmath>
 #include <csignal>
 #include <random>
 #include <utility>
 
-#include "lib/edge/feed_wire.h"
 #include "mangoport/edge/stop_policy.h"
 
 namespace mangoport {
 namespace {
 
-constexpr double kPerMille = 1000;
-
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds(250);
 
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(100);
@@ -21,18 +17,6 @@
 /// A host whose key evidence is older sends callers elsewhere.
 constexpr Duration kReadyEvidenceAge = std::chrono::milliseconds(3200);
 
-/// The holder is told of waiting requests at once, but not more often.
-constexpr Duration kTellHolderInterval = std::chrono::milliseconds(15);
-constexpr Duration kHolderLifetime = std::chrono::seconds(2);
-
-/// The readers hear the holder often, the others once a round.
-constexpr Duration kHolderDoubt = std::chrono::milliseconds(1000);
-constexpr int kHolderDoubtRounds = 3;
-
-/// What a silent host reported of its load counts for so long, and for some
-/// rounds at the least.
-constexpr Duration kPeerLoadLifetime = std::chrono::seconds(4);
-
 /// Hosts that see no holder claim the lease at different times.
 constexpr int kClaimSpreadMs = 500;
 
@@ -66,23 +50,6 @@
   return out;
 }
 
-ModelUse FromWire(const wire::ModelDemandNote& note) {
-  return {.model = ModelId(note.model()),
-          .arrivals = note.arrivals(),
-          .running = note.running(),
-          .waiting = note.waiting(),
-          .work = std::chrono::milliseconds(note.work_ms())};
-}
-
-void ToWire(const ModelUse& use, wire::ModelDemandNote& note) {
-  note.set_model(use.model.value());
-  note.set_arrivals(use.arrivals);
-  note.set_running(use.running);
-  note.set_waiting(use.waiting);
-  note.set_work_ms(static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(use.work).count()));
-}
-
 }  // namespace
 
 EdgeHost::Listener::Listener(asio::io_context& io, const Endpoint& endpoint)
@@ -304,158 +271,6 @@
   session->Answer({.status = 404});
 }
 
-void EdgeHost::FillFeeds(MonoTime now,
-                         const PeerHost& peer,
-                         wire::HostState& message) {
-  const BootTime boot_now = BootClock::now();
-  message.set_servers_position(feeds_.servers_position());
-  // Each zone has a reader of its own, so that changes need not cross zones.
-  if (peer.zone == settings_.zone)
-    WriteFeeds(boot_now,
-               feeds_.OwnWordsSince(now, boot_now, peer.servers_position),
-               message);
-  else
-    WriteFeeds(boot_now, feeds_.OwnWords(boot_now), message);
-}
-
-void EdgeHost::FillState(MonoTime now,
-                         const PeerHost& peer,
-                         wire::HostState& message) {
-  for (const AccountUsage& it : quota_.OwnUsage()) {
-    wire::AccountSpending& spending = *message.add_spendings();
-    spending.set_account(it.account.value());
-    spending.set_total(it.total);
-  }
-  for (const ServerLoad& it : backends_.OwnLoads(now)) {
-    wire::BackendLoad& load = *message.add_loads();
-    load.set_server(it.server.value());
-    load.set_running(it.running);
-    load.set_work_per_mille(
-        static_cast<std::uint32_t>(std::lround(it.work * kPerMille)));
-    load.set_silent_ms(static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(it.silent)
-            .count()));
-  }
-  for (const CrashSuspicion& it : forwarder_.crash_suspects().Recent(now)) {
-    wire::CrashSuspicionNote& note = *message.add_suspicions();
-    note.set_fingerprint(it.fingerprint);
-    note.set_server(it.server.value());
-  }
-  const std::uint64_t term = orders_.held_term();
-  message.set_order_term(term);
-  if (orders_.resigned_term() != 0 && term == 0) {
-    message.set_resigned_term(orders_.resigned_term());
-    message.set_last_order_age_ms(static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            orders_.last_order_age())
-            .count()));
-  }
-  if (term != 0) {
-    for (const EngineOrderTracker::ResidencyUpdate& it : orders_.Changes(now)) {
-      wire::ResidencyNote& note = *message.add_residencies();
-      note.set_server(it.engine.value());
-      note.set_model(it.item.value());
-      note.set_orders_accepted(it.orders_accepted);
-      note.set_gone(it.gone);
-    }
-  }
-  if (holder_ && *holder_ == peer.host) {
-    for (const ModelUse& it : forwarder_.ModelUses())
-      ToWire(it, *message.add_demands());
-  }
-}
-
-void EdgeHost::OnPeerState(MonoTime now,
-                           std::optional<BootTime> sent_after,
-                           const wire::HostState& message) {
-  if (!message.leaving())
-    feeds_.OnPeerWords(now, HostId(message.host()),
-                       ReadFeeds(sent_after, message));
-  if (!message.feeds_only())
-    OnPeerRest(now, message);
-}
-
-void EdgeHost::OnPeerRest(MonoTime now, const wire::HostState& message) {
-  const HostId host(message.host());
-  PeerUsage spending{.host = host,
-                     .incarnation = message.incarnation(),
-                     .leaving = message.leaving()};
-  for (const wire::AccountSpending& it : message.spendings())
-    spending.uses.push_back(
-        {.account = AccountId(it.account()), .total = it.total()});
-  quota_.OnPeerUsage(now, spending);
-  forwarder_.SetHostCount(now, quota_.host_count());
-  FitToFleet();
-  std::vector<ServerLoad> loads;
-  for (const wire::BackendLoad& it : message.loads())
-    loads.push_back({.server = ServerId(it.server()),
-                     .running = it.running(),
-                     .silent = std::chrono::milliseconds(it.silent_ms()),
-                     .work = it.work_per_mille() / kPerMille});
-  backends_.SetPeerLoads(now, host, loads);
-  for (const wire::CrashSuspicionNote& it : message.suspicions())
-    forwarder_.crash_suspects().OnPeerServerLost(
-        now,
-        {.fingerprint = it.fingerprint(), .server = ServerId(it.server())});
-  if (message.leaving())
-    return;
-  if (message.order_term() != 0) {
-    holder_ = host;
-    holder_heard_at_ = now;
-    orders_.OnHolderUpdate(host, message.order_term());
-    for (const wire::ResidencyNote& it : message.residencies())
-      backends_.NoteResidency(now, {.server = ServerId(it.server()),
-                                    .item = ModelId(it.model()),
-                                    .orders_accepted = it.orders_accepted(),
-                                    .gone = it.gone()});
-  }
-  if (message.resigned_term() != 0)
-    orders_.OnHolderResigned(
-        host, message.resigned_term(),
-        std::chrono::milliseconds(message.last_order_age_ms()));
-  if (message.demands_size() == 0)
-    return;
-  std::vector<ModelUse> uses;
-  for (const wire::ModelDemandNote& it : message.demands())
-    uses.push_back(FromWire(it));
-  orders_.OnPeerUses(now, host, uses);
-}
-
-void EdgeHost::FitToFleet() {
-  const Duration round = soft_state_.peers().RoundDuration();
-  quota_.set_update_round(round);
-  backends_.set_peer_load_lifetime(
-      std::max(kPeerLoadLifetime, round * kHolderDoubtRounds));
-  orders_.SetDoubtAfter(
-      soft_state_.is_reader()
-          ? kHolderDoubt
-          : std::max(kHolderDoubt, round * kHolderDoubtRounds));
-  holder_lifetime_ = std::max(kHolderLifetime, round * kHolderDoubtRounds);
-}
-
-void EdgeHost::TellHolder() {
-  if (orders_.held_term() != 0) {
-    orders_.OnOwnWaiting();
-    return;
-  }
-  const MonoTime now = Now();
-  const bool known = holder_ && now - holder_heard_at_ < holder_lifetime_;
-  if (!known || now - told_holder_at_ < kTellHolderInterval)
-    return;
-  told_holder_at_ = now;
-  soft_state_.TellNow(*holder_);
-}
-
-void EdgeHost::TellChanges() {
-  const MonoTime now = Now();
-  for (const EngineOrderTracker::ResidencyUpdate& it : orders_.Changes(now))
-    backends_.NoteResidency(now, {.server = it.engine,
-                                  .item = it.item,
-                                  .orders_accepted = it.orders_accepted,
-                                  .gone = it.gone});
-  soft_state_.TellAllSoon();
-}
-
 void EdgeHost::FlushLogLater(MonoTime now) {
   timers_.Add(now + kLogFlushInterval, [this](MonoTime due) {
     log_.Flush();
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -1,9 +1,7 @@
 #include "lib/forward/request_exchange.h"
 
 #include <algorithm>
-#include <array>
 #include <cassert>
-#include <charconv>
 #include <utility>
 
 #include "mangoport/forward/wait_policy.h"
@@ -25,37 +23,11 @@
 /// Bytes that a caller has not taken, from which its server is read no more.
 constexpr std::size_t kMaxUnsentBytes = std::size_t{256} * 1024;
 
-/// Least time to which a refused caller is told to come back.
-constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration kQuarantineRetryAfter = std::chrono::seconds(30);
-/// Spread of the times at which refused callers come back.
-constexpr double kRetrySpread = 0.5;
-
 MonoTime Now() {
   return std::chrono::steady_clock::now();
 }
 
-std::string FormatSeconds(Duration time) {
-  const double seconds = std::chrono::duration<double>(time).count();
-  std::array<char, 32> digits;
-  const auto end =
-      std::to_chars(digits.data(), digits.data() + digits.size(), seconds,
-                    std::chars_format::fixed, /*precision=*/2);
-  return std::string(digits.data(), end.ptr);
-}
-
-std::string_view KindName(RouteKind kind) {
-  switch (kind) {
-    case RouteKind::kIdempotent:
-      return "idempotent";
-    case RouteKind::kRunOnce:
-      return "run_once";
-    case RouteKind::kStream:
-      return "stream";
-  }
-  return "unknown";
-}
-
 AttemptOutcome OutcomeOf(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kRefusedFull:
@@ -451,73 +423,6 @@
                                               : "failed");
 }
 
-void RequestExchange::Refuse(MonoTime now, const Verdict& verdict) {
-  // "Not run" is promised only if it is true.
-  const bool may_have_run = runs_ > 0;
-  Verdict out = verdict;
-  if (may_have_run && (out.status == 503 || out.status == 429))
-    out.status = 502;
-  if (answer_begun_) {
-    Break(now, verdict.reason);
-    return;
-  }
-  OwnAnswer answer;
-  answer.status = out.status;
-  if (out.status == 503 || out.status == 429) {
-    const Duration least = out.retry_after.value_or(kDefaultRetryAfter);
-    const double spread =
-        std::uniform_real_distribution<>(0, kRetrySpread)(host_.random_);
-    answer.fields.push_back(
-        {"Retry-After",
-         FormatSeconds(least +
-                       std::chrono::duration_cast<Duration>(least * spread))});
-  }
-  if (!request_id_.empty())
-    answer.fields.push_back({host_.dialect_.request_id, request_id_});
-  answer.body = "{\"error\":{\"code\":\"" + std::string(out.reason) +
-                "\",\"not_run\":" + (may_have_run ? "false" : "true") + "}}";
-  host_.parts_.metrics.OnRefusal(out.reason);
-  last_end_ = out.reason;
-  session_->Answer(answer);
-  Finish(now, out.status >= 500 && may_have_run ? "failed" : "refused",
-         out.status);
-}
-
-void RequestExchange::Break(MonoTime now, std::string_view reason) {
-  last_end_ = reason;
-  session_->Break();
-  Finish(now, "broken_off", answer_.status);
-}
-
-void RequestExchange::OnDeadline(MonoTime now) {
-  GiveUp(now, "deadline");
-}
-
-void RequestExchange::OnHostStopping(MonoTime now) {
-  if (!done_ && waiting_)
-    GiveUp(now, "stopping");
-}
-
-void RequestExchange::OnHostEnding(MonoTime now) {
-  GiveUp(now, "stopping");
-}
-
-void RequestExchange::GiveUp(MonoTime now, std::string_view reason) {
-  if (done_)
-    return;
-  if (connection_) {
-    std::exchange(connection_, nullptr)->Cancel();
-    FinishAttempt(now, AttemptOutcome::kCancelled);
-    LogAttempt(now, reason);
-    ++runs_;
-  }
-  if (answer_begun_) {
-    Break(now, reason);
-    return;
-  }
-  Refuse(now, {.status = runs_ > 0 ? 504 : 503, .reason = reason});
-}
-
 void RequestExchange::ArmSilenceCheck(MonoTime now) {
   host_.parts_.timers.Cancel(silence_timer_);
   silence_timer_ = host_.parts_.timers.Add(
@@ -553,72 +458,4 @@
   ArmSilenceCheck(now);
 }
 
-void RequestExchange::OnCallerDisconnected() {
-  if (done_)
-    return;
-  const MonoTime now = Now();
-  if (connection_) {
-    std::exchange(connection_, nullptr)->Cancel();
-    FinishAttempt(now, AttemptOutcome::kCancelled);
-    ++runs_;
-  }
-  Finish(now, "caller_gone", 0);
-}
-
-void RequestExchange::Finish(MonoTime now,
-                             std::string_view outcome,
-                             int status) {
-  if (done_)
-    return;
-  done_ = true;
-  TimerQueue& timers = host_.parts_.timers;
-  timers.Cancel(deadline_timer_);
-  timers.Cancel(silence_timer_);
-  timers.Cancel(wait_timer_);
-  if (std::exchange(waiting_, false))
-    --use_->waiting;
-  if (charged_ && runs_ == 0 && outcome == "refused")
-    host_.parts_.quota.Refund(now, account_->id, charge_);
-  const std::string_view kind = route_ ? KindName(route_->kind) : "none";
-  const AccountId account = account_ ? account_->id : AccountId();
-  host_.parts_.metrics.OnRequest(kind, account, outcome,
-                                 now - request_.arrived);
-  std::string_view route_name;
-  if (route_)
-    route_name = route_->name;
-  LogLine line("request");
-  line.Add("id", request_id_)
-      .Add("outcome", outcome)
-      .Add("status", status)
-      .Add("reason", last_end_)
-      .Add("route", route_name)
-      .Add("kind", kind)
-      .Add("account", account.value())
-      .Add("model", routing_.model.value())
-      .Add("server", server_.value())
-      .Add("sends", sends_)
-      .Add("runs", runs_)
-      .Add("events", events_passed_)
-      .Add("config_version", config_ ? config_->version() : 0)
-      .Add("total_ms", now - request_.arrived);
-  if (first_event_at_)
-    line.Add("first_event_ms", *first_event_at_ - request_.arrived);
-  if (route_)
-    line.Add("left_ms", deadline_ - now);
-  host_.parts_.log.Write(line);
-}
-
-void RequestExchange::LogAttempt(MonoTime now, std::string_view end) const {
-  host_.parts_.log.Write(LogLine("attempt_ended")
-                             .Add("id", request_id_)
-                             .Add("end", end)
-                             .Add("server", server_.value())
-                             .Add("status", answer_.status)
-                             .Add("events", events_passed_)
-                             .Add("after_ms", now - sent_at_)
-                             .Add("server_silent_ms",
-                                  host_.parts_.backends.SilentFor(now, server_))
-                             .Add("left_ms", deadline_ - now));
-}
-
 }  // namespace mangoport
--- a/lib/placement/copy_planner.cc
+++ b/lib/placement/copy_planner.cc
@@ -17,9 +17,6 @@
 /// immediately because no copy exists never wait, so only their arrivals count.
 constexpr double kMinArrivalsPerSecond = 0.2;
 
-/// Arrival rate up to which an adapter without requests counts as idle.
-constexpr double kMinAdapterArrivalsPerSecond = 0.05;
-
 /// Relative costs for comparing target engines: a load from the weight store, a
 /// load from local disk, and an eviction. The engine's present load is added.
 constexpr double kStoreLoadCost = 4;
@@ -39,20 +36,6 @@
   return it != times.end() && now - it->second < span;
 }
 
-/// Returns true if the adapter has requests, or has had some lately. The rate
-/// of arrivals only approaches zero once they have ended.
-bool IsInUse(const std::map<ModelId, CopyDemand>& demand,
-             const ModelId& adapter) {
-  const auto it = demand.find(adapter);
-  return it != demand.end() &&
-         (it->second.running > 0 || it->second.waiting > 0 ||
-          it->second.arrivals_per_second > kMinAdapterArrivalsPerSecond);
-}
-
-ModelId AdapterName(const ModelId& model, const AdapterId& adapter) {
-  return ModelId(model.value() + "/" + adapter.value());
-}
-
 }  // namespace
 
 void CopyPlanner::Restart(MonoTime now) {
@@ -194,15 +177,6 @@
   return best;
 }
 
-double CopyPlanner::AdapterSlotsUsed(const Engine& engine,
-                                     const EngineCapacity& capacity) {
-  std::size_t used = 0;
-  for (const ResidentModel& it : engine.source->entry.models)
-    used += it.adapters.size();
-  return static_cast<double>(used) /
-         std::max<std::uint32_t>(capacity.adapter_slots, 1);
-}
-
 std::optional<CopyPlanner::LoadTarget> CopyPlanner::FindTarget(
     MonoTime now,
     const EngineCapacity& capacity,
@@ -409,133 +383,6 @@
   }
 }
 
-void CopyPlanner::PlanAdapters(MonoTime now,
-                               const EngineCapacity& capacity,
-                               const std::map<ModelId, CopyDemand>& demand,
-                               AdapterPass pass,
-                               std::vector<CopyOrder>& out) {
-  const auto load_of = [&demand](const ModelId& name) {
-    const auto it = demand.find(name);
-    if (it == demand.end())
-      return 0.0;
-    return it->second.running + 10 * it->second.waiting +
-           it->second.arrivals_per_second;
-  };
-  std::map<ModelId, std::size_t> adapter_copies;
-  for (const Engine& it : engines_) {
-    for (const ResidentModel& held : it.source->entry.models) {
-      for (const AdapterId& adapter : held.adapters)
-        ++adapter_copies[AdapterName(held.model, adapter)];
-    }
-  }
-  struct AdapterCandidate {
-    ModelId model;
-    AdapterId adapter;
-    ModelId name;
-    double load;
-    std::size_t copies;
-  };
-  std::vector<AdapterCandidate> candidates;
-  for (const auto& [id, model] : models_) {
-    for (std::uint32_t i = 1; i <= model.spec->adapter_count; ++i) {
-      AdapterCandidate it{.model = id,
-                          .adapter = AdapterId("a" + std::to_string(i)),
-                          .name = {},
-                          .load = 0,
-                          .copies = 0};
-      it.name = AdapterName(id, it.adapter);
-      it.load = load_of(it.name);
-      if (IsInUse(demand, it.name))
-        adapter_used_at_[it.name] = now;
-      const auto held = adapter_copies.find(it.name);
-      it.copies = held == adapter_copies.end() ? 0 : held->second;
-      if ((it.copies == 0) == (pass == AdapterPass::kMissing))
-        candidates.push_back(std::move(it));
-    }
-  }
-  // Those with the most load per copy come first.
-  std::sort(candidates.begin(), candidates.end(),
-            [](const AdapterCandidate& a, const AdapterCandidate& b) {
-              return a.load / static_cast<double>(a.copies + 1) >
-                     b.load / static_cast<double>(b.copies + 1);
-            });
-  for (const AdapterCandidate& it : candidates) {
-    if (it.copies > 0 && it.load <= 0)
-      continue;
-    Engine* best = nullptr;
-    std::size_t best_count = 0;
-    // An engine with an order may have room once the order is carried out.
-    bool may_have_room = false;
-    for (Engine& engine : engines_) {
-      std::size_t count = 0;
-      bool has_model = false;
-      bool has_adapter = false;
-      for (const ResidentModel& held : engine.source->entry.models) {
-        count += held.adapters.size();
-        if (held.model != it.model)
-          continue;
-        has_model = true;
-        has_adapter = std::find(held.adapters.begin(), held.adapters.end(),
-                                it.adapter) != held.adapters.end();
-      }
-      if (!has_model || has_adapter)
-        continue;
-      if (engine.has_order || engine.reserved_for) {
-        may_have_room = may_have_room || count < capacity.adapter_slots;
-        continue;
-      }
-      if (!best || count < best_count) {
-        best = &engine;
-        best_count = count;
-      }
-    }
-    if (!best)
-      continue;
-    CopyOrder order;
-    order.engine = best->source->entry.id;
-    if (best_count < capacity.adapter_slots) {
-      order.kind = PlacementOrderKind::kLoadAdapter;
-      order.model = it.model;
-      order.adapter = it.adapter;
-      order.reason = it.copies == 0 ? "no copy" : "busy";
-      best->has_order = true;
-      out.push_back(std::move(order));
-      continue;
-    }
-    if (it.copies > 0 || it.load <= 0)
-      continue;
-    // All slots are taken: evict the adapter with the least demand.
-    std::optional<std::pair<ModelId, AdapterId>> victim;
-    double victim_load = 0;
-    for (const ResidentModel& held : best->source->entry.models) {
-      for (const AdapterId& adapter : held.adapters) {
-        const ModelId name = AdapterName(held.model, adapter);
-        const auto used = adapter_used_at_.find(name);
-        const bool idle = used == adapter_used_at_.end() ||
-                          now - used->second > settings_.adapter_idle_timeout;
-        const double load = load_of(name);
-        if (!idle && adapter_copies[name] < 2)
-          continue;
-        if (!victim || load < victim_load) {
-          victim = std::pair(held.model, adapter);
-          victim_load = load;
-        }
-      }
-    }
-    if (!victim) {
-      if (!may_have_room)
-        short_of_adapter_slots_.insert(it.model);
-      continue;
-    }
-    order.kind = PlacementOrderKind::kUnloadAdapter;
-    order.model = victim->first;
-    order.adapter = victim->second;
-    order.reason = "room for " + it.name.value();
-    best->has_order = true;
-    out.push_back(std::move(order));
-  }
-}
-
 std::vector<CopyOrder> CopyPlanner::Plan(
     MonoTime now,
     const EngineCapacity& capacity,
@@ -546,9 +393,10 @@
   std::vector<CopyOrder> out;
   PlanReserved(now, capacity, out);
   PlanMissing(now, capacity, out);
-  PlanAdapters(now, capacity, demand, AdapterPass::kMissing, out);
+  PrepareAdapters(now, demand);
+  PlanMissingAdapters(now, capacity, out);
   PlanHighLoad(now, capacity, out);
-  PlanAdapters(now, capacity, demand, AdapterPass::kFurther, out);
+  PlanFurtherAdapters(capacity, out);
   return out;
 }
 
