edge: plain technical wording in comments and names

The folder as a whole, with the names of lib/gossip that it uses. Log events, messages and settings keep their names.

--- a/include/mangoport/edge/edge_host.h
+++ b/include/mangoport/edge/edge_host.h
@@ -29,17 +29,17 @@
 
 namespace mangoport {
 
-/// Makes the platform client, given what it makes its calls with.
+/// Creates the platform client, which uses `caller` for its calls.
 using PlatformFactory =
     std::function<std::unique_ptr<FleetPlatform>(HttpCaller& caller,
                                                  const EdgeSettings& settings,
                                                  ForwardMetrics& metrics)>;
 
-/// Reads the settings file anew, after SIGHUP. None if it can't be used.
+/// Reads the settings file again after SIGHUP. None if it is invalid.
 using SettingsReader = std::function<std::optional<EdgeSettings>()>;
 
-/// One entry host: a single event loop that takes callers' requests, follows
-/// the platform's store and shares its state with the other hosts.
+/// An entry host with a single event loop, which serves callers' requests,
+/// reads the platform's store and exchanges state with the other hosts.
 class EdgeHost {
  public:
   EdgeHost(const EdgeSettings& settings,
@@ -51,11 +51,11 @@
   EdgeHost(const EdgeHost&) = delete;
   EdgeHost& operator=(const EdgeHost&) = delete;
 
-  /// Serves until SIGTERM or SIGINT and the end of the requests under way.
+  /// Serves until SIGTERM or SIGINT and the end of the requests in progress.
   void Run();
 
  private:
-  /// A listening socket and what becomes of its connections' requests.
+  /// A listening socket and the handler of its requests.
   struct Listener {
     Listener(asio::io_context& io, const Endpoint& endpoint);
 
@@ -82,12 +82,12 @@
   void OnPeerState(MonoTime now,
                    std::optional<BootTime> sent_after,
                    const wire::HostState& message);
-  /// What a peer tells beside the feeds.
-  void OnPeerRest(MonoTime now, const wire::HostState& message);
-  /// Sets how long peers may be silent by the size of the fleet.
-  void FitToFleet();
-  void TellHolder();
-  void TellChanges();
+  /// Processes the part of a peer's state that is not about feeds.
+  void OnPeerFullState(MonoTime now, const wire::HostState& message);
+  /// Adapts timeouts for silent peers to the size of the fleet.
+  void AdaptToFleetSize();
+  void SendToHolder();
+  void SendChanges();
 
   void FlushLogLater(MonoTime now);
   void WaitForSignals();
@@ -120,7 +120,7 @@
   std::optional<HostId> holder_;
   MonoTime holder_heard_at_;
   Duration holder_lifetime_{};
-  MonoTime told_holder_at_;
+  MonoTime sent_to_holder_at_;
   MonoTime stop_began_;
   bool stopping_ = false;
   bool released_ = false;
--- a/include/mangoport/edge/feed_service.h
+++ b/include/mangoport/edge/feed_service.h
@@ -19,48 +19,49 @@
 namespace mangoport {
 
 struct FeedSettings {
-  /// How long a reader's call for the configuration waits for news; each answer
-  /// proves the keys current as of its sending.
+  /// The time for which the store holds a reader's call for the configuration
+  /// if there is no change. Each reply confirms the keys as of the time at
+  /// which the call was sent.
   Duration config_wait = std::chrono::milliseconds(800);
-  /// From one read of the list of servers to a reader's next one.
+  /// The interval at which a reader reads the list of servers.
   Duration servers_interval = std::chrono::milliseconds(900);
-  /// A host reads for itself once the readers' word is older than this.
+  /// A host reads the feeds itself once the readers' newest update is older.
   Duration config_patience = std::chrono::milliseconds(1500);
   Duration servers_patience = std::chrono::milliseconds(1500);
   Duration hosts_interval = std::chrono::seconds(30);
-  /// Pauses after a failed call; they double up to the longest.
+  /// The delay after a failed call doubles from the first to the longest.
   Duration first_backoff = std::chrono::milliseconds(150);
   Duration longest_backoff = std::chrono::milliseconds(800);
 };
 
-/// What a host tells the others of the feeds that it reads itself. A feed that
-/// it does not read, or could not read lately, is left out.
-struct FeedWords {
+/// The state of the feeds that a host sends to the others. A feed that the host
+/// has not read itself recently is omitted.
+struct FeedUpdates {
   std::optional<FeedUpdate> config = std::nullopt;
   std::optional<ServerFeedUpdate> servers = std::nullopt;
 };
 
-/// What the feeds bring.
+/// Callbacks for changes of the feeds.
 struct FeedHooks {
   std::function<void(FleetConfigPtr config)> on_config;
-  /// Servers have changed; `removed` are gone for good.
+  /// Servers have changed; `removed` are no longer listed.
   std::function<void(const std::map<ServerId, ServerEntry>& servers,
                      const std::vector<ServerId>& removed)>
       on_servers;
   std::function<void(const std::vector<HostAddress>& hosts)> on_hosts;
-  /// This host has read news that the others should hear of at once.
+  /// This host has read a change that it should send to the others at once.
   std::function<void()> on_news;
-  /// Another host lists other servers at the same position; this host now reads
-  /// the whole list.
+  /// The list of servers differs from another host's at the same position. This
+  /// host then reads the whole list.
   std::function<void()> on_difference;
 };
 
-/// Follows the operators' configuration, the list of backend servers and the
-/// list of hosts, and keeps this host on the latter. A few hosts read the
-/// first two for all; see `FeedTracker`.
+/// Reads the operators' configuration, the list of backend servers and the list
+/// of hosts from the store, and registers this host in the last one. A few
+/// hosts read the first two on behalf of all; see `FeedTracker`.
 ///
-/// A configuration is taken only if its version is higher than that in force.
-/// The time of each proof that the configuration is current goes to the key
+/// A configuration is applied only if its version is higher than the current
+/// one. Each confirmation that the configuration is current updates the key
 /// evidence.
 class FeedService {
  public:
@@ -77,28 +78,30 @@
 
   void Start();
 
-  /// Starts no more calls.
+  /// Stops making calls.
   void Stop() { stopped_ = true; }
 
-  /// Whether this host reads the feeds for the others.
+  /// Sets whether this host reads the feeds on behalf of the others.
   void SetReader(bool reader);
 
-  /// What this host has read itself, without changes of servers.
-  FeedWords OwnWords(BootTime now) const;
+  /// Returns what this host has read itself, without the changes of servers.
+  FeedUpdates OwnUpdates(BootTime now) const;
 
-  /// The same with the changes that a host lacks which knows the list of
-  /// servers up to `position`.
-  FeedWords OwnWordsSince(MonoTime now,
-                          BootTime boot_now,
-                          std::uint64_t position);
+  /// Returns the same with the changes of servers after `position`, for a host
+  /// that has the list up to there.
+  FeedUpdates OwnUpdatesSince(MonoTime now,
+                              BootTime boot_now,
+                              std::uint64_t position);
 
-  /// How far this host knows the list of servers.
+  /// This host's position in the list of servers; zero before the first read.
   std::uint64_t servers_position() const {
     return server_feed_.position().value_or(0);
   }
 
-  /// What another host, `peer`, has read.
-  void OnPeerWords(MonoTime now, const HostId& peer, const FeedWords& words);
+  /// Processes what another host, `peer`, has read.
+  void OnPeerUpdates(MonoTime now,
+                     const HostId& peer,
+                     const FeedUpdates& updates);
 
   bool has_config() const { return version_.has_value(); }
   bool has_servers() const { return server_feed_.has_list(); }
@@ -106,10 +109,10 @@
  private:
   using Step = void (FeedService::*)();
 
-  /// The calls for one of the things that are read over and over.
+  /// The state of the repeated calls for one feed.
   struct Feed {
     std::string_view name;
-    /// When the newest read was sent.
+    /// When the last read was sent.
     BootTime sent_at = {};
     Duration backoff{};
     bool in_flight = false;
@@ -117,7 +120,7 @@
     TimerQueue::Ticket timer = TimerQueue::kNoTicket;
   };
 
-  /// Reads the feed if that is due, and otherwise waits until it is.
+  /// Reads the feed if a read is due; otherwise sets a timer for it.
   void FollowConfig();
   void FollowServers();
   void Follow(Feed& feed, Duration wait, Step follow, Step read);
@@ -126,18 +129,19 @@
   void ApplyConfig(FleetConfig config, std::uint64_t next);
   void ReadServers();
   void OnServers(const CallReply<ServerNews>& reply);
-  /// Logs what the feed made of an input and tells the other parts.
+  /// Logs the outcome and calls the hooks for it.
   void OnServerOutcome(MonoTime now, const ServerFeedOutcome& outcome);
-  void OnConfigWord(const FeedUpdate& word);
-  void OnServersWord(MonoTime now,
-                     const HostId& peer,
-                     const ServerFeedUpdate& word);
+  void OnConfigUpdate(const FeedUpdate& update);
+  void OnServersUpdate(MonoTime now,
+                       const HostId& peer,
+                       const ServerFeedUpdate& update);
   void ExpireServers(MonoTime now);
   void Announce();
   void ReadHosts();
-  /// Takes the step after `wait`, in place of one that waits already.
+  /// Runs the step after `wait`; replaces the feed's pending step.
   void StepAfter(Feed& feed, Duration wait, Step step);
-  /// The pause after a failure; logs the first one.
+  /// Returns the delay before the next call; logs the first of several
+  /// failures.
   Duration NoteFailure(Feed& feed, CallStatus status, const std::string& error);
   void NoteSuccess(Feed& feed);
   void LogProblems(const Feed& feed, const std::vector<std::string>& problems);
@@ -153,7 +157,7 @@
   Feed servers_;
   Feed hosts_;
   std::optional<std::uint64_t> version_;
-  /// The position behind the newest configuration.
+  /// The position after the newest configuration.
   std::uint64_t config_changed_at_ = 0;
   FeedTracker config_track_;
   ServerFeed server_feed_;
--- a/include/mangoport/edge/order_service.h
+++ b/include/mangoport/edge/order_service.h
@@ -21,13 +21,13 @@
 
 namespace mangoport {
 
-/// What each host's callers ask of the models, summed up for the planner.
+/// The demand for models and adapters from the callers of all hosts.
 class DemandTable {
  public:
-  /// What `host` says now; counters run since its start.
+  /// Processes a report of `host`, whose counters run since its start.
   void Set(MonoTime now, const HostId& host, const std::vector<ModelUse>& uses);
 
-  /// The sum over all hosts that were heard lately.
+  /// Returns the sum over all hosts that reported recently.
   std::map<ModelId, CopyDemand> Sum(MonoTime now);
 
  private:
@@ -45,8 +45,8 @@
   std::map<HostId, Host> hosts_;
 };
 
-/// Contends for the right to give engines orders, and with it keeps the copies
-/// of models and adapters where callers need them.
+/// Competes for the order lease and, while this host holds it, orders engines
+/// to load and unload models and adapters according to demand.
 class OrderService {
  public:
   struct Parts {
@@ -70,7 +70,7 @@
   void SetConfig(FleetConfigPtr config) { config_ = std::move(config); }
   void SetServers(const std::map<ServerId, ServerEntry>& servers);
 
-  /// What this host's callers ask for; called at each step.
+  /// Returns the demand of this host's callers; called for each plan.
   void set_own_uses(std::function<std::vector<ModelUse>()> hook) {
     own_uses_ = std::move(hook);
   }
@@ -78,55 +78,58 @@
   void set_on_role(std::function<void(bool holds)> hook) {
     on_role_ = std::move(hook);
   }
-  /// Called when engines' copies have changed.
+  /// Called when the copies that engines hold have changed.
   void set_on_changes(std::function<void()> hook) {
     on_changes_ = std::move(hook);
   }
 
-  /// A peer's demand. Plans at once if the peer has requests that wait.
-  void OnPeerUses(MonoTime now,
-                  const HostId& host,
-                  const std::vector<ModelUse>& uses);
+  /// Processes a peer's demand. Plans at once if requests wait for a copy.
+  void OnPeerDemand(MonoTime now,
+                    const HostId& host,
+                    const std::vector<ModelUse>& uses);
   void OnHolderUpdate(const HostId& host, std::uint64_t term);
   void OnHolderResigned(const HostId& host,
                         std::uint64_t term,
                         Duration last_order_age);
 
-  /// This host's own callers wait for a copy.
-  void OnOwnWaiting();
+  /// Plans as soon as the minimum time since the last plan has passed.
+  void PlanSoon();
 
-  /// How long this host may not hear the holder before it asks the store.
-  void SetDoubtAfter(Duration time) { lease_.set_suspicion_timeout(time); }
+  /// Sets the time without an update from the holder after which this host
+  /// reads the lease from the store.
+  void SetSuspicionTimeout(Duration time) {
+    lease_.set_suspicion_timeout(time);
+  }
 
-  /// The term that this host holds, or zero.
+  /// Returns the term of the lease that this host holds, or zero.
   std::uint64_t held_term() const;
   std::uint64_t resigned_term() const { return lease_.resigned_term(); }
-  /// How long ago, at least, this host or one before it gave an order.
+  /// Returns a lower bound on the time since the last order of any holder.
   Duration last_order_age() const;
   std::vector<EngineOrderTracker::ResidencyUpdate> Changes(MonoTime now) const {
-    return book_.RecentChanges(now);
+    return tracker_.RecentChanges(now);
   }
 
-  /// Gives the lease up; calls `done` once that is written or has failed.
+  /// Releases the lease; calls `done` once that is written or has failed.
   void Release(std::function<void()> done);
 
  private:
   void Tick(MonoTime now);
   void StepLease();
-  void Perform(const OrderLeaseStep& step);
+  void PerformLeaseStep(const OrderLeaseStep& step);
   void Plan(MonoTime now);
   void PlanService(MonoTime now, const ServiceSpec& service);
   void LogDemand(const EngineCapacity& capacity,
                  const std::vector<PlannedEngine>& engines,
                  const std::map<ModelId, CopyDemand>& demand);
-  void Give(MonoTime now, EngineOrder order);
-  void AskReport(const ServerId& engine);
-  void NoteRole();
+  void SendOrder(MonoTime now, EngineOrder order);
+  void RequestReport(const ServerId& engine);
+  void UpdateRole();
 
   Parts parts_;
   HostId self_;
   OrderLease lease_;
-  EngineOrderTracker book_;
+  EngineOrderTracker tracker_;
   std::map<ServiceId, CopyPlanner> planners_;
   DemandTable demand_;
   FleetConfigPtr config_;
@@ -136,7 +139,7 @@
   std::function<void(bool holds)> on_role_;
   MonoTime planned_at_;
   MonoTime demand_logged_at_;
-  bool was_holder_ = false;
+  bool held_before_ = false;
   bool plan_soon_ = false;
   bool stopped_ = false;
 };
--- a/include/mangoport/edge/soft_state_service.h
+++ b/include/mangoport/edge/soft_state_service.h
@@ -24,21 +24,21 @@
   using Fill = std::function<
       void(MonoTime now, const PeerHost& peer, wire::HostState& message)>;
 
-  /// Fills in what this host has read of the feeds, for one peer.
+  /// Adds the state of the feeds to a message for `peer`.
   Fill fill_feeds;
-  /// Fills in all else of this host's state.
+  /// Adds the rest of this host's state.
   Fill fill;
-  /// A peer's newest state. `sent_after` is a moment of this host's clock that
-  /// the message was sent after; none if that is not known.
+  /// A peer's newest state. `sent_after` is a time on this host's clock before
+  /// which the message cannot have been sent; none if unknown.
   std::function<void(MonoTime now,
                      std::optional<BootTime> sent_after,
                      const wire::HostState& message)>
       on_state;
-  /// Whether this host reads the store's feeds for the others.
+  /// Called when this host begins or stops reading the feeds for the others.
   std::function<void(bool reader)> on_reader;
 };
 
-/// Tells the other hosts this host's soft state in datagrams and takes theirs.
+/// Exchanges soft state with the other hosts in datagrams.
 class SoftStateService {
  public:
   SoftStateService(asio::io_context& io,
@@ -56,19 +56,21 @@
 
   void OnHosts(const std::vector<HostAddress>& hosts);
 
-  /// Tells one peer now, out of turn.
-  void TellNow(const HostId& host);
+  /// Sends the full state to one peer now.
+  void SendTo(const HostId& host);
 
-  /// Tells all peers within a few milliseconds, however often it is asked for.
-  void TellAllSoon();
+  /// Sends the full state to all peers within a few milliseconds. Several calls
+  /// in that time cause one datagram per peer.
+  void SendToAllSoon();
 
-  /// Tells the peers of this availability zone the news of the feeds, likewise.
-  void TellFeedsSoon();
+  /// Does the same for the feeds and the peers of this availability zone.
+  void SendFeedsSoon();
 
-  /// Tells every peer that this host stops, now and from now on.
-  void TellLeaving();
+  /// Tells every peer that this host is shutting down, now and in all further
+  /// datagrams.
+  void AnnounceLeaving();
 
-  /// Whether this host holds the order lease.
+  /// Sets whether this host holds the order lease.
   void SetHoldsOrders(bool holds) { peers_.set_holds_orders(holds); }
 
   std::uint64_t incarnation() const { return incarnation_; }
@@ -80,9 +82,9 @@
   void Receive();
   void ReadAll();
   void OnDatagram(MonoTime now, std::size_t bytes);
-  void TellDue(MonoTime now);
+  void SendDue(MonoTime now);
   void ChooseReaders(MonoTime now);
-  void Send(MonoTime now, const PeerHost& peer, bool whole = true);
+  void Send(MonoTime now, const PeerHost& peer, bool full_state = true);
 
   TimerQueue& timers_;
   DecisionLog& log_;
@@ -95,8 +97,8 @@
   std::uint64_t incarnation_;
   std::uint64_t sequence_ = 0;
   std::set<HostId> readers_;
-  bool tell_all_pending_ = false;
-  bool tell_feeds_pending_ = false;
+  bool send_all_pending_ = false;
+  bool send_feeds_pending_ = false;
   bool leaving_ = false;
   std::array<char, 65536> buffer_;
 };
--- a/include/mangoport/edge/stop_policy.h
+++ b/include/mangoport/edge/stop_policy.h
@@ -7,30 +7,31 @@
 
 namespace mangoport {
 
-/// A planned stop that is under way.
+/// The progress of an orderly shutdown.
 struct StopProgress {
-  /// Since SIGTERM.
+  /// Time since SIGTERM.
   Duration passed{};
-  /// From SIGTERM to SIGKILL.
+  /// Time from SIGTERM to SIGKILL.
   Duration grace{};
   std::size_t active_requests = 0;
   std::size_t connections = 0;
-  /// The order lease has been given up, or was not held.
+  /// The order lease was released, or not held.
   bool lease_released = false;
 };
 
 struct StopDecision {
-  /// Requests that arrive now are refused: they might not end in time.
+  /// New requests are refused, since they might not complete in time.
   bool refuse_new = false;
-  /// Connections without a request are closed.
+  /// Idle connections are closed.
   bool close_idle = false;
-  /// The process ends.
+  /// The process exits.
   bool finish = false;
 };
 
-/// What to do at this moment of a planned stop. Requests are taken until the
-/// balancer has had time to see that the host is not ready, then refused, so
-/// that none is begun which the end of the grace time would cut.
+/// Decides the next step of an orderly shutdown. Requests are accepted until
+/// the load balancer has had time to notice that the host is not ready. After
+/// that they are refused, so that none is interrupted by the end of the grace
+/// time.
 StopDecision DecideStop(const StopProgress& progress);
 
 }  // namespace mangoport
--- a/include/mangoport/gossip/soft_state.h
+++ b/include/mangoport/gossip/soft_state.h
@@ -39,7 +39,7 @@
 struct DuePeer {
   PeerHost peer;
   /// True if the full state is due; otherwise only the feed changes are.
-  bool whole = true;
+  bool full_state = true;
 };
 
 struct SoftStateSettings {
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -14,10 +14,10 @@
 
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(100);
 
-/// A host whose key evidence is older sends callers elsewhere.
+/// A host is not ready if its key evidence is older.
 constexpr Duration kReadyEvidenceAge = std::chrono::milliseconds(3200);
 
-/// Hosts that see no holder claim the lease at different times.
+/// Maximum random delay before a claim, so that hosts do not all claim at once.
 constexpr int kClaimSpreadMs = 500;
 
 MonoTime Now() {
@@ -41,7 +41,7 @@
 }
 
 FeedSettings FeedSettingsFor(const EdgeBounds& bounds) {
-  // What is left of the bound is for the host's own read and its effect.
+  // The rest of the bound is for the host's own read and for applying it.
   constexpr int kParts = 4;
   constexpr int kPatientParts = 3;
   FeedSettings out;
@@ -59,7 +59,7 @@
   acceptor.open(address.protocol());
   acceptor.set_option(asio::socket_base::reuse_address(true));
   acceptor.bind(address);
-  // A burst of callers must find room in the queue.
+  // The accept queue must hold a burst of new connections.
   constexpr int kBacklog = 4096;
   acceptor.listen(kBacklog);
   acceptor.non_blocking(true);
@@ -132,9 +132,9 @@
               DrawClaimDelay()),
       signals_(io_, SIGTERM, SIGINT, SIGHUP) {
   quota_.AwaitHostList();
-  forwarder_.set_on_missing([this] { TellHolder(); });
+  forwarder_.set_on_missing([this] { SendToHolder(); });
   orders_.set_own_uses([this] { return forwarder_.ModelUses(); });
-  orders_.set_on_changes([this] { TellChanges(); });
+  orders_.set_on_changes([this] { SendChanges(); });
   orders_.set_on_role(
       [this](bool holds) { soft_state_.SetHoldsOrders(holds); });
 }
@@ -160,7 +160,7 @@
                 soft_state_.OnHosts(hosts);
                 quota_.OnListed(Now(), hosts.size());
               },
-          .on_news = [this] { soft_state_.TellFeedsSoon(); },
+          .on_news = [this] { soft_state_.SendFeedsSoon(); },
           .on_difference = [this] { metrics_.OnListingDifference(); }};
 }
 
@@ -301,7 +301,7 @@
   log_.Write(LogLine("reload").Add("usable", settings.has_value()));
   if (!settings)
     return;
-  // Addresses can't change while the host runs; the bounds can.
+  // Addresses cannot change at run time; only the bounds are reloaded.
   settings_.bounds = settings->bounds;
   key_evidence_.set_max_age(KeyMaxAge(settings_.bounds));
 }
@@ -315,7 +315,7 @@
   log_.Flush();
   for (const auto& it : caller_sessions_)
     it->Drain();
-  soft_state_.TellLeaving();
+  soft_state_.AnnounceLeaving();
   orders_.Release([this] { released_ = true; });
   ContinueStop(now);
 }
--- a/lib/edge/edge_peers.cc
+++ b/lib/edge/edge_peers.cc
@@ -1,4 +1,5 @@
-// What an edge host tells its peers in datagrams, and what it makes of theirs.
+// The datagrams between edge hosts: what a host sends and how it processes what
+// it receives.
 #include <algorithm>
 #include <cmath>
 
@@ -10,16 +11,17 @@
 
 constexpr double kPerMille = 1000;
 
-/// The holder is told of waiting requests at once, but not more often.
-constexpr Duration kTellHolderInterval = std::chrono::milliseconds(15);
+/// Waiting requests are reported to the holder at once, at most this often.
+constexpr Duration kSendToHolderInterval = std::chrono::milliseconds(15);
 constexpr Duration kHolderLifetime = std::chrono::seconds(2);
 
-/// The readers hear the holder often, the others once a round.
-constexpr Duration kHolderDoubt = std::chrono::milliseconds(1000);
-constexpr int kHolderDoubtRounds = 3;
+/// The holder is suspected after this time without a datagram from it. Readers
+/// receive one every few hundred ms, other hosts one per round.
+constexpr Duration kHolderSuspicionTimeout = std::chrono::milliseconds(1000);
+constexpr int kSilentRounds = 3;
 
-/// What a silent host reported of its load counts for so long, and for some
-/// rounds at the least.
+/// The load reported by a host counts for this time, and for at least
+/// `kSilentRounds` rounds, after its last datagram.
 constexpr Duration kPeerLoadLifetime = std::chrono::seconds(4);
 
 MonoTime Now() {
@@ -50,13 +52,13 @@
                          wire::HostState& message) {
   const BootTime boot_now = BootClock::now();
   message.set_servers_position(feeds_.servers_position());
-  // Each zone has a reader of its own, so that changes need not cross zones.
+  // Each zone has a reader, so changes are not sent across zones.
   if (peer.zone == settings_.zone)
     WriteFeeds(boot_now,
-               feeds_.OwnWordsSince(now, boot_now, peer.servers_position),
+               feeds_.OwnUpdatesSince(now, boot_now, peer.servers_position),
                message);
   else
-    WriteFeeds(boot_now, feeds_.OwnWords(boot_now), message);
+    WriteFeeds(boot_now, feeds_.OwnUpdates(boot_now), message);
 }
 
 void EdgeHost::FillState(MonoTime now,
@@ -110,13 +112,13 @@
                            std::optional<BootTime> sent_after,
                            const wire::HostState& message) {
   if (!message.leaving())
-    feeds_.OnPeerWords(now, HostId(message.host()),
-                       ReadFeeds(sent_after, message));
+    feeds_.OnPeerUpdates(now, HostId(message.host()),
+                         ReadFeeds(sent_after, message));
   if (!message.feeds_only())
-    OnPeerRest(now, message);
+    OnPeerFullState(now, message);
 }
 
-void EdgeHost::OnPeerRest(MonoTime now, const wire::HostState& message) {
+void EdgeHost::OnPeerFullState(MonoTime now, const wire::HostState& message) {
   const HostId host(message.host());
   PeerUsage spending{.host = host,
                      .incarnation = message.incarnation(),
@@ -126,7 +128,7 @@
         {.account = AccountId(it.account()), .total = it.total()});
   quota_.OnPeerUsage(now, spending);
   forwarder_.SetHostCount(now, quota_.host_count());
-  FitToFleet();
+  AdaptToFleetSize();
   std::vector<ServerLoad> loads;
   for (const wire::BackendLoad& it : message.loads())
     loads.push_back({.server = ServerId(it.server()),
@@ -159,42 +161,42 @@
   std::vector<ModelUse> uses;
   for (const wire::ModelDemandNote& it : message.demands())
     uses.push_back(FromWire(it));
-  orders_.OnPeerUses(now, host, uses);
+  orders_.OnPeerDemand(now, host, uses);
 }
 
-void EdgeHost::FitToFleet() {
+void EdgeHost::AdaptToFleetSize() {
   const Duration round = soft_state_.peers().RoundDuration();
   quota_.set_update_round(round);
   backends_.set_peer_load_lifetime(
-      std::max(kPeerLoadLifetime, round * kHolderDoubtRounds));
-  orders_.SetDoubtAfter(
+      std::max(kPeerLoadLifetime, round * kSilentRounds));
+  orders_.SetSuspicionTimeout(
       soft_state_.is_reader()
-          ? kHolderDoubt
-          : std::max(kHolderDoubt, round * kHolderDoubtRounds));
-  holder_lifetime_ = std::max(kHolderLifetime, round * kHolderDoubtRounds);
+          ? kHolderSuspicionTimeout
+          : std::max(kHolderSuspicionTimeout, round * kSilentRounds));
+  holder_lifetime_ = std::max(kHolderLifetime, round * kSilentRounds);
 }
 
-void EdgeHost::TellHolder() {
+void EdgeHost::SendToHolder() {
   if (orders_.held_term() != 0) {
-    orders_.OnOwnWaiting();
+    orders_.PlanSoon();
     return;
   }
   const MonoTime now = Now();
   const bool known = holder_ && now - holder_heard_at_ < holder_lifetime_;
-  if (!known || now - told_holder_at_ < kTellHolderInterval)
+  if (!known || now - sent_to_holder_at_ < kSendToHolderInterval)
     return;
-  told_holder_at_ = now;
-  soft_state_.TellNow(*holder_);
+  sent_to_holder_at_ = now;
+  soft_state_.SendTo(*holder_);
 }
 
-void EdgeHost::TellChanges() {
+void EdgeHost::SendChanges() {
   const MonoTime now = Now();
   for (const EngineOrderTracker::ResidencyUpdate& it : orders_.Changes(now))
     backends_.NoteResidency(now, {.server = it.engine,
                                   .item = it.item,
                                   .orders_accepted = it.orders_accepted,
                                   .gone = it.gone});
-  soft_state_.TellAllSoon();
+  soft_state_.SendToAllSoon();
 }
 
 }  // namespace mangoport
--- a/lib/edge/feed_service.cc
+++ b/lib/edge/feed_service.cc
@@ -10,7 +10,8 @@
   return std::chrono::steady_clock::now();
 }
 
-/// Hosts that start together spread their first calls over this time.
+/// Hosts delay their first announcement by a random time up to this, to spread
+/// the load when many start together.
 constexpr Duration kStartSpread = std::chrono::milliseconds(150);
 
 std::string_view EffectName(ServerChangeEffect effect) {
@@ -181,7 +182,7 @@
   if (reply.value.newest)
     ApplyConfig(std::move(*reply.value.newest), reply.value.next);
   key_evidence_.OnCurrentRead(proof.sent_at);
-  // Before the first configuration there is nothing to wait behind.
+  // Without a configuration the host cannot serve, so it polls.
   if (!version_)
     StepAfter(config_, settings_.first_backoff, &FeedService::ReadConfig);
   else
@@ -272,51 +273,51 @@
   OnServerOutcome(now, server_feed_.Expire(now));
 }
 
-FeedWords FeedService::OwnWords(BootTime now) const {
-  FeedWords out;
+FeedUpdates FeedService::OwnUpdates(BootTime now) const {
+  FeedUpdates out;
   if (version_)
     out.config = config_track_.MakeFeedUpdate(now, config_changed_at_);
   out.servers = server_feed_.OwnUpdate(now);
   return out;
 }
 
-FeedWords FeedService::OwnWordsSince(MonoTime now,
-                                     BootTime boot_now,
-                                     std::uint64_t position) {
-  FeedWords out = OwnWords(boot_now);
+FeedUpdates FeedService::OwnUpdatesSince(MonoTime now,
+                                         BootTime boot_now,
+                                         std::uint64_t position) {
+  FeedUpdates out = OwnUpdates(boot_now);
   out.servers = server_feed_.OwnUpdateSince(now, boot_now, position);
   return out;
 }
 
-void FeedService::OnPeerWords(MonoTime now,
-                              const HostId& peer,
-                              const FeedWords& words) {
+void FeedService::OnPeerUpdates(MonoTime now,
+                                const HostId& peer,
+                                const FeedUpdates& updates) {
   if (stopped_)
     return;
-  if (words.config)
-    OnConfigWord(*words.config);
-  if (words.servers)
-    OnServersWord(now, peer, *words.servers);
+  if (updates.config)
+    OnConfigUpdate(*updates.config);
+  if (updates.servers)
+    OnServersUpdate(now, peer, *updates.servers);
 }
 
-void FeedService::OnConfigWord(const FeedUpdate& word) {
+void FeedService::OnConfigUpdate(const FeedUpdate& update) {
   if (!version_)
     return;
-  if (config_track_.OnFeedUpdate(word) == FeedUpdateCoverage::kCurrent) {
-    if (word.proof)
-      key_evidence_.OnCurrentRead(word.proof->sent_at);
+  if (config_track_.OnFeedUpdate(update) == FeedUpdateCoverage::kCurrent) {
+    if (update.proof)
+      key_evidence_.OnCurrentRead(update.proof->sent_at);
     return;
   }
   config_track_.RequestImmediateRead();
-  // While calls fail, the pauses between them hold.
+  // After a failure, the backoff timer triggers the next read.
   if (config_.backoff == Duration::zero())
     FollowConfig();
 }
 
-void FeedService::OnServersWord(MonoTime now,
-                                const HostId& peer,
-                                const ServerFeedUpdate& word) {
-  const ServerFeedOutcome outcome = server_feed_.OnPeerUpdate(now, word);
+void FeedService::OnServersUpdate(MonoTime now,
+                                  const HostId& peer,
+                                  const ServerFeedUpdate& update) {
+  const ServerFeedOutcome outcome = server_feed_.OnPeerUpdate(now, update);
   OnServerOutcome(now, outcome);
   if (!outcome.difference)
     return;
@@ -326,7 +327,7 @@
                  .Add("own_digest", outcome.difference->own_digest)
                  .Add("peer_digest", outcome.difference->peer_digest));
   hooks_.on_difference();
-  // While calls fail, the pauses between them hold.
+  // After a failure, the backoff timer triggers the next read.
   if (servers_.backoff == Duration::zero())
     FollowServers();
 }
--- a/lib/edge/feed_wire.cc
+++ b/lib/edge/feed_wire.cc
@@ -9,24 +9,26 @@
 
 using std::chrono::milliseconds;
 
-/// Rounded up: evidence may look older than it is, never younger.
+/// Rounds up, so that evidence never appears newer than it is.
 std::uint32_t AgeMs(BootTime now, BootTime then) {
   const auto age = std::chrono::ceil<milliseconds>(now - then);
   return static_cast<std::uint32_t>(
       std::clamp<std::int64_t>(age.count(), 0, UINT32_MAX));
 }
 
-void WriteWord(BootTime now, const FeedUpdate& word, wire::FeedNote& note) {
-  note.set_position(word.position);
-  note.set_complete_from(word.complete_from);
-  if (!word.proof)
+void WriteFeedNote(BootTime now,
+                   const FeedUpdate& update,
+                   wire::FeedNote& note) {
+  note.set_position(update.position);
+  note.set_complete_from(update.complete_from);
+  if (!update.proof)
     return;
-  note.set_sent_age_ms(AgeMs(now, word.proof->sent_at));
-  note.set_answered_age_ms(AgeMs(now, word.proof->answered_at));
+  note.set_sent_age_ms(AgeMs(now, update.proof->sent_at));
+  note.set_answered_age_ms(AgeMs(now, update.proof->answered_at));
 }
 
-FeedUpdate ReadWord(std::optional<BootTime> sent_after,
-                    const wire::FeedNote& note) {
+FeedUpdate ReadFeedNote(std::optional<BootTime> sent_after,
+                        const wire::FeedNote& note) {
   FeedUpdate out;
   out.position = note.position();
   out.complete_from = note.complete_from();
@@ -96,17 +98,17 @@
 }  // namespace
 
 void WriteFeeds(BootTime now,
-                const FeedWords& words,
+                const FeedUpdates& updates,
                 wire::HostState& message) {
-  if (words.config)
-    WriteWord(now, *words.config, *message.mutable_config_feed());
-  if (!words.servers)
+  if (updates.config)
+    WriteFeedNote(now, *updates.config, *message.mutable_config_feed());
+  if (!updates.servers)
     return;
   wire::FeedNote& feed = *message.mutable_servers_feed();
-  WriteWord(now, words.servers->feed, feed);
-  if (words.servers->digest)
-    feed.set_digest(*words.servers->digest);
-  for (const ServerBatch& batch : words.servers->batches) {
+  WriteFeedNote(now, updates.servers->feed, feed);
+  if (updates.servers->digest)
+    feed.set_digest(*updates.servers->digest);
+  for (const ServerBatch& batch : updates.servers->batches) {
     wire::ServerBatchNote& note = *message.add_server_batches();
     note.set_next(batch.next);
     for (const ServerChange& it : batch.changes)
@@ -114,16 +116,16 @@
   }
 }
 
-FeedWords ReadFeeds(std::optional<BootTime> sent_after,
-                    const wire::HostState& message) {
-  FeedWords out;
+FeedUpdates ReadFeeds(std::optional<BootTime> sent_after,
+                      const wire::HostState& message) {
+  FeedUpdates out;
   if (message.has_config_feed())
-    out.config = ReadWord(sent_after, message.config_feed());
+    out.config = ReadFeedNote(sent_after, message.config_feed());
   if (!message.has_servers_feed())
     return out;
   const wire::FeedNote& feed = message.servers_feed();
   ServerFeedUpdate& servers = out.servers.emplace();
-  servers.feed = ReadWord(sent_after, feed);
+  servers.feed = ReadFeedNote(sent_after, feed);
   if (feed.has_digest())
     servers.digest = feed.digest();
   for (const wire::ServerBatchNote& note : message.server_batches()) {
--- a/lib/edge/feed_wire.h
+++ b/lib/edge/feed_wire.h
@@ -8,14 +8,17 @@
 
 namespace mangoport {
 
-/// Writes what this host has read of the store into a datagram.
-void WriteFeeds(BootTime now, const FeedWords& words, wire::HostState& message);
+/// Adds the state of the feeds to a datagram.
+void WriteFeeds(BootTime now,
+                const FeedUpdates& updates,
+                wire::HostState& message);
 
-/// What another host has read, dated by this host's clock: the datagram was
-/// sent after `sent_after`, so its ages count from there. Without that moment
-/// the words prove nothing about their age, only where the feeds stand.
-FeedWords ReadFeeds(std::optional<BootTime> sent_after,
-                    const wire::HostState& message);
+/// Parses the state of another host's feeds. The ages in the datagram are
+/// converted to times on this host's clock, counted from `sent_after`, a time
+/// before which it cannot have been sent. Without it, the result has positions
+/// but no confirmation times.
+FeedUpdates ReadFeeds(std::optional<BootTime> sent_after,
+                      const wire::HostState& message);
 
 }  // namespace mangoport
 
--- a/lib/edge/order_service.cc
+++ b/lib/edge/order_service.cc
@@ -9,13 +9,13 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(250);
 
-/// Least time between two plans, however many hosts ask for one.
+/// Minimum time between two plans.
 constexpr Duration kLeastPlanInterval = std::chrono::milliseconds(20);
 
-/// A host that was silent for longer asks for nothing.
+/// The demand of a host counts for this time after its last report.
 constexpr Duration kDemandLifetime = std::chrono::seconds(5);
 
-/// The demand for each model is logged this often by the holder.
+/// Interval at which the holder logs the demand for each model.
 constexpr Duration kDemandLogInterval = std::chrono::seconds(3);
 
 /// Time over which rates of arrivals are averaged.
@@ -55,7 +55,7 @@
   return "unknown";
 }
 
-/// How long the engine needs for what is planned.
+/// Returns the time in which the engine carries out the order.
 Duration LoadTime(const EngineCapacity& capacity,
                   const CopyOrder& order,
                   const ServerEntry& entry) {
@@ -117,7 +117,7 @@
   for (const auto& [host, entry] : hosts_) {
     for (const auto& [model, use] : entry.uses) {
       add(model, use);
-      // What an adapter is asked for is asked of its model too.
+      // Demand for an adapter is also demand for its model.
       const std::size_t slash = model.value().find('/');
       if (slash != std::string::npos)
         add(ModelId(model.value().substr(0, slash)), use);
@@ -141,7 +141,7 @@
 
 void OrderService::SetServers(const std::map<ServerId, ServerEntry>& servers) {
   servers_ = servers;
-  book_.SetServers(Now(), servers);
+  tracker_.SetServers(Now(), servers);
 }
 
 void OrderService::Tick(MonoTime now) {
@@ -153,28 +153,28 @@
 }
 
 void OrderService::StepLease() {
-  Perform(lease_.Next(BootClock::now()));
-  NoteRole();
+  PerformLeaseStep(lease_.Next(BootClock::now()));
+  UpdateRole();
 }
 
-void OrderService::NoteRole() {
+void OrderService::UpdateRole() {
   const bool holds = lease_.holds(BootClock::now());
-  if (holds == was_holder_)
+  if (holds == held_before_)
     return;
-  was_holder_ = holds;
+  held_before_ = holds;
   parts_.metrics.SetOrderHolder(holds);
   parts_.log.Write(LogLine("order_lease")
                        .Add("change", holds ? "won" : "lost")
                        .Add("term", lease_.record() ? lease_.record()->term : 0)
                        .Add("resigned_term", lease_.resigned_term()));
-  book_.Clear();
+  tracker_.Clear();
   for (auto& [service, planner] : planners_)
     planner.Restart(Now());
   if (on_role_)
     on_role_(holds);
 }
 
-void OrderService::Perform(const OrderLeaseStep& step) {
+void OrderService::PerformLeaseStep(const OrderLeaseStep& step) {
   switch (step.kind) {
     case OrderLeaseStep::Kind::kNone:
       return;
@@ -199,24 +199,24 @@
               lease_.OnConflict(now);
             else
               lease_.OnWriteUnknown(now);
-            NoteRole();
+            UpdateRole();
           });
       return;
   }
 }
 
-void OrderService::OnPeerUses(MonoTime now,
-                              const HostId& host,
-                              const std::vector<ModelUse>& uses) {
+void OrderService::OnPeerDemand(MonoTime now,
+                                const HostId& host,
+                                const std::vector<ModelUse>& uses) {
   demand_.Set(now, host, uses);
   const bool waits =
       std::any_of(uses.begin(), uses.end(),
                   [](const ModelUse& it) { return it.waiting > 0; });
   if (waits && held_term() != 0)
-    OnOwnWaiting();
+    PlanSoon();
 }
 
-void OrderService::OnOwnWaiting() {
+void OrderService::PlanSoon() {
   if (std::exchange(plan_soon_, true))
     return;
   const MonoTime now = Now();
@@ -259,14 +259,14 @@
     if (it.engine)
       PlanService(now, it);
   }
-  for (const EngineOrder& it : book_.DueOrders(now))
-    Give(now, it);
-  for (const ServerId& it : book_.DueReports(now))
-    AskReport(it);
+  for (const EngineOrder& it : tracker_.DueOrders(now))
+    SendOrder(now, it);
+  for (const ServerId& it : tracker_.DueReports(now))
+    RequestReport(it);
 }
 
 void OrderService::PlanService(MonoTime now, const ServiceSpec& service) {
-  const std::vector<PlannedEngine> engines = book_.Engines(now, service.id);
+  const std::vector<PlannedEngine> engines = tracker_.Engines(now, service.id);
   const std::map<ModelId, CopyDemand> demand = demand_.Sum(now);
   if (now - demand_logged_at_ >= kDemandLogInterval) {
     demand_logged_at_ = now;
@@ -279,7 +279,7 @@
     if (entry == servers_.end())
       continue;
     const Duration load_time = LoadTime(*service.engine, it, entry->second);
-    book_.Begin(now, it, load_time);
+    tracker_.Begin(now, it, load_time);
     parts_.log.Write(LogLine("order_planned")
                          .Add("engine", it.engine.value())
                          .Add("order", OrderName(it.kind))
@@ -315,9 +315,9 @@
   }
 }
 
-void OrderService::Give(MonoTime now, EngineOrder order) {
+void OrderService::SendOrder(MonoTime now, EngineOrder order) {
   const auto entry = servers_.find(order.engine);
-  // The machine may have stood still since the plan was made.
+  // The process may have been suspended since the plan was made.
   const BootTime boot_now = BootClock::now();
   const std::optional<std::uint64_t> term = lease_.MayOrder(boot_now);
   if (entry == servers_.end() || !term)
@@ -349,24 +349,24 @@
                              .Add("status", CallStatusName(reply.status))
                              .Add("answer", answer)
                              .Add("after_ms", answered - sent));
-        book_.OnAnswer(answered, order.engine, reply);
+        tracker_.OnAnswer(answered, order.engine, reply);
         if (on_changes_)
           on_changes_();
-        OnOwnWaiting();
+        PlanSoon();
       });
 }
 
-void OrderService::AskReport(const ServerId& engine) {
+void OrderService::RequestReport(const ServerId& engine) {
   const auto entry = servers_.find(engine);
   if (entry == servers_.end())
     return;
   parts_.platform.ReadReport(
       entry->second.address, engine,
       [this, engine](const CallReply<EngineReport>& reply) {
-        book_.OnReport(Now(), engine, reply);
+        tracker_.OnReport(Now(), engine, reply);
         if (on_changes_)
           on_changes_();
-        OnOwnWaiting();
+        PlanSoon();
       });
 }
 
--- a/lib/edge/soft_state_service.cc
+++ b/lib/edge/soft_state_service.cc
@@ -12,10 +12,10 @@
   return std::chrono::steady_clock::now();
 }
 
-/// News that come close together go out together.
-constexpr Duration kGatherTime = std::chrono::milliseconds(10);
+/// Delay before changes are sent, so that several share a datagram.
+constexpr Duration kBatchingDelay = std::chrono::milliseconds(10);
 
-/// Starts of one host rise with the time of day; hosts start seconds apart.
+/// Uses the time of day, so that later starts of a host have higher numbers.
 std::uint64_t NewIncarnation() {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -49,7 +49,7 @@
   socket_.bind(own);
   socket_.non_blocking(true);
   Receive();
-  TellDue(Now());
+  SendDue(Now());
 }
 
 void SoftStateService::Receive() {
@@ -71,7 +71,7 @@
         socket_.receive_from(asio::buffer(buffer_), sender, /*flags=*/0, ec);
     if (ec == asio::error::would_block)
       return;
-    // A peer's closed port is reported here too; it is no datagram.
+    // The error may also be a peer's closed port, reported by ICMP.
     if (!ec)
       OnDatagram(now, n);
   }
@@ -119,24 +119,24 @@
   hooks_.on_reader(reads);
 }
 
-void SoftStateService::TellDue(MonoTime now) {
+void SoftStateService::SendDue(MonoTime now) {
   ChooseReaders(now);
   for (const DuePeer& it : peers_.DuePeers(now))
-    Send(now, it.peer, it.whole);
-  timers_.Add(peers_.next_due(), [this](MonoTime due) { TellDue(due); });
+    Send(now, it.peer, it.full_state);
+  timers_.Add(peers_.next_due(), [this](MonoTime due) { SendDue(due); });
 }
 
-void SoftStateService::TellNow(const HostId& host) {
+void SoftStateService::SendTo(const HostId& host) {
   const auto it = peers_.peers().find(host);
   if (it != peers_.peers().end())
     Send(Now(), it->second);
 }
 
-void SoftStateService::TellAllSoon() {
-  if (std::exchange(tell_all_pending_, true))
+void SoftStateService::SendToAllSoon() {
+  if (std::exchange(send_all_pending_, true))
     return;
-  timers_.Add(Now() + kGatherTime, [this](MonoTime now) {
-    tell_all_pending_ = false;
+  timers_.Add(Now() + kBatchingDelay, [this](MonoTime now) {
+    send_all_pending_ = false;
     for (const auto& [host, peer] : peers_.peers()) {
       if (!peer.leaving)
         Send(now, peer);
@@ -144,23 +144,25 @@
   });
 }
 
-void SoftStateService::TellFeedsSoon() {
-  if (std::exchange(tell_feeds_pending_, true))
+void SoftStateService::SendFeedsSoon() {
+  if (std::exchange(send_feeds_pending_, true))
     return;
-  timers_.Add(Now() + kGatherTime, [this](MonoTime now) {
-    tell_feeds_pending_ = false;
+  timers_.Add(Now() + kBatchingDelay, [this](MonoTime now) {
+    send_feeds_pending_ = false;
     for (const PeerHost& it : peers_.ZonePeers())
-      Send(now, it, /*whole=*/false);
+      Send(now, it, /*full_state=*/false);
   });
 }
 
-void SoftStateService::TellLeaving() {
+void SoftStateService::AnnounceLeaving() {
   leaving_ = true;
   for (const auto& [host, peer] : peers_.peers())
     Send(Now(), peer);
 }
 
-void SoftStateService::Send(MonoTime now, const PeerHost& peer, bool whole) {
+void SoftStateService::Send(MonoTime now,
+                            const PeerHost& peer,
+                            bool full_state) {
   Endpoint endpoint;
   if (!ParseEndpoint(peer.address, endpoint))
     return;
@@ -177,13 +179,13 @@
           .count()));
   message.set_echo_us(peer.clock_us);
   message.set_echo_incarnation(peer.incarnation);
-  message.set_feeds_only(!whole);
+  message.set_feeds_only(!full_state);
   hooks_.fill_feeds(now, peer, message);
-  if (whole)
+  if (full_state)
     hooks_.fill(now, peer, message);
   const std::string bytes = message.SerializeAsString();
   asio::error_code ec;
-  // A datagram that does not leave now is made good by the next one.
+  // A failed send needs no retry: the next datagram has the complete state.
   socket_.send_to(asio::buffer(bytes),
                   {asio::ip::make_address(endpoint.ip), endpoint.port},
                   /*flags=*/0, ec);
--- a/lib/edge/stop_policy.cc
+++ b/lib/edge/stop_policy.cc
@@ -5,16 +5,16 @@
 namespace mangoport {
 namespace {
 
-/// The balancer asks every second and believes the second miss.
+/// The load balancer removes a host after two failed checks, one per second.
 constexpr Duration kBalancerDelay = std::chrono::milliseconds(2500);
 
-/// Kept of the grace time for what follows the last answer.
+/// Part of the grace time reserved for shutdown after the last response.
 constexpr Duration kMargin = std::chrono::milliseconds(500);
 
 }  // namespace
 
 StopDecision DecideStop(const StopProgress& progress) {
-  // A short grace time leaves two thirds of it to the requests under way.
+  // At least two thirds of the grace time are for requests in progress.
   const Duration balancer_delay = std::min(kBalancerDelay, progress.grace / 3);
   StopDecision out;
   out.refuse_new = progress.passed >= balancer_delay;
--- a/lib/gossip/soft_state.cc
+++ b/lib/gossip/soft_state.cc
@@ -123,14 +123,14 @@
     const bool reader_interval_elapsed =
         !peer.last_sent_at ||
         now - *peer.last_sent_at >= settings_.reader_interval;
-    const bool whole =
+    const bool full_state =
         turn.contains(host) ||
         (reader_interval_elapsed && holds_orders_ && readers_.contains(host));
     if (peer.leaving ||
-        !(whole || (reader_interval_elapsed && SharesReader(peer))))
+        !(full_state || (reader_interval_elapsed && SharesReader(peer))))
       continue;
     peer.last_sent_at = now;
-    out.push_back({.peer = peer, .whole = whole});
+    out.push_back({.peer = peer, .full_state = full_state});
   }
   return out;
 }
--- a/unittests/edge/feed_relay_soak.cc
+++ b/unittests/edge/feed_relay_soak.cc
@@ -282,14 +282,14 @@
               .count()));
       out.message.set_echo_us(peer.clock_us);
       out.message.set_echo_incarnation(peer.incarnation);
-      FeedWords words;
-      words.config = host.track->MakeFeedUpdate(Clock(host), host.changed_at);
-      words.servers = peer.zone == Zone(i)
-                          ? host.servers->OwnUpdateSince(now_, Clock(host),
-                                                         peer.servers_position)
-                          : host.servers->OwnUpdate(Clock(host));
+      FeedUpdates updates;
+      updates.config = host.track->MakeFeedUpdate(Clock(host), host.changed_at);
+      updates.servers = peer.zone == Zone(i)
+                            ? host.servers->OwnUpdateSince(
+                                  now_, Clock(host), peer.servers_position)
+                            : host.servers->OwnUpdate(Clock(host));
       out.message.set_servers_position(host.servers->position().value_or(0));
-      WriteFeeds(Clock(host), words, out.message);
+      WriteFeeds(Clock(host), updates, out.message);
       const bool lost = host.cut_off || hosts_[out.to].cut_off || Chance(20);
       out.arrives = now_ + milliseconds(random_() % 30);
       if (!lost)
@@ -310,16 +310,16 @@
       if (!host.peers->OnMessage(now_, message))
         continue;
       const auto sent_after = SentAfter(message, host.incarnation);
-      const FeedWords words = ReadFeeds(sent_after, message);
-      if (words.servers)
-        host.servers->OnPeerUpdate(now_, *words.servers);
-      if (!words.config || !host.track->position())
+      const FeedUpdates updates = ReadFeeds(sent_after, message);
+      if (updates.servers)
+        host.servers->OnPeerUpdate(now_, *updates.servers);
+      if (!updates.config || !host.track->position())
         continue;
-      if (host.track->OnFeedUpdate(*words.config) ==
+      if (host.track->OnFeedUpdate(*updates.config) ==
           FeedUpdateCoverage::kBehind)
         host.track->RequestImmediateRead();
-      else if (words.config->proof)
-        host.evidence->OnCurrentRead(words.config->proof->sent_at);
+      else if (updates.config->proof)
+        host.evidence->OnCurrentRead(updates.config->proof->sent_at);
     }
   }
 
--- a/unittests/gossip/soft_state_test.cc
+++ b/unittests/gossip/soft_state_test.cc
@@ -37,7 +37,7 @@
 std::size_t CountWhole(const std::vector<DuePeer>& due) {
   std::size_t n = 0;
   for (const DuePeer& it : due)
-    n += it.whole ? 1 : 0;
+    n += it.full_state ? 1 : 0;
   return n;
 }
 
@@ -71,7 +71,7 @@
     whole += CountWhole(due);
     all += due.size();
     for (const DuePeer& it : due)
-      cr_assert(it.whole || it.peer.zone == ZoneId("z0"));
+      cr_assert(it.full_state || it.peer.zone == ZoneId("z0"));
   }
   // 80 full-state datagrams per second, and feed-only datagrams to the 40 peers
   // of the zone 2.5 times per second.
@@ -89,7 +89,7 @@
   std::size_t sent = 0;
   for (int i = 0; i < 20; ++i) {
     for (const DuePeer& it : table.DuePeers(kStart + milliseconds(200) * i)) {
-      cr_assert(it.whole);
+      cr_assert(it.full_state);
       sent += it.peer.host == HostId("h4") ? 1 : 0;
     }
   }
