unittests: the edge fixture and a scripted backend server as support

EdgeFixture, the configurations and the events of edge_process_test move to unittests/support, so that tests of single faults get files of their own. ScriptedBackend writes the exact bytes a script gives, right or wrong, and keeps, closes or resets its connection after them.

--- a/unittests/process/edge_process_test.cc
+++ b/unittests/process/edge_process_test.cc
@@ -1,25 +1,15 @@
 // The entry host of the users' platform as a process, between callers of this
 // test and stand-ins of the store and of backend servers.
-#include <arpa/inet.h>
-#include <httplib.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <atomic>
 #include <chrono>
 #include <csignal>
-#include <cstdlib>
-#include <fstream>
-#include <functional>
-#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include <criterion/criterion.h>
 
-#include "unittests/support/platform_standin.h"
-#include "unittests/support/process.h"
+#include "unittests/support/edge_fixture.h"
 
 namespace mangoport {
 namespace {
@@ -27,160 +17,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-std::uint16_t FreePort() {
-  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  cr_assert_eq(
-      ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
-  socklen_t length = sizeof(address);
-  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
-  ::close(fd);
-  return ntohs(address.sin_port);
-}
-
-/// One account "t1" with the given keys; a resumable stream, a route that runs
-/// once and an idempotent one, all on service "s".
-std::string Config(int version, const std::string& keys) {
-  const auto route = [](const std::string& name, const std::string& kind,
-                        const std::string& more) {
-    return R"({"Name":")" + name + R"(","Host":"h","PathPrefix":"/)" + name +
-           R"(/","RouteKind":")" + kind +
-           R"(","TimeoutMs":5000,"GoalMs":250,"Priority":0,"Service":"s",)" +
-           R"("Attempts":2,"Public":false,"Sticky":false,"GapGoalMs":250)" +
-           more + "}";
-  };
-  return R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)" +
-         route("stream", "stream", R"(,"Resumable":true)") + "," +
-         route("once", "unsafe", "") + "," + route("read", "safe", "") +
-         R"(],"Services":[{"Name":"s","HealthPath":"/h","MaxConns":100}],)" +
-         R"("Tenants":[{"Name":"t1","ApiKeys":[)" + keys +
-         R"(],"Unit":"requests","RatePerS":0,"Burst":0}]})";
-}
-
-/// The same with a model that no server holds, and callers of the stream who
-/// wait for it.
-std::string ConfigWithModel(int version, int load_s) {
-  std::string out = Config(version, R"("k1")");
-  const std::string service = R"("MaxConns":100)";
-  out.replace(out.find(service), service.size(),
-              service +
-                  R"(,"Engine":{"WeightsMb":100,"Models":[{"Name":"m1",)"
-                  R"("WeightsMb":50,"LoadS":)" +
-                  std::to_string(load_s) + "}]}");
-  const std::string gap = R"("GapGoalMs":250)";
-  out.replace(out.find(gap), gap.size(), R"("GapGoalMs":1000)");
-  return out;
-}
-
-/// A host with a store and two backend servers.
-class EdgeFixture {
- public:
-  /// `bounds` are lines for the settings' table of that name.
-  explicit EdgeFixture(const std::string& bounds = "") : a_("i-a"), b_("i-b") {
-    store_.Put("keyed.op", "config", Config(1, R"("k1")"));
-    List(a_, "ready");
-    List(b_, "ready");
-    callers_ = FreePort();
-    readiness_ = FreePort();
-    char path[] = "/tmp/mangoport-edge-XXXXXX";
-    ::close(::mkstemp(path));
-    settings_ = path;
-    std::ofstream out(settings_);
-    out << "host = \"edge-1\"\navailability_zone = \"z1\"\n[listen]\n"
-        << "callers = \"127.0.0.1:" << callers_ << "\"\n"
-        << "readiness = \"127.0.0.1:" << readiness_ << "\"\n"
-        << "peers = \"127.0.0.1:" << FreePort() << "\"\n[platform]\n"
-        << "store = \"" << store_.address() << "\"\n[bounds]\n"
-        << "key_withdrawal_ms = 3000\nstop_grace_s = 4\n"
-        << bounds;
-    out.close();
-    process_ = std::make_unique<Process>(
-        std::vector<std::string>{MANGOPORT_EDGE_BINARY, "--settings",
-                                 settings_},
-        settings_ + ".log");
-    cr_assert(Within(seconds(10), [this] { return Ready(); }),
-              "the host is not ready");
-  }
-
-  ~EdgeFixture() {
-    process_.reset();
-    ::unlink(settings_.c_str());
-    ::unlink((settings_ + ".log").c_str());
-  }
-
-  static bool Within(Duration limit, const std::function<bool()>& holds) {
-    const auto until = std::chrono::steady_clock::now() + limit;
-    while (std::chrono::steady_clock::now() < until) {
-      if (holds())
-        return true;
-      std::this_thread::sleep_for(milliseconds(20));
-    }
-    return false;
-  }
-
-  bool Ready() const {
-    httplib::Client client("127.0.0.1", readiness_);
-    const auto reply = client.Get("/mangoport/readyz");
-    return reply && reply->status == 200;
-  }
-
-  void List(const BackendStandin& server, const std::string& state) {
-    store_.Put("keyed.servers", server.id(), server.Entry("s", state));
-  }
-
-  httplib::Result Ask(const std::string& path,
-                      const httplib::Headers& more = {},
-                      const std::string& key = "k1") const {
-    httplib::Client client("127.0.0.1", callers_);
-    client.set_read_timeout(8);
-    httplib::Headers headers = {{"Host", "h"},
-                                {"X-Attempt-Id", "id1"},
-                                {"X-Deadline-Ms", "4900"},
-                                {"Authorization", "Bearer " + key}};
-    headers.insert(more.begin(), more.end());
-    return client.Post(path, headers, "body", "text/plain");
-  }
-
-  /// Sends raw bytes and returns what comes back until the host closes.
-  std::string Raw(const std::string& bytes) const {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(callers_);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    cr_assert_eq(
-        ::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
-        0);
-    ::send(fd, bytes.data(), bytes.size(), 0);
-    std::string out;
-    char buf[4096];
-    for (ssize_t n = 0; (n = ::recv(fd, buf, sizeof(buf), 0)) > 0;)
-      out.append(buf, static_cast<std::size_t>(n));
-    ::close(fd);
-    return out;
-  }
-
-  std::size_t SeenInAll() const { return a_.seen().size() + b_.seen().size(); }
-
-  StoreStandin store_;
-  BackendStandin a_;
-  BackendStandin b_;
-  std::uint16_t callers_ = 0;
-  std::uint16_t readiness_ = 0;
-  std::string settings_;
-  std::unique_ptr<Process> process_;
-};
-
-std::string Events(int first, int last) {
-  std::string out;
-  for (int id = first; id <= last; ++id)
-    out += "id: " + std::to_string(id) + "\ndata: token" + std::to_string(id) +
-           "\n\n";
-  return out;
-}
-
 // NOLINTBEGIN: Criterion's macros
 Test(edge, passes_a_stream_on_and_no_key, .timeout = 60) {
   EdgeFixture it;
--- a/unittests/support/platform_standin.cc
+++ b/unittests/support/platform_standin.cc
@@ -208,7 +208,13 @@
 
 std::string BackendStandin::Entry(const std::string& service,
                                   const std::string& state) const {
-  return "{\"Service\":" + Quoted(service) + ",\"Addr\":" + Quoted(address()) +
+  return BackendEntry(service, address(), state);
+}
+
+std::string BackendEntry(const std::string& service,
+                         const std::string& address,
+                         const std::string& state) {
+  return "{\"Service\":" + Quoted(service) + ",\"Addr\":" + Quoted(address) +
          ",\"Zone\":\"z1\",\"Version\":\"v1\",\"Slots\":8,\"State\":" +
          Quoted(state) + ",\"ColdLeftMs\":0,\"Seq\":1,\"born\":1}";
 }
--- a/unittests/support/platform_standin.h
+++ b/unittests/support/platform_standin.h
@@ -91,6 +91,11 @@
   std::string Field(const std::string& name) const;
 };
 
+/// A backend server's entry in the store's list of servers.
+std::string BackendEntry(const std::string& service,
+                         const std::string& address,
+                         const std::string& state);
+
 /// How the next requests of a backend server go.
 struct BackendPlan {
   int status = 200;
--- /dev/null
+++ b/unittests/support/scripted_backend.h
@@ -0,0 +1,75 @@
+#ifndef MANGOPORT_UNITTESTS_SUPPORT_SCRIPTED_BACKEND_H_
+#define MANGOPORT_UNITTESTS_SUPPORT_SCRIPTED_BACKEND_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "unittests/support/platform_standin.h"
+
+namespace mangoport {
+
+/// The bytes that a backend server answers one request with.
+struct ScriptedAnswer {
+  enum class End { kKeep, kClose, kReset };
+
+  /// Written one after the other.
+  std::vector<std::string> pieces;
+  /// The wait before each piece but the first.
+  std::chrono::milliseconds pause{0};
+  /// What becomes of the connection after the last piece.
+  End end = End::kKeep;
+};
+
+/// A backend server that writes exactly the bytes that a script gives, right or
+/// wrong, and one request after the other on each connection.
+class ScriptedBackend {
+ public:
+  /// Called for each request with its number, from 0; from several threads.
+  using Script = std::function<ScriptedAnswer(const SeenRequest&, int number)>;
+
+  /// Throws std::runtime_error if no port is free.
+  ScriptedBackend(std::string id, Script script);
+  ~ScriptedBackend();
+
+  ScriptedBackend(const ScriptedBackend&) = delete;
+  ScriptedBackend& operator=(const ScriptedBackend&) = delete;
+
+  /// The head of an answer to `request`: status line, the attempt's id and this
+  /// server's seal, the lines of `more`, an empty line.
+  std::string Head(const SeenRequest& request,
+                   int status,
+                   const std::string& more) const;
+
+  const std::string& id() const { return id_; }
+  std::string address() const;
+  std::vector<SeenRequest> seen() const;
+  /// Its entry in the store's list of servers.
+  std::string Entry(const std::string& service, const std::string& state) const;
+
+ private:
+  void Accept();
+  void Serve(int fd);
+  bool Answer(int fd, const SeenRequest& request);
+
+  std::string id_;
+  Script script_;
+  int listener_ = -1;
+  std::uint16_t port_ = 0;
+  std::atomic<bool> stopping_{false};
+  mutable std::mutex mutex_;
+  std::vector<SeenRequest> seen_;
+  std::vector<int> open_;
+  std::list<std::thread> connections_;
+  std::thread acceptor_;
+};
+
+}  // namespace mangoport
+
+#endif  // MANGOPORT_UNITTESTS_SUPPORT_SCRIPTED_BACKEND_H_
