--- a/lib/entryhost/attempt_inbox.cc
+++ b/lib/entryhost/attempt_inbox.cc
@@ -5,7 +5,8 @@
 namespace mangoport {
 namespace {
 
-/// Events that may wait for a slow caller before the engine's stream is held.
+/// Maximum number of events queued for a slow caller before reading from the
+/// engine is paused.
 constexpr std::size_t kMaxQueued = 256;
 
 }  // namespace
--- a/lib/entryhost/audit_trail.cc
+++ b/lib/entryhost/audit_trail.cc
@@ -12,7 +12,7 @@
 constexpr std::size_t kKeptRecords = 1000;
 constexpr std::size_t kMaxSummaries = 256;
 
-/// How long refusals of one kind are gathered into one record.
+/// Interval over which refusals of one kind are aggregated into one record.
 constexpr Duration kSummaryInterval = std::chrono::seconds(10);
 
 }  // namespace
@@ -65,8 +65,8 @@
   recent_.push_back(record);
   if (recent_.size() > kKeptRecords)
     recent_.pop_front();
-  // A full queue drops the record: the trail must not hold up requests, and
-  // the newest are still at hand here.
+  // If the queue is full, the record is dropped: the audit trail must not block
+  // requests, and this host still keeps the most recent records in memory.
   appender_.Append(wire::RECORD_KIND_AUDIT, record.SerializeAsString(),
                    nullptr);
 }
--- a/lib/entryhost/backend_directory.cc
+++ b/lib/entryhost/backend_directory.cc
@@ -18,8 +18,8 @@
   return {server.ip(), static_cast<std::uint16_t>(server.port())};
 }
 
-/// What an engine holds: its own report once there is one, else what the
-/// configuration says it starts with.
+/// The models that an engine has loaded: as reported by the engine, or as
+/// configured until its first report.
 ServerSpec SpecFor(const wire::ServerConfig& config,
                    bool reported,
                    const EngineReport& report) {
@@ -57,8 +57,8 @@
 
 void BackendDirectory::SetConfig(MonoTime now, const ConfigView& view) {
   const std::lock_guard lock(mutex_);
-  // Views come from the log's thread and from peers'; an older one may come
-  // last.
+  // Views arrive from the log thread and from peer threads, possibly out of
+  // order.
   if (view.next_offset() < config_offset_)
     return;
   config_offset_ = view.next_offset();
--- a/lib/entryhost/budget_service.cc
+++ b/lib/entryhost/budget_service.cc
@@ -20,24 +20,26 @@
 constexpr Duration kTick = milliseconds(10);
 constexpr Duration kPeerTimeout = milliseconds(500);
 
-/// A host without an answer from any dealer serves after this time: it may be
-/// cut off, and then refuses what is beyond what it holds.
+/// A host that has received no answer from any dealer for this time starts to
+/// serve: it may be partitioned, and then refuses requests beyond the budget
+/// that it holds.
 constexpr Duration kReadyWithoutDealer = seconds(5);
 
-/// A zone whose dealer has been silent for this time is served by the shared
-/// pool's.
+/// A zone whose dealer has not answered for this time is served by the dealer
+/// of the shared pool.
 constexpr Duration kDealerSilence = seconds(2);
 
-/// A silent dealer of the zone is tried again after this time.
+/// Interval between calls to a dealer of the zone that does not answer.
 constexpr Duration kRetryZoneDealer = seconds(30);
 
-/// How often a host that can't read the log asks a peer for the dealers.
+/// Interval at which a host that can't read the log asks a peer for the list of
+/// dealers.
 constexpr Duration kAskForDealers = milliseconds(300);
 
-/// The longest wait for the log to take a release.
+/// Timeout of appending a release to the log.
 constexpr Duration kReleaseWait = milliseconds(1000);
 
-/// Records of one stream that may wait for the log at once.
+/// Maximum number of records of one stream queued for the log.
 constexpr int kMaxAppendsUnderWay = 4;
 
 std::string NewName(const HostId& host) {
@@ -59,7 +61,7 @@
 
 }  // namespace
 
-/// One charge on its way; gives back what was not used, once.
+/// A pending charge. Refunds its unused part exactly once.
 class BudgetService::ChargeHandle final : public BudgetCharge {
  public:
   ChargeHandle(BudgetService& service, SpendReceipt receipt)
@@ -99,7 +101,7 @@
 
 BudgetService::~BudgetService() {
   Stop();
-  // The followers call back into this object, the appenders' callbacks too.
+  // The followers and the appenders invoke callbacks of this object.
   for (Level* it : {&pool_, &floor_}) {
     it->follower.reset();
     it->appender.reset();
@@ -171,8 +173,8 @@
   if (envelope.kind() != wire::RECORD_KIND_BUDGET ||
       !record.ParseFromString(envelope.body()))
     return;
-  // The time is read after the page has arrived: an earlier one would let a
-  // challenger count the holder's silence from too early.
+  // Read the time after the page has arrived. With an earlier time, a
+  // challenger would overestimate how long the holder has been silent.
   const MonoTime now = steady_clock::now();
   if (!level.lease->OnRecord(now, position, record) || record.holder() != name_)
     return;
--- a/lib/entryhost/caller_api.cc
+++ b/lib/entryhost/caller_api.cc
@@ -27,10 +27,12 @@
 constexpr std::size_t kMaxKeepAliveRequests = 100000;
 constexpr std::size_t kMaxIdempotencyKeyBytes = 200;
 
-/// Threads beyond the open connections, for refusals and health checks.
+/// Threads in addition to one per open connection, for refusals and health
+/// checks.
 constexpr std::size_t kReserveThreads = 16;
 
-/// Names requests: the host, the process's start and a count.
+/// Generates request ids from the host, the start time of the process and a
+/// counter.
 class RequestNames {
  public:
   explicit RequestNames(const HostId& host)
@@ -56,7 +58,7 @@
   void Configure();
   KeyEvidence Evidence() const;
   Exchange Begin(const char* surface);
-  /// Refuses the request and notes it; returns for the handler to return too.
+  /// Refuses the request and records the refusal. The handler must return.
   void Refuse(const Exchange& exchange,
               const Error& error,
               Duration retry_after,
@@ -276,7 +278,7 @@
 void CallerApi::State::AnswerStream(CompletionShape shape,
                                     const std::shared_ptr<OpenAnswer>& answer,
                                     httplib::Response& response) {
-  // The first step decides the status line, so it is waited for here.
+  // Wait for the first step, because it determines the status line.
   auto pending =
       std::make_shared<std::optional<CompletionStep>>(answer->Next(Evidence()));
   if ((*pending)->kind == CompletionStep::Kind::kError)
@@ -369,7 +371,8 @@
                   Duration::zero(), response);
   }
   const PlainAnswer answer = services.run_plain(call);
-  // From here on the answer speaks of the key and not only of this copy.
+  // From here on the answer applies to the key and not only to this attempt of
+  // the caller.
   exchange.may_be_repeat = false;
   if (!answer.answered)
     return Refuse(exchange, answer.error, Duration::zero(), response);
--- a/lib/entryhost/caller_request.cc
+++ b/lib/entryhost/caller_request.cc
@@ -18,7 +18,8 @@
   return {ErrorCode::kInvalidRequest, std::move(message), /*not_run=*/true};
 }
 
-/// Joins chat messages into one prompt; false if one has another shape.
+/// Concatenates chat messages into one prompt. Returns false if a message is
+/// malformed.
 bool JoinMessages(const json& messages, std::string& prompt) {
   if (!messages.is_array() || messages.empty())
     return false;
@@ -32,7 +33,7 @@
   return true;
 }
 
-/// Splits "model:adapter".
+/// Splits a name of the form "model:adapter".
 void SplitModel(const std::string& text, CallerCompletion& request) {
   const std::size_t colon = text.find(':');
   request.model = ModelId(text.substr(0, colon));
--- a/lib/entryhost/caller_response.h
+++ b/lib/entryhost/caller_response.h
@@ -13,34 +13,34 @@
 
 namespace mangoport {
 
-/// The HTTP status that goes with an error code.
+/// The HTTP status for an error code.
 int HttpStatusFor(ErrorCode code);
 
-/// The one JSON shape of all errors.
+/// The JSON body of an error; the same for all errors.
 std::string ErrorBody(const RequestId& request, const Error& error);
 
-/// Answers with an error; a `retry_after` above zero becomes a header.
+/// Answers with an error. A `retry_after` above zero is sent as a header.
 void SetError(httplib::Response& response,
               const RequestId& request,
               const Error& error,
               Duration retry_after);
 
-/// One server-sent event with a piece of an answer.
+/// A server-sent event with one piece of an answer.
 std::string StreamChunk(CompletionShape shape,
                         const RequestId& request,
                         const ModelId& model,
                         const std::string& text);
 
-/// The events that end a whole stream.
+/// The events that end a complete stream.
 std::string StreamEnd(CompletionShape shape,
                       const RequestId& request,
                       const ModelId& model,
                       std::uint64_t completion_tokens);
 
-/// The event that ends a stream which could not be finished.
+/// The event that ends an incomplete stream.
 std::string StreamError(const RequestId& request, const Error& error);
 
-/// The body of a whole answer.
+/// The body of a complete answer.
 std::string AnswerBody(CompletionShape shape,
                        const RequestId& request,
                        const ModelId& model,
--- a/lib/entryhost/completion_stream.cc
+++ b/lib/entryhost/completion_stream.cc
@@ -12,9 +12,10 @@
 
 using std::chrono::steady_clock;
 
-/// Between two looks at whether an isolation claim was read back.
+/// Interval at which a pending isolation claim is checked.
 constexpr Duration kClaimPoll = std::chrono::milliseconds(20);
-/// A server whose stream broke and that does not answer within this is dead.
+/// A server whose stream broke and that does not answer a health check within
+/// this time is considered dead.
 constexpr Duration kAliveProbe = std::chrono::milliseconds(300);
 
 std::string_view OutcomeName(AttemptOutcome outcome) {
@@ -41,9 +42,9 @@
   return "unknown";
 }
 
-/// Reads one engine's stream into the inbox on a thread of its own. The thread
-/// ends by itself at the latest when the connection has been silent for the
-/// longer of the call's timeouts.
+/// Reads one engine's stream into the inbox on a separate thread. The thread
+/// ends at the latest when the connection has been idle for the longer of the
+/// call's timeouts.
 void StartReader(std::shared_ptr<EngineClient> engines,
                  Endpoint endpoint,
                  CompletionCall call,
@@ -225,7 +226,8 @@
   const auto endpoint = endpoints_.find(action.attempt);
   if (endpoint == endpoints_.end())
     return;
-  // By its id, since the connection that carries the stream may be silent.
+  // Cancel by request id, because the connection of the stream may be
+  // unresponsive.
   std::thread([engines = context_.engines, endpoint = endpoint->second,
                request = request_.request] {
     engines->Cancel(endpoint, request);
--- a/lib/entryhost/config_service.cc
+++ b/lib/entryhost/config_service.cc
@@ -10,16 +10,16 @@
 
 using std::chrono::milliseconds;
 
-/// A snapshot is written back once this many changes are covered by none.
+/// A snapshot is appended once this many changes are not covered by one.
 constexpr std::uint64_t kChangesPerSnapshot = 256;
 
-/// A log that drops entries early gets its snapshots when the changes that
-/// none covers fill this part of what it keeps.
+/// If the log drops entries early, a snapshot is appended once the changes not
+/// covered by one fill this fraction of the retained log.
 constexpr std::uint64_t kRetainedPart = 4;
 
-/// Every host may write the snapshot, since all of them would write the same.
-/// Each waits a random part of this first, and leaves it if another was there
-/// before.
+/// Any host may append the snapshot, as all of them would append the same one.
+/// Each waits a random fraction of this time first, and skips the append if
+/// another host has already done it.
 constexpr Duration kSnapshotJitter = milliseconds(2000);
 
 Duration RandomPart(Duration whole) {
@@ -113,7 +113,7 @@
   if (status == FoldStatus::kCurrent)
     ready_.store(true);
   {
-    // Only a page of the log tells how much the log still keeps.
+    // Only a page of the log states which entries the log still retains.
     const std::lock_guard lock(mutex_);
     MaybeWriteSnapshotLocked(std::chrono::steady_clock::now(),
                              page.first_retained);
--- a/lib/entryhost/entry_host.cc
+++ b/lib/entryhost/entry_host.cc
@@ -34,21 +34,22 @@
 
 using std::chrono::steady_clock;
 
-/// One run of this process is one writer.
+/// A writer id that is unique to this run of the process.
 WriterId NewWriter(const HostId& host, const char* part) {
   std::random_device random;
   return WriterId(host.value() + "/" + std::to_string(random()) +
                   std::to_string(random()) + "/" + part);
 }
 
-/// The ports that were bound, for whoever started the process.
+/// The bound ports, reported to the parent process.
 struct BoundPorts {
   std::uint16_t callers = 0;
   std::uint16_t operators = 0;
   std::uint16_t peers = 0;
 };
 
-/// Written under another name first, so that a reader never sees half of it.
+/// Writes to a temporary file and renames it, so that a reader never sees a
+/// partial file.
 bool WritePortsFile(const std::string& path, const BoundPorts& ports) {
   const std::string partial = path + ".partial";
   {
@@ -195,13 +196,13 @@
     : state_(std::make_unique<State>(std::move(settings))) {}
 
 EntryHost::~EntryHost() {
-  // It calls peers from a thread of its own.
+  // It calls peers from a separate thread.
   state_->budgets.Stop();
 }
 
 Result<void> EntryHost::Start() {
   BoundPorts ports;
-  // Operators withdraw keys through the peers, which therefore come first.
+  // Operators withdraw keys through the peers, so the peers start first.
   state_->peers.AddMethod(
       kBudgetMethod,
       [state = state_.get()](std::string_view /*method*/,
--- a/lib/entryhost/log_appender.cc
+++ b/lib/entryhost/log_appender.cc
@@ -17,7 +17,8 @@
 constexpr Duration kAppendTimeout = milliseconds(1000);
 constexpr Duration kRetryPause = milliseconds(100);
 
-/// How often a batch is sent before its records are given up.
+/// Maximum number of attempts to append a batch before its records are
+/// dropped.
 constexpr int kMaxAppends = 8;
 
 }  // namespace
--- a/lib/entryhost/log_follower.cc
+++ b/lib/entryhost/log_follower.cc
@@ -13,8 +13,8 @@
 
 constexpr Duration kLongPoll = milliseconds(1000);
 
-/// After a failed read; the upper half is jitter, so that hosts do not come
-/// back all at once after an outage.
+/// Base of the delay after a failed read. Jitter is added to it, so that hosts
+/// do not all retry at once after an outage.
 constexpr Duration kRetryBase = milliseconds(200);
 
 }  // namespace
--- a/lib/entryhost/once_service.cc
+++ b/lib/entryhost/once_service.cc
@@ -18,10 +18,10 @@
 constexpr Duration kTickInterval = milliseconds(20);
 constexpr Duration kAppendTimeout = milliseconds(1000);
 
-/// The longest that an appender sleeps with work that is not yet due.
+/// Maximum time an appender sleeps while it has work that is not yet due.
 constexpr Duration kAppendPoll = milliseconds(10);
 
-/// How long a stopping host waits for its last outcomes to be recorded.
+/// Maximum time a stopping host waits for its last outcomes to be recorded.
 constexpr Duration kFlushTimeout = std::chrono::seconds(3);
 
 OnceSettings ToOnceSettings(const ClaimSettings& claims) {
@@ -167,7 +167,7 @@
 }
 
 PlainAnswer OnceService::Run(const PlainRequest& request) {
-  // Without a client account, callers would share their keys and answers.
+  // Without a client account, callers would share idempotency keys and answers.
   if (request.account.empty()) {
     return Refusal({ErrorCode::kForbidden,
                     "a route that is open to all must be idempotent", true});
@@ -197,7 +197,8 @@
   while (true) {
     partition.changed.wait(lock,
                            [&slot] { return slot.dispatch || slot.answer; });
-    // A dispatch always needs its result, whatever the caller is told.
+    // Every dispatch must be followed by its result, whatever the caller was
+    // answered.
     if (!slot.dispatch) {
       OnceAnswer answer = *std::move(slot.answer);
       partition.slots.erase(once.id);
--- a/lib/entryhost/open_answer.cc
+++ b/lib/entryhost/open_answer.cc
@@ -13,7 +13,7 @@
 
 using std::chrono::steady_clock;
 
-/// The part of a prompt that an engine's prefix cache is asked about.
+/// Size in bytes of the prompt prefix used to look up an engine's prefix cache.
 constexpr std::size_t kPrefixBytes = 256;
 
 }  // namespace
@@ -32,7 +32,7 @@
   const AccountId& account = exchange_.identity.account;
   services_.metrics->CountTokens(account, tokens());
   services_.metrics->CountRequest(account, exchange_.surface, outcome_);
-  // An engine that sends more than it was asked for earns nobody a refund.
+  // No refund if the engine has generated more tokens than requested.
   const std::uint32_t used = std::min(tokens(), completion_.max_tokens);
   charge_->Settle(may_have_run_ ? completion_.max_tokens - used
                                 : WorstCaseTokens(completion_));
--- a/lib/entryhost/open_answer.h
+++ b/lib/entryhost/open_answer.h
@@ -12,22 +12,22 @@
 
 namespace mangoport {
 
-/// One caller's request while it is answered.
+/// A caller's request that is being answered.
 struct Exchange {
   RequestId request;
   MonoTime arrived;
   std::string surface;
   Identity identity;
   RequestTracker::Scope scope;
-  /// The caller names a request that an earlier copy may have run already, so
-  /// a refusal of this copy says nothing of whether it ran.
+  /// An earlier attempt of the caller with the same key may already have run,
+  /// so a refusal of this attempt does not imply that the request has not run.
   bool may_be_repeat = false;
 };
 
-/// A completion on its way to its caller.
+/// A completion that is being sent to its caller.
 ///
-/// Gives back the part of its charge that was not used when it goes, however
-/// the answer ended.
+/// On destruction, refunds the unused part of its charge, however the answer
+/// ended.
 class OpenAnswer {
  public:
   OpenAnswer(CallerServices& services,
@@ -56,7 +56,7 @@
   std::shared_ptr<BudgetCharge> charge_;
   CompletionStream stream_;
   std::string_view outcome_ = "cancelled";
-  /// True once a backend server may have worked on the request.
+  /// True if a backend server may have started to run the request.
   bool may_have_run_ = false;
   MonoTime last_token_;
 };
--- a/lib/entryhost/operator_api.cc
+++ b/lib/entryhost/operator_api.cc
@@ -68,7 +68,7 @@
   using Handler =
       std::function<void(const httplib::Request&, httplib::Response&)>;
 
-  /// Lets a handler run only for callers who show the operators' credential.
+  /// Runs the handler only for callers that present the operators' credential.
   Handler Guarded(Handler handler);
   void AddRoutes();
   json Status() const;
--- a/lib/entryhost/peer_service.cc
+++ b/lib/entryhost/peer_service.cc
@@ -73,10 +73,10 @@
   void ReadHostList();
   void Tick(const std::stop_token& stop);
   void WatchHostList(const std::stop_token& stop);
-  /// Makes what gossip has learned count on this host.
+  /// Applies what gossip has received to this host.
   void ApplyLocked(MonoTime now);
   void RecordLocked(const std::vector<wire::KeyWithdrawal>& withdrawals);
-  /// Sends what was decided; called without the lock.
+  /// Executes the actions. Must be called without the lock.
   void Perform(GossipActions actions);
 
   const HostSettings settings;
@@ -98,7 +98,7 @@
 ReplicaHooks PeerService::State::MakeReplicaHooks() {
   ReplicaHooks hooks;
   hooks.position = [this] {
-    // Read in this order, since the configuration may move in between.
+    // Read in this order, because the configuration may change in between.
     const std::uint64_t next_offset = config.view()->next_offset();
     return ReplicaPosition{next_offset, config.read_from()};
   };
--- a/lib/entryhost/plain_proxy.cc
+++ b/lib/entryhost/plain_proxy.cc
@@ -9,7 +9,7 @@
 
 using std::chrono::steady_clock;
 
-/// The longest wait for one server's answer.
+/// Timeout of one backend server's answer.
 constexpr Duration kAnswerTimeout = std::chrono::seconds(10);
 
 PlainAnswer Fail(ErrorCode code, const char* message, bool not_run) {
--- a/lib/entryhost/quarantine_service.cc
+++ b/lib/entryhost/quarantine_service.cc
@@ -116,7 +116,7 @@
 void QuarantineService::Read(const LogPage& page) {
   {
     const std::lock_guard lock(mutex_);
-    // What has left the log is older than any evidence still counts.
+    // Entries that the log has dropped are older than the evidence's validity.
     if (page.first_retained > reader_.next_offset())
       reader_.StartFrom(page.first_retained);
     for (const LogEntry& it : page.entries)
