Give a silent server's request up only for a server that takes it

Callers saw a stream cut in the middle, or a 502, although the server that ran their request would have gone on: after 1.4 s without an event (0.7 s without a byte from that server) the attempt was cancelled first, and only then was another server looked for. Where none took the request (full, not reachable, queue longer than the time left, not listed, key evidence old, model not held) the answer that had begun was broken off.

Cause: a live attempt was ended before its replacement was sure.

Fix: the silent attempt goes on while the request is offered to a successor. It is given up when the successor's good answer begins, or 350 ms after the offer if that has not been refused by then; connections are made or fail within 300 ms, refusals come at once, and no request is at work on two servers for longer. If the first speaks in the meantime the successor is dropped, and if the first dies the successor goes on. The same server on a new connection takes over only by an answer. The budget is charged once a server is chosen, and not twice if it could not be reached.

Evidence: unittests/process/live_attempt_test.cc on the code before, run twice, 4 of 6 failed both times: a_silent_stream_alone_is_not_cut: the stream was cut a_silent_stream_is_not_cut_beside_a_full_server: the stream was cut a_silent_stream_is_not_cut_beside_a_server_that_is_gone: the stream was cut a_slow_answer_is_waited_for_beside_a_full_server: 502 {"error":{"code":"refused_full","not_run":false}} After: 6 of 6, run twice; edge_process_test 12 of 12, forward_decisions_test 10 of 10.

--- a/lib/forward/request_admission.cc
+++ b/lib/forward/request_admission.cc
@@ -217,7 +217,8 @@
   return false;
 }
 
-std::string RequestExchange::BuildRequest(MonoTime now) const {
+std::string RequestExchange::BuildRequest(MonoTime now,
+                                          const ServerId& server) const {
   const HttpHead& head = request_.head;
   const ForwardDialect& dialect = host_.dialect_;
   const std::string_view hops = FieldText(head.fields, "connection");
@@ -245,7 +246,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - now);
   AppendField(out, dialect.deadline_ms,
               std::to_string(std::max<std::int64_t>(left.count(), 1)));
-  AppendField(out, dialect.expected_server, server_.value());
+  AppendField(out, dialect.expected_server, server.value());
   AppendField(out, dialect.urgency, std::to_string(routing_.urgency));
   if (account_)
     AppendField(out, dialect.account, account_->id.value());
--- a/lib/forward/request_ending.cc
+++ b/lib/forward/request_ending.cc
@@ -128,6 +128,7 @@
   if (done_)
     return;
   done_ = true;
+  DropSuccessor(now, "not_needed", AttemptOutcome::kCancelled);
   TimerQueue& timers = host_.parts_.timers;
   timers.Cancel(deadline_timer_);
   timers.Cancel(silence_timer_);
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -9,17 +9,6 @@
 namespace mangoport {
 namespace {
 
-/// A server that has work and sends no host anything for so long is taken for
-/// dead, as far as a request may run elsewhere.
-constexpr Duration kServerSilence = std::chrono::milliseconds(700);
-/// The same for a server that other hosts hear, if it sends this one nothing:
-/// the way to it may be cut.
-constexpr Duration kPathSilence = std::chrono::milliseconds(1400);
-/// A stream without an event for so long goes on elsewhere even if its server
-/// answers others.
-constexpr Duration kStreamSilence = std::chrono::milliseconds(1400);
-constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(300);
-
 /// Bytes that a caller has not taken, from which its server is read no more.
 constexpr std::size_t kMaxUnsentBytes = std::size_t{256} * 1024;
 
@@ -28,24 +17,6 @@
   return std::chrono::steady_clock::now();
 }
 
-AttemptOutcome OutcomeOf(AttemptEnd end) {
-  switch (end) {
-    case AttemptEnd::kRefusedFull:
-    case AttemptEnd::kMisdirected:
-      return AttemptOutcome::kRefusedBusy;
-    case AttemptEnd::kNotConnected:
-      return AttemptOutcome::kConnectFailed;
-    case AttemptEnd::kNoAnswer:
-      return AttemptOutcome::kConnectionLost;
-    case AttemptEnd::kBroken:
-    case AttemptEnd::kServerError:
-      return AttemptOutcome::kInvalidAnswer;
-    case AttemptEnd::kSilent:
-      return AttemptOutcome::kTimedOut;
-  }
-  return AttemptOutcome::kInvalidAnswer;
-}
-
 }  // namespace
 
 RequestExchange::RequestExchange(Forwarder& host,
@@ -194,38 +165,60 @@
   last_byte_at_ = now;
   answer_ = Answer();
   events_.Restart();
+  connection_ = OpenAttempt(now, server, *address);
+  if (route_->idempotent())
+    ArmSilenceCheck(now);
+}
+
+HttpConnection::Ptr RequestExchange::OpenAttempt(
+    MonoTime now,
+    const ServerId& server,
+    const asio::ip::tcp::endpoint& address) {
   if (sends_++ == 0)
     host_.StateOf(service_).budget.OnRequest(now, AccountId());
   if (use_)
     ++use_->running;
   host_.parts_.backends.OnDispatched(now, server, prompt_tokens_);
-  connection_ = host_.parts_.pool.Acquire(now, server.value(), *address,
-                                          /*fresh=*/runs_ > 0);
+  const HttpConnection::Ptr connection =
+      host_.parts_.pool.Acquire(now, server.value(), address,
+                                /*fresh=*/runs_ > 0 || connection_);
+  connection->Exchange(BuildRequest(now, server),
+                       request_.head.method == "HEAD",
+                       HooksFor(connection.get()));
+  return connection;
+}
+
+HttpExchangeHooks RequestExchange::HooksFor(const HttpConnection* connection) {
   const std::weak_ptr<RequestExchange> weak = weak_from_this();
-  const HttpConnection::Ptr connection = connection_;
-  connection->Exchange(BuildRequest(now), request_.head.method == "HEAD",
-                       {.on_head =
-                            [weak](const HttpHead& head) {
-                              const auto self = weak.lock();
-                              return self && self->OnHead(head);
-                            },
-                        .on_body =
-                            [weak](std::string_view piece) {
-                              if (const auto self = weak.lock())
-                                self->OnBody(piece);
-                            },
-                        .on_complete =
-                            [weak] {
-                              if (const auto self = weak.lock())
-                                self->OnComplete();
-                            },
-                        .on_failed =
-                            [weak](const HttpFailure& failure) {
-                              if (const auto self = weak.lock())
-                                self->OnFailed(failure);
-                            }});
-  if (route_->idempotent())
-    ArmSilenceCheck(now);
+  return {.on_head =
+              [weak, connection](const HttpHead& head) {
+                const auto self = weak.lock();
+                if (!self)
+                  return false;
+                return self->IsSuccessor(connection)
+                           ? self->OnSuccessorHead(head)
+                           : self->OnHead(head);
+              },
+          .on_body =
+              [weak](std::string_view piece) {
+                if (const auto self = weak.lock())
+                  self->OnBody(piece);
+              },
+          .on_complete =
+              [weak] {
+                if (const auto self = weak.lock())
+                  self->OnComplete();
+              },
+          .on_failed =
+              [weak, connection](const HttpFailure& failure) {
+                const auto self = weak.lock();
+                if (!self)
+                  return;
+                if (self->IsSuccessor(connection))
+                  self->OnSuccessorFailed(failure);
+                else
+                  self->OnFailed(failure);
+              }};
 }
 
 bool RequestExchange::OnHead(const HttpHead& head) {
@@ -242,6 +235,8 @@
     EndAttempt(now, AttemptEnd::kBroken);
     return true;
   }
+  if (head.status / 100 == 2)
+    DropSuccessor(now, "overtaken", AttemptOutcome::kCancelled);
   answer_.fields = EndToEndFields(head);
   answer_.streaming =
       route_->kind == RouteKind::kStream && head.status / 100 == 2;
@@ -271,6 +266,8 @@
   const MonoTime now = Now();
   last_byte_at_ = now;
   host_.parts_.backends.OnActivity(now, server_);
+  if (answer_.status / 100 == 2)
+    DropSuccessor(now, "overtaken", AttemptOutcome::kCancelled);
   if (!answer_.streaming) {
     answer_.body.append(piece);
     return;
@@ -361,11 +358,19 @@
   if (failure.request_sent)
     host_.crash_suspects_.OnServerLost(
         Now(), {.fingerprint = fingerprint_, .server = server_});
-  const bool not_sent = failure.kind == HttpFailure::Kind::kConnect;
-  const bool no_answer = failure.kind == HttpFailure::Kind::kNoAnswer;
-  EndAttempt(Now(), not_sent    ? AttemptEnd::kNotConnected
-                    : no_answer ? AttemptEnd::kNoAnswer
-                                : AttemptEnd::kBroken);
+  EndAttempt(Now(), EndOf(failure));
+}
+
+AttemptEnd RequestExchange::EndOf(const HttpFailure& failure) {
+  switch (failure.kind) {
+    case HttpFailure::Kind::kConnect:
+      return AttemptEnd::kNotConnected;
+    case HttpFailure::Kind::kNoAnswer:
+      return AttemptEnd::kNoAnswer;
+    case HttpFailure::Kind::kBrokenAnswer:
+      return AttemptEnd::kBroken;
+  }
+  return AttemptEnd::kBroken;
 }
 
 RequestProgress RequestExchange::Progress(MonoTime now) const {
@@ -377,9 +382,25 @@
           .time_left = deadline_ - now};
 }
 
-void RequestExchange::EndAttempt(MonoTime now,
-                                 AttemptEnd end,
-                                 bool may_repeat) {
+AttemptOutcome RequestExchange::OutcomeOf(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kRefusedFull:
+    case AttemptEnd::kMisdirected:
+      return AttemptOutcome::kRefusedBusy;
+    case AttemptEnd::kNotConnected:
+      return AttemptOutcome::kConnectFailed;
+    case AttemptEnd::kNoAnswer:
+      return AttemptOutcome::kConnectionLost;
+    case AttemptEnd::kBroken:
+    case AttemptEnd::kServerError:
+      return AttemptOutcome::kInvalidAnswer;
+    case AttemptEnd::kSilent:
+      return AttemptOutcome::kTimedOut;
+  }
+  return AttemptOutcome::kInvalidAnswer;
+}
+
+void RequestExchange::EndAttempt(MonoTime now, AttemptEnd end) {
   const auto self = shared_from_this();
   if (connection_)
     std::exchange(connection_, nullptr)->Cancel();
@@ -388,10 +409,15 @@
   LogAttempt(now, last_end_);
   if (!ProvesNotRun(end))
     ++runs_;
+  if (successor_.connection) {
+    AdoptSuccessor(now);
+    return;
+  }
   const RequestProgress progress = Progress(now);
-  if (!may_repeat && WantsAnother(progress, end))
-    may_repeat = !CountsAsRepeat(end) ||
-                 host_.StateOf(service_).budget.TryTake(now, AccountId());
+  const bool may_repeat =
+      WantsAnother(progress, end) &&
+      (!CountsAsRepeat(end) ||
+       host_.StateOf(service_).budget.TryTake(now, AccountId()));
   switch (DecideNextStep(progress, end, may_repeat)) {
     case NextStep::kTryAnother:
       routing_.excluded.push_back(server_);
@@ -414,48 +440,20 @@
 
 void RequestExchange::FinishAttempt(MonoTime now, AttemptOutcome outcome) {
   host_.parts_.timers.Cancel(silence_timer_);
+  CountEnd(now, server_, sent_at_, outcome);
+}
+
+void RequestExchange::CountEnd(MonoTime now,
+                               const ServerId& server,
+                               MonoTime sent_at,
+                               AttemptOutcome outcome) {
   if (use_)
     --use_->running;
-  host_.parts_.backends.OnFinished(now, server_, outcome, now - sent_at_);
+  host_.parts_.backends.OnFinished(now, server, outcome, now - sent_at);
   host_.parts_.metrics.OnAttempt(
       outcome == AttemptOutcome::kCompleted   ? "completed"
       : outcome == AttemptOutcome::kCancelled ? "cancelled"
                                               : "failed");
 }
 
-void RequestExchange::ArmSilenceCheck(MonoTime now) {
-  host_.parts_.timers.Cancel(silence_timer_);
-  silence_timer_ = host_.parts_.timers.Add(
-      now + kSilenceCheckInterval, [weak = weak_from_this()](MonoTime due) {
-        const auto self = weak.lock();
-        if (!self || self->done_)
-          return;
-        self->silence_timer_ = TimerQueue::kNoTicket;
-        self->CheckSilence(due);
-      });
-}
-
-void RequestExchange::CheckSilence(MonoTime now) {
-  if (!connection_)
-    return;
-  const Duration silence = now - last_byte_at_;
-  const BackendTable& backends = host_.parts_.backends;
-  const bool server_silent =
-      (silence > kServerSilence &&
-       backends.SilentToAllFor(now, server_) > kServerSilence) ||
-      (silence > kPathSilence &&
-       backends.SilentFor(now, server_) > kPathSilence);
-  const bool stream_silent = answer_begun_ && silence > kStreamSilence;
-  RequestProgress progress = Progress(now);
-  ++progress.runs;
-  // The attempt may still answer: it is given up only for another one.
-  if ((server_silent || stream_silent) &&
-      WantsAnother(progress, AttemptEnd::kSilent) &&
-      host_.StateOf(service_).budget.TryTake(now, AccountId())) {
-    EndAttempt(now, AttemptEnd::kSilent, /*may_repeat=*/true);
-    return;
-  }
-  ArmSilenceCheck(now);
-}
-
 }  // namespace mangoport
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -52,6 +52,14 @@
     bool streaming = false;
   };
 
+  /// An attempt that takes over from one whose server is silent, if its server
+  /// accepts the request.
+  struct Successor {
+    HttpConnection::Ptr connection;
+    ServerId server;
+    MonoTime sent_at;
+  };
+
   // Admission.
   bool Admit(MonoTime now);
   bool AdmitKey(MonoTime now);
@@ -63,14 +71,49 @@
   void Dispatch(MonoTime now);
   void AwaitCopy(MonoTime now, const RouteChoice& choice);
   void Send(MonoTime now, const ServerId& server);
-  std::string BuildRequest(MonoTime now) const;
+  /// Sends the request to `server` on a connection of the pool.
+  HttpConnection::Ptr OpenAttempt(MonoTime now,
+                                  const ServerId& server,
+                                  const asio::ip::tcp::endpoint& address);
+  HttpExchangeHooks HooksFor(const HttpConnection* connection);
+  std::string BuildRequest(MonoTime now, const ServerId& server) const;
   bool OnHead(const HttpHead& head);
   void OnBody(std::string_view piece);
   void OnComplete();
   void OnFailed(const HttpFailure& failure);
-  /// `may_repeat` says that the retry budget has been charged already.
-  void EndAttempt(MonoTime now, AttemptEnd end, bool may_repeat = false);
+  static AttemptEnd EndOf(const HttpFailure& failure);
+  static AttemptOutcome OutcomeOf(AttemptEnd end);
+  void EndAttempt(MonoTime now, AttemptEnd end);
   void FinishAttempt(MonoTime now, AttemptOutcome outcome);
+  /// Tells the tables that an attempt at `server` has ended.
+  void CountEnd(MonoTime now,
+                const ServerId& server,
+                MonoTime sent_at,
+                AttemptOutcome outcome);
+
+  // Silent servers.
+  void ArmSilenceCheck(MonoTime now);
+  void CheckSilence(MonoTime now);
+  bool IsSilent(MonoTime now) const;
+  /// Offers the request to another server, while the attempt under way goes on.
+  void OfferToSuccessor(MonoTime now);
+  /// A server other than `server_` that may take the request over, or that one
+  /// on another connection if there is no other.
+  std::optional<ServerId> ChooseSuccessor(MonoTime now);
+  bool IsSuccessor(const HttpConnection* connection) const {
+    return successor_.connection.get() == connection;
+  }
+  bool OnSuccessorHead(const HttpHead& head);
+  void OnSuccessorFailed(const HttpFailure& failure);
+  /// The successor has failed; the attempt under way goes on.
+  void RejectSuccessor(MonoTime now, AttemptEnd end);
+  void DropSuccessor(MonoTime now,
+                     std::string_view end,
+                     AttemptOutcome outcome);
+  /// Gives the silent attempt up for the successor.
+  void TakeOver(MonoTime now);
+  /// The successor becomes the attempt under way.
+  void AdoptSuccessor(MonoTime now);
 
   // Answers.
   void OnEvents(MonoTime now, std::string_view whole);
@@ -83,8 +126,6 @@
   void OnDeadline(MonoTime now);
   /// Ends the attempt under way, if any, and answers the caller.
   void GiveUp(MonoTime now, std::string_view reason);
-  void ArmSilenceCheck(MonoTime now);
-  void CheckSilence(MonoTime now);
   void OnCallerDisconnected();
 
   RequestProgress Progress(MonoTime now) const;
@@ -114,6 +155,9 @@
   ServerId server_;
   MonoTime sent_at_;
   MonoTime last_byte_at_;
+  Successor successor_;
+  /// The retry budget has been charged for a successor that reached no server.
+  bool successor_paid_ = false;
   Answer answer_;
   EventSplitter events_;
   std::uint32_t sends_ = 0;
@@ -128,6 +172,7 @@
 
   TimerQueue::Ticket deadline_timer_ = TimerQueue::kNoTicket;
   TimerQueue::Ticket silence_timer_ = TimerQueue::kNoTicket;
+  TimerQueue::Ticket handover_timer_ = TimerQueue::kNoTicket;
   TimerQueue::Ticket wait_timer_ = TimerQueue::kNoTicket;
 };
 
--- /dev/null
+++ b/lib/forward/request_handover.cc
@@ -0,0 +1,195 @@
+// What becomes of a request whose server is silent. It may still answer, so it
+// is given up only for a server that has taken the request.
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "lib/forward/request_exchange.h"
+#include "mangoport/forward/wait_policy.h"
+
+namespace mangoport {
+namespace {
+
+/// A server that has work and sends no host anything for so long is taken for
+/// dead, as far as a request may run elsewhere.
+constexpr Duration kServerSilence = std::chrono::milliseconds(700);
+/// The same for a server that other hosts hear, if it sends this one nothing:
+/// the way to it may be cut.
+constexpr Duration kPathSilence = std::chrono::milliseconds(1400);
+/// A stream without an event for so long goes on elsewhere even if its server
+/// answers others.
+constexpr Duration kStreamSilence = std::chrono::milliseconds(1400);
+constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(300);
+
+/// Two servers work on a request for no longer than this. Longer than it takes
+/// to make a connection or to refuse a request.
+constexpr Duration kHandoverTime = std::chrono::milliseconds(350);
+
+MonoTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+}  // namespace
+
+void RequestExchange::ArmSilenceCheck(MonoTime now) {
+  host_.parts_.timers.Cancel(silence_timer_);
+  silence_timer_ = host_.parts_.timers.Add(
+      now + kSilenceCheckInterval, [weak = weak_from_this()](MonoTime due) {
+        const auto self = weak.lock();
+        if (!self || self->done_)
+          return;
+        self->silence_timer_ = TimerQueue::kNoTicket;
+        self->CheckSilence(due);
+      });
+}
+
+void RequestExchange::CheckSilence(MonoTime now) {
+  if (!connection_ || successor_.connection)
+    return;
+  if (IsSilent(now))
+    OfferToSuccessor(now);
+  if (!successor_.connection)
+    ArmSilenceCheck(now);
+}
+
+bool RequestExchange::IsSilent(MonoTime now) const {
+  const Duration silence = now - last_byte_at_;
+  const BackendTable& backends = host_.parts_.backends;
+  const bool to_all = silence > kServerSilence &&
+                      backends.SilentToAllFor(now, server_) > kServerSilence;
+  const bool to_this_host =
+      silence > kPathSilence && backends.SilentFor(now, server_) > kPathSilence;
+  return to_all || to_this_host || (answer_begun_ && silence > kStreamSilence);
+}
+
+void RequestExchange::OfferToSuccessor(MonoTime now) {
+  RequestProgress progress = Progress(now);
+  ++progress.runs;
+  if (!WantsAnother(progress, AttemptEnd::kSilent))
+    return;
+  const std::optional<ServerId> server = ChooseSuccessor(now);
+  if (!server)
+    return;
+  const auto address = host_.parts_.backends.AddressOf(*server);
+  if (!address)
+    return;
+  if (!successor_paid_ &&
+      !host_.StateOf(service_).budget.TryTake(now, AccountId()))
+    return;
+  successor_paid_ = false;
+  successor_ = {.connection = OpenAttempt(now, *server, *address),
+                .server = *server,
+                .sent_at = now};
+  // The same server on another connection takes over only by an answer.
+  if (*server == server_)
+    return;
+  handover_timer_ = host_.parts_.timers.Add(
+      now + kHandoverTime, [weak = weak_from_this()](MonoTime due) {
+        const auto self = weak.lock();
+        if (!self || !self->successor_.connection)
+          return;
+        self->handover_timer_ = TimerQueue::kNoTicket;
+        self->TakeOver(due);
+      });
+}
+
+std::optional<ServerId> RequestExchange::ChooseSuccessor(MonoTime now) {
+  if (host_.crash_suspects_.IsQuarantined(now, fingerprint_))
+    return std::nullopt;
+  if (account_ && !host_.parts_.key_evidence.MayAcceptKeys(BootClock::now()))
+    return std::nullopt;
+  RouteRequest routing = routing_;
+  routing.excluded.push_back(server_);
+  routing.deadline = CallerLeavesAt(
+      deadline_, answer_begun_ ? last_byte_at_ : request_.arrived,
+      route_->stall_limit);
+  BackendTable& backends = host_.parts_.backends;
+  RouteChoice choice = backends.Choose(now, service_, routing);
+  if (!choice.server) {
+    routing.excluded.clear();
+    choice = backends.Choose(now, service_, routing);
+  }
+  return choice.server;
+}
+
+bool RequestExchange::OnSuccessorHead(const HttpHead& head) {
+  const MonoTime now = Now();
+  const auto self = shared_from_this();
+  const std::string* id = FindField(head.fields, host_.dialect_.request_id);
+  if (id && *id != request_id_)
+    return false;
+  if (head.status / 100 == 2 && MayPassOn(head)) {
+    TakeOver(now);
+    return OnHead(head);
+  }
+  if (head.status == 421) {
+    host_.parts_.backends.NoteMissing(now, successor_.server, routing_.model);
+    RejectSuccessor(now, AttemptEnd::kMisdirected);
+    return true;
+  }
+  const bool not_run =
+      FindField(head.fields, host_.dialect_.not_run) && head.status != 400;
+  RejectSuccessor(now, not_run                  ? AttemptEnd::kRefusedFull
+                       : head.status / 100 == 2 ? AttemptEnd::kBroken
+                                                : AttemptEnd::kServerError);
+  return true;
+}
+
+void RequestExchange::OnSuccessorFailed(const HttpFailure& failure) {
+  const MonoTime now = Now();
+  if (failure.request_sent)
+    host_.crash_suspects_.OnServerLost(
+        now, {.fingerprint = fingerprint_, .server = successor_.server});
+  RejectSuccessor(now, EndOf(failure));
+}
+
+void RequestExchange::RejectSuccessor(MonoTime now, AttemptEnd end) {
+  routing_.excluded.push_back(successor_.server);
+  successor_paid_ = !CountsAsRepeat(end);
+  if (!ProvesNotRun(end))
+    ++runs_;
+  DropSuccessor(now, AttemptEndName(end), OutcomeOf(end));
+}
+
+void RequestExchange::DropSuccessor(MonoTime now,
+                                    std::string_view end,
+                                    AttemptOutcome outcome) {
+  if (!successor_.connection)
+    return;
+  host_.parts_.timers.Cancel(handover_timer_);
+  const Successor dropped = std::exchange(successor_, {});
+  if (outcome == AttemptOutcome::kCancelled &&
+      dropped.connection->request_sent())
+    ++runs_;
+  dropped.connection->Cancel();
+  CountEnd(now, dropped.server, dropped.sent_at, outcome);
+  host_.parts_.log.Write(LogLine("successor_dropped")
+                             .Add("id", request_id_)
+                             .Add("end", end)
+                             .Add("server", dropped.server.value())
+                             .Add("silent_server", server_.value())
+                             .Add("after_ms", now - dropped.sent_at)
+                             .Add("silent_ms", now - last_byte_at_)
+                             .Add("left_ms", deadline_ - now));
+  if (!done_)
+    ArmSilenceCheck(now);
+}
+
+void RequestExchange::TakeOver(MonoTime now) {
+  EndAttempt(now, AttemptEnd::kSilent);
+}
+
+void RequestExchange::AdoptSuccessor(MonoTime now) {
+  host_.parts_.timers.Cancel(handover_timer_);
+  routing_.excluded.push_back(server_);
+  Successor successor = std::exchange(successor_, {});
+  connection_ = std::move(successor.connection);
+  server_ = successor.server;
+  sent_at_ = successor.sent_at;
+  last_byte_at_ = now;
+  answer_ = Answer();
+  events_.Restart();
+  ArmSilenceCheck(now);
+}
+
+}  // namespace mangoport
--- /dev/null
+++ b/unittests/process/live_attempt_test.cc
@@ -0,0 +1,211 @@
+// Backend servers that fall silent and then go on, beside others that don't
+// take the request over.
+#include <chrono>
+#include <functional>
+#include <sstream>
+#include <string>
+#include <thread>
+
+#include <criterion/criterion.h>
+
+#include "unittests/support/edge_fixture.h"
+
+namespace mangoport {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Longer than any server may be silent before another one is tried.
+constexpr milliseconds kLongPause{2300};
+
+constexpr char kStreamHead[] =
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+constexpr char kNotRunHead[] = "X-Not-Executed: 1\r\nContent-Length: 0\r\n";
+
+std::string Chunk(const std::string& text) {
+  std::ostringstream size;
+  size << std::hex << text.size();
+  return size.str() + "\r\n" + text + "\r\n";
+}
+
+std::string LastChunk() {
+  return "0\r\n\r\n";
+}
+
+/// A host whose servers are the scripted ones that are listed later.
+class Host {
+ public:
+  Host() {
+    it_.Unlist(it_.a_.id());
+    it_.Unlist(it_.b_.id());
+    Require(EdgeFixture::Within(seconds(5),
+                                [this] {
+                                  const auto reply = it_.Ask("/read/x");
+                                  return reply && reply->status == 503;
+                                }),
+            "the stand-ins are still listed");
+  }
+
+  /// Sends a request when `first` is the only server, and lists another with
+  /// `list_other` once it is there.
+  httplib::Result AskBeside(const ScriptedBackend& first,
+                            const std::string& path,
+                            const std::function<void()>& list_other) {
+    it_.List(first, "ready");
+    std::thread later([&] {
+      EdgeFixture::Within(seconds(5), [&] { return !first.seen().empty(); });
+      list_other();
+    });
+    httplib::Result reply(nullptr, httplib::Error::Unknown);
+    // Refused until the host knows the server.
+    EdgeFixture::Within(seconds(5), [&] {
+      reply = it_.Ask(path);
+      return !first.seen().empty();
+    });
+    later.join();
+    return reply;
+  }
+
+  EdgeFixture it_;
+};
+
+/// Sends one event, falls silent and ends its stream; takes no second request.
+ScriptedAnswer PauseInStream(const ScriptedBackend& self,
+                             const SeenRequest& request,
+                             int number) {
+  if (number > 0)
+    return {.pieces = {self.Head(request, 503, kNotRunHead)}};
+  return {.pieces = {self.Head(request, 200, kStreamHead) + Chunk(Events(1, 1)),
+                     Chunk(Events(2, 2)) + LastChunk()},
+          .pause = kLongPause};
+}
+
+// NOLINTBEGIN: Criterion's macros
+Test(live_attempt, a_silent_stream_alone_is_not_cut, .timeout = 60) {
+  Host host;
+  ScriptedBackend* self = nullptr;
+  ScriptedBackend quiet("i-q", [&self](const SeenRequest& request, int number) {
+    return PauseInStream(*self, request, number);
+  });
+  self = &quiet;
+  const auto reply = host.AskBeside(quiet, "/stream/x", [] {});
+  cr_assert(reply, "the stream was cut");
+  cr_assert_eq(reply->status, 200);
+  cr_assert_eq(reply->body, Events(1, 2));
+}
+
+Test(live_attempt,
+     a_silent_stream_is_not_cut_beside_a_full_server,
+     .timeout = 60) {
+  Host host;
+  ScriptedBackend* self = nullptr;
+  ScriptedBackend* other = nullptr;
+  ScriptedBackend quiet("i-q", [&self](const SeenRequest& request, int number) {
+    return PauseInStream(*self, request, number);
+  });
+  ScriptedBackend full("i-f", [&other](const SeenRequest& request, int) {
+    return ScriptedAnswer{.pieces = {other->Head(request, 503, kNotRunHead)}};
+  });
+  self = &quiet;
+  other = &full;
+  const auto reply =
+      host.AskBeside(quiet, "/stream/x", [&] { host.it_.List(full, "ready"); });
+  cr_assert(reply, "the stream was cut");
+  cr_assert_eq(reply->status, 200);
+  cr_assert_eq(reply->body, Events(1, 2));
+  cr_assert_geq(full.seen().size(), 1);
+}
+
+Test(live_attempt,
+     a_silent_stream_is_not_cut_beside_a_server_that_is_gone,
+     .timeout = 60) {
+  Host host;
+  ScriptedBackend* self = nullptr;
+  ScriptedBackend quiet("i-q", [&self](const SeenRequest& request, int number) {
+    return PauseInStream(*self, request, number);
+  });
+  self = &quiet;
+  const auto reply = host.AskBeside(quiet, "/stream/x", [&] {
+    host.it_.store_.Put("keyed.servers", "i-gone",
+                        BackendEntry("s", "127.0.0.1:1", "ready"));
+  });
+  cr_assert(reply, "the stream was cut");
+  cr_assert_eq(reply->status, 200);
+  cr_assert_eq(reply->body, Events(1, 2));
+}
+
+Test(live_attempt,
+     a_slow_answer_is_waited_for_beside_a_full_server,
+     .timeout = 60) {
+  Host host;
+  ScriptedBackend* self = nullptr;
+  ScriptedBackend* other = nullptr;
+  ScriptedBackend slow("i-q", [&self](const SeenRequest& request, int number) {
+    if (number > 0)
+      return ScriptedAnswer{.pieces = {self->Head(request, 503, kNotRunHead)}};
+    return ScriptedAnswer{
+        .pieces = {"",
+                   self->Head(request, 200, "Content-Length: 4\r\n") + "late"},
+        .pause = kLongPause};
+  });
+  ScriptedBackend full("i-f", [&other](const SeenRequest& request, int) {
+    return ScriptedAnswer{.pieces = {other->Head(request, 503, kNotRunHead)}};
+  });
+  self = &slow;
+  other = &full;
+  const auto reply =
+      host.AskBeside(slow, "/read/x", [&] { host.it_.List(full, "ready"); });
+  cr_assert(reply);
+  cr_assert_eq(reply->status, 200, "%d %s", reply->status, reply->body.c_str());
+  cr_assert_eq(reply->body, "late");
+}
+
+Test(live_attempt, a_stream_of_a_dead_server_goes_on_elsewhere, .timeout = 60) {
+  Host host;
+  ScriptedBackend* self = nullptr;
+  ScriptedBackend dead("i-q", [&self](const SeenRequest& request, int) {
+    return ScriptedAnswer{
+        .pieces = {self->Head(request, 200, kStreamHead) + Chunk(Events(1, 1)),
+                   LastChunk()},
+        .pause = seconds(7)};
+  });
+  self = &dead;
+  const std::size_t before = host.it_.b_.seen().size();
+  const auto reply = host.AskBeside(
+      dead, "/stream/x", [&] { host.it_.List(host.it_.b_, "ready"); });
+  cr_assert(reply);
+  cr_assert_eq(reply->body, Events(1, 6));
+  cr_assert_eq(host.it_.b_.seen().size(), before + 1);
+}
+
+// Both servers may speak at the same time; the caller gets one run's events.
+Test(live_attempt,
+     a_server_that_speaks_again_beside_its_successor,
+     .timeout = 60) {
+  Host host;
+  ScriptedBackend* self = nullptr;
+  ScriptedBackend* other = nullptr;
+  ScriptedBackend quiet("i-q", [&self](const SeenRequest& request, int) {
+    return ScriptedAnswer{
+        .pieces = {self->Head(request, 200, kStreamHead) + Chunk(Events(1, 1)),
+                   Chunk(Events(2, 3)) + LastChunk()},
+        .pause = milliseconds(1650)};
+  });
+  ScriptedBackend slow("i-f", [&other](const SeenRequest& request, int) {
+    return ScriptedAnswer{
+        .pieces = {"", other->Head(request, 200, kStreamHead) +
+                           Chunk(Events(2, 3)) + LastChunk()},
+        .pause = milliseconds(250)};
+  });
+  self = &quiet;
+  other = &slow;
+  const auto reply =
+      host.AskBeside(quiet, "/stream/x", [&] { host.it_.List(slow, "ready"); });
+  cr_assert(reply);
+  cr_assert_eq(reply->body, Events(1, 3));
+}
+// NOLINTEND
+
+}  // namespace
+}  // namespace mangoport
