An answer that waits to leave is not cut by timers or by a stop

Callers on slow links got the beginning of an answer and then a closed connection: the time for which a connection may be idle, or for which the caller may take to close after the last answer, counted from the moment when the answer was handed over, not from when it had left. In a stop, connections whose answer still waited in the host counted as idle and were closed at once.

Cause: "no request under way" was taken for "nothing to send".

Fix: while bytes wait, the connection's timer starts again as long as the caller takes some; the time to linger begins when all have left. A stop closes neither a connection with unsent bytes nor one that lingers after its last answer. A caller that takes nothing for the idle time is closed as before.

--- a/include/mangoport/forward/client_session.h
+++ b/include/mangoport/forward/client_session.h
@@ -95,7 +95,8 @@
   /// From now on each answer asks the caller to close the connection.
   void Drain() { draining_ = true; }
 
-  /// Closes the connection if no request is under way or partly read.
+  /// Closes the connection if no request is under way or partly read, and no
+  /// answer is leaving.
   bool CloseIfIdle();
 
   bool busy() const { return busy_; }
@@ -129,6 +130,8 @@
   /// Bytes behind the request that is being answered.
   std::string ahead_;
   TimerQueue::Ticket timer_ = TimerQueue::kNoTicket;
+  /// Bytes that had not left when the timer was looked at last.
+  std::size_t unsent_before_ = 0;
   bool busy_ = false;
   bool keep_alive_ = true;
   bool bodyless_ = false;
--- a/lib/forward/client_session.cc
+++ b/lib/forward/client_session.cc
@@ -50,7 +50,7 @@
 void ClientSession::ArmTimer(MonoTime now) {
   timers_.Cancel(timer_);
   Duration wait = limits_.idle_timeout + kIdleSlack;
-  if (ending_)
+  if (ending_ && stream_->unsent() == 0)
     wait = kLingerTime;
   else if (parser_.started() && !parser_.head_complete())
     wait = limits_.head_timeout;
@@ -60,10 +60,15 @@
   });
 }
 
-void ClientSession::OnTimer(MonoTime /*now*/) {
+void ClientSession::OnTimer(MonoTime now) {
   timer_ = TimerQueue::kNoTicket;
   if (busy_)
     return;
+  // The answer is still leaving, or has just left.
+  if (std::exchange(unsent_before_, stream_->unsent()) != stream_->unsent()) {
+    ArmTimer(now);
+    return;
+  }
   if (!ending_ && parser_.started()) {
     Refuse(408, "the request did not arrive in time");
     return;
@@ -254,7 +259,9 @@
 }
 
 bool ClientSession::CloseIfIdle() {
-  if (busy_ || parser_.started() || !ahead_.empty())
+  // After its last answer a connection is closed by its timer.
+  if (busy_ || ending_ || parser_.started() || !ahead_.empty() ||
+      stream_->unsent() > 0)
     return false;
   Shut();
   return true;
