A request sent ahead is answered in a stop

A caller that sent its next request before the answer to the one before, while the host stopped, got neither an answer nor a refusal to it: the first answer announced the end of the connection though the second request had been read, and that request was dropped.

Fix: the end is announced with the answer to the last request that has been read.

Evidence, client_session_close_test on the code before: a_request_sent_ahead_is_answered_in_a_stop: the request was read and dropped After: it passes.

--- a/lib/forward/client_session.cc
+++ b/lib/forward/client_session.cc
@@ -148,7 +148,8 @@
 }
 
 bool ClientSession::ShouldClose() const {
-  return draining_ || !keep_alive_;
+  // A request that was sent ahead is answered first.
+  return !keep_alive_ || (draining_ && ahead_.empty());
 }
 
 void ClientSession::AppendHead(std::string& out,
--- a/unittests/forward/client_session_close_test.cc
+++ b/unittests/forward/client_session_close_test.cc
@@ -175,5 +175,15 @@
   cr_assert_neq(call.text_.find("Connection: close"), std::string::npos);
 }
 
+Test(client_session_close, a_request_sent_ahead_is_answered_in_a_stop) {
+  Call call;
+  call.Send(std::string(kRequest) + std::string(kRequest));
+  cr_assert(call.RunUntilRequest(1));
+  call.Run(milliseconds(50));
+  call.session_->Drain();
+  call.session_->Answer({.status = 200});
+  cr_assert(call.RunUntilRequest(2), "the request was read and dropped");
+}
+
 }  // namespace
 }  // namespace mangoport
