--- a/include/mangoport/forward/client_session.h
+++ b/include/mangoport/forward/client_session.h
@@ -95,7 +95,8 @@
   /// From now on each answer asks the caller to close the connection.
   void Drain() { draining_ = true; }
 
-  /// Closes the connection if no request is under way or partly read.
+  /// Closes the connection if no request is under way or partly read, and no
+  /// answer is leaving.
   bool CloseIfIdle();
 
   bool busy() const { return busy_; }
@@ -116,7 +117,7 @@
   void AppendHead(std::string& out,
                   int status,
                   std::string_view reason,
-                  const HttpFields& fields) const;
+                  const HttpFields& fields);
 
   TcpStream::Ptr stream_;
   TimerQueue& timers_;
@@ -129,10 +130,14 @@
   /// Bytes behind the request that is being answered.
   std::string ahead_;
   TimerQueue::Ticket timer_ = TimerQueue::kNoTicket;
+  /// Bytes that had not left when the timer was looked at last.
+  std::size_t unsent_before_ = 0;
   bool busy_ = false;
   bool keep_alive_ = true;
   bool bodyless_ = false;
   bool draining_ = false;
+  /// The answer's head tells the caller that the connection ends with it.
+  bool close_announced_ = false;
   bool ending_ = false;
   bool continue_sent_ = false;
   bool closed_ = false;
--- a/lib/forward/client_session.cc
+++ b/lib/forward/client_session.cc
@@ -50,7 +50,7 @@
 void ClientSession::ArmTimer(MonoTime now) {
   timers_.Cancel(timer_);
   Duration wait = limits_.idle_timeout + kIdleSlack;
-  if (ending_)
+  if (ending_ && stream_->unsent() == 0)
     wait = kLingerTime;
   else if (parser_.started() && !parser_.head_complete())
     wait = limits_.head_timeout;
@@ -60,10 +60,15 @@
   });
 }
 
-void ClientSession::OnTimer(MonoTime /*now*/) {
+void ClientSession::OnTimer(MonoTime now) {
   timer_ = TimerQueue::kNoTicket;
   if (busy_)
     return;
+  // The answer is still leaving, or has just left.
+  if (std::exchange(unsent_before_, stream_->unsent()) != stream_->unsent()) {
+    ArmTimer(now);
+    return;
+  }
   if (!ending_ && parser_.started()) {
     Refuse(408, "the request did not arrive in time");
     return;
@@ -143,13 +148,15 @@
 }
 
 bool ClientSession::ShouldClose() const {
-  return draining_ || !keep_alive_;
+  // A request that was sent ahead is answered first.
+  return !keep_alive_ || (draining_ && ahead_.empty());
 }
 
 void ClientSession::AppendHead(std::string& out,
                                int status,
                                std::string_view reason,
-                               const HttpFields& fields) const {
+                               const HttpFields& fields) {
+  close_announced_ = ShouldClose();
   out.append("HTTP/1.1 ");
   out.append(std::to_string(status));
   out.push_back(' ');
@@ -157,7 +164,7 @@
   out.append("\r\n");
   for (const HttpField& it : fields)
     AppendField(out, it.name, it.value);
-  if (ShouldClose())
+  if (close_announced_)
     AppendField(out, "Connection", "close");
 }
 
@@ -227,7 +234,8 @@
     return;
   parser_.Reset();
   body_.clear();
-  if (ShouldClose()) {
+  // Otherwise the caller may have sent its next request already.
+  if (close_announced_) {
     EndConnection();
     return;
   }
@@ -254,7 +262,9 @@
 }
 
 bool ClientSession::CloseIfIdle() {
-  if (busy_ || parser_.started() || !ahead_.empty())
+  // After its last answer a connection is closed by its timer.
+  if (busy_ || ending_ || parser_.started() || !ahead_.empty() ||
+      stream_->unsent() > 0)
     return false;
   Shut();
   return true;
