forward: a stream that ends inside an event has been broken off

Callers saw a stream that stopped in the middle of an event and still ended as complete, with its last chunk. It happened whenever the server's answer ended in an orderly way there: by its length, its last chunk, or the close of an answer that has neither.

Cause: RequestExchange::OnComplete sent what was left of an incomplete event and ended the caller's answer, as if the end of the framing were the end of the stream. Only a reset, or a close within a length or chunk, counted as a break.

A stream whose last event is not complete now ends its attempt as broken: it is resumed elsewhere where the route allows it, and else the caller's connection is closed without the last chunk. An incomplete event is never passed on. Line ends after the last event begin no event and stay harmless.

--- a/include/mangoport/http/event_splitter.h
+++ b/include/mangoport/http/event_splitter.h
@@ -22,6 +22,10 @@
   /// Bytes of an event that is not complete yet.
   const std::string& partial() const { return partial_; }
 
+  /// True if an event has begun and is not complete: a stream that ends here
+  /// has been broken off, however its end is marked.
+  bool inside_event() const;
+
   /// True if an event's id did not rise: a repeat or an event of another run.
   bool out_of_order() const { return out_of_order_; }
 
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -317,6 +317,10 @@
   const MonoTime now = Now();
   connection_.reset();
   const int status = answer_.status;
+  if (answer_.streaming && events_.inside_event()) {
+    EndAttempt(now, AttemptEnd::kBroken);
+    return;
+  }
   if (status / 100 == 2) {
     FinishAttempt(now, AttemptOutcome::kCompleted);
     if (!answer_.streaming) {
--- a/lib/http/event_splitter.cc
+++ b/lib/http/event_splitter.cc
@@ -40,6 +40,10 @@
   last_id_ = id;
 }
 
+bool EventSplitter::inside_event() const {
+  return partial_.find_first_not_of("\r\n") != std::string::npos;
+}
+
 std::size_t EventSplitter::Feed(std::string_view data, std::string& whole) {
   // An event's end may lie across the two pieces.
   std::size_t searched = partial_.empty() ? 0 : partial_.size() - 1;
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -95,6 +95,17 @@
   cr_assert_eq(splitter.last_id(), 2);
 }
 
+Test(event_splitter, line_ends_after_the_last_event_begin_no_other) {
+  EventSplitter splitter;
+  std::string whole;
+  splitter.Feed("id: 1\ndata: a\n\n\n", whole);
+  cr_assert_not(splitter.inside_event());
+  splitter.Feed("i", whole);
+  cr_assert(splitter.inside_event());
+  splitter.Restart();
+  cr_assert_not(splitter.inside_event());
+}
+
 Test(event_splitter, a_resumed_run_goes_on_after_the_last_whole_event) {
   EventSplitter splitter;
   std::string whole;
