forward: a server that says it leaves gets no more requests

What callers saw: requests that were sent to a backend server which had already said in its answers that it shuts down, while the list still showed it as ready; some of them were cut when it exited.

Cause: only the platform's list could mark a server as leaving. The field by which a server says so in its answers was passed on to the caller and read by nobody.

Evidence, server_signals_test on the code before: a_server_that_says_it_leaves_gets_no_more_requests: 10 more requests a_refusal_tells_that_a_server_leaves: 8 more requests a_failure_tells_that_a_server_leaves: 10 more requests a_late_answer_tells_that_a_server_leaves: 10 more requests a_stream_under_way_tells_that_a_server_leaves: 10 more requests only_a_new_start_brings_a_leaving_server_back: 10 more requests when_all_servers_leave_callers_are_refused_at_once: status is not 503 (of 20 each, one other server; all 7 fail before, all 7 pass after)

Why the fix works: the head of every answer is read as it arrives: late answers to earlier requests, refusals, failures, streams that still run, and answers to this host's own calls (orders, reports). The word is kept by server and start, apart from the list, and laid over each list as "draining". So no newer list and no lapsed entry brings the server back, only a new start does; and all that spares a draining server spares this one: routing with its last resorts, the wait for a copy, and the plan of copies. Its idle connections are closed. If all servers of a service leave, callers are refused at once.

--- a/include/mangoport/edge/edge_host.h
+++ b/include/mangoport/edge/edge_host.h
@@ -73,6 +73,8 @@
                   SessionSet& sessions,
                   asio::ip::tcp::socket socket);
   FeedHooks MakeFeedHooks();
+  /// A backend server said that it leaves.
+  void OnServerLeaving(const ServerId& server);
   void AnswerStatus(const std::shared_ptr<ClientSession>& session,
                     const HttpRequest& request);
   bool IsReady() const;
--- a/include/mangoport/forward/backend_table.h
+++ b/include/mangoport/forward/backend_table.h
@@ -16,6 +16,7 @@
 #include "mangoport/fleet/fleet_config.h"
 #include "mangoport/fleet/server_directory.h"
 #include "mangoport/forward/peer_loads.h"
+#include "mangoport/forward/server_signals.h"
 #include "mangoport/routing/router.h"
 
 namespace mangoport {
@@ -51,7 +52,7 @@
   BackendTable& operator=(const BackendTable&) = delete;
 
   /// Takes the servers as they are now.
-  void SetServers(MonoTime now, const std::map<ServerId, ServerEntry>& servers);
+  void SetServers(MonoTime now, const std::map<ServerId, ServerEntry>& listed);
 
   /// Takes in a change of what a server holds, by word of the host that gives
   /// engines orders. Believed until the server's own entry must show it.
@@ -60,6 +61,20 @@
   /// `server` has denied that it holds `model`.
   void NoteMissing(MonoTime now, const ServerId& server, const ModelId& model);
 
+  /// Takes in what a server said in an answer. From its word that it leaves
+  /// until its next start it gets no new requests, whatever the list says.
+  void NoteSignals(MonoTime now,
+                   const ServerStart& start,
+                   const ServerSignals& signals);
+
+  /// The present start of the server by the list.
+  ServerStart StartOf(const ServerId& server) const;
+
+  /// Called when a server says that it leaves.
+  void set_on_leaving(std::function<void(const ServerId&)> hook) {
+    on_leaving_ = std::move(hook);
+  }
+
   /// Sets how long what a silent host reported counts.
   void set_peer_load_lifetime(Duration lifetime) {
     peer_loads_.set_lifetime(lifetime);
@@ -82,6 +97,9 @@
                 const ServiceId& service,
                 const ModelId& model) const;
 
+  /// True if the service has servers and all of them leave.
+  bool AllLeaving(const ServiceId& service) const;
+
   /// Where the server listens; none if it is not listed.
   std::optional<asio::ip::tcp::endpoint> AddressOf(
       const ServerId& server) const;
@@ -110,6 +128,7 @@
   /// Requests of this host at each server that has any.
   std::vector<ServerLoad> OwnLoads(MonoTime now) const;
 
+  /// The listed servers; those that said so themselves are draining too.
   const std::map<ServerId, ServerEntry>& servers() const { return servers_; }
 
   /// Called when a server begins to hold a model.
@@ -137,6 +156,10 @@
   static std::vector<ModelId> ModelsOf(MonoTime now,
                                        const ServerEntry& entry,
                                        const Backend& backend);
+  /// `listed` with what the servers said themselves.
+  std::map<ServerId, ServerEntry> WithSignals(
+      MonoTime now,
+      const std::map<ServerId, ServerEntry>& listed);
   void Rebuild(MonoTime now, const ServiceId& service);
   void ReportLoad(MonoTime now, const ServerId& server);
 
@@ -145,7 +168,9 @@
   std::unordered_map<ServerId, Backend> backends_;
   std::map<ServiceId, Router> routers_;
   PeerLoads peer_loads_;
+  ServerSignalTable signals_;
   std::function<void(const ModelId&)> on_resident_;
+  std::function<void(const ServerId&)> on_leaving_;
 };
 
 }  // namespace mangoport
--- a/include/mangoport/forward/dialect.h
+++ b/include/mangoport/forward/dialect.h
@@ -34,6 +34,8 @@
   std::string not_run;
   /// From backend servers: marks an answer as the server's own.
   std::string answer_seal;
+  /// From backend servers, "1" in any answer: the server shuts down.
+  std::string server_leaving;
 
   /// Fields that callers may not set; they are dropped.
   std::vector<std::string> reserved;
--- a/include/mangoport/forward/forwarder.h
+++ b/include/mangoport/forward/forwarder.h
@@ -81,6 +81,12 @@
     on_missing_ = std::move(hook);
   }
 
+  /// Takes in what a backend server says of itself in the head of an answer,
+  /// whatever it answers.
+  void NoteServerSignals(MonoTime now,
+                         const ServerStart& start,
+                         const HttpHead& head);
+
   /// The demand for each model that callers asked for.
   std::vector<ModelUse> ModelUses() const;
 
--- a/include/mangoport/forward/http_caller.h
+++ b/include/mangoport/forward/http_caller.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "mangoport/core/time.h"
 #include "mangoport/forward/connection_pool.h"
@@ -48,12 +49,19 @@
   HttpCaller(const HttpCaller&) = delete;
   HttpCaller& operator=(const HttpCaller&) = delete;
 
+  /// Sets a hook for the head of each answer, with the name of its peer.
+  void set_on_head(
+      std::function<void(const std::string& peer, const HttpHead& head)> hook) {
+    on_head_ = std::move(hook);
+  }
+
   /// Calls `done` once, when the answer is there or the time has passed.
   void Call(MonoTime now, const HttpCall& call, HttpCallDone done);
 
  private:
   ConnectionPool& pool_;
   TimerQueue& timers_;
+  std::function<void(const std::string& peer, const HttpHead& head)> on_head_;
 };
 
 }  // namespace mangoport
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -132,6 +132,12 @@
               DrawClaimDelay()),
       signals_(io_, SIGTERM, SIGINT, SIGHUP) {
   quota_.AwaitHostList();
+  caller_.set_on_head([this](const std::string& peer, const HttpHead& head) {
+    forwarder_.NoteServerSignals(Now(), backends_.StartOf(ServerId(peer)),
+                                 head);
+  });
+  backends_.set_on_leaving(
+      [this](const ServerId& server) { OnServerLeaving(server); });
   forwarder_.set_on_missing([this] { SendToHolder(); });
   orders_.set_own_uses([this] { return forwarder_.ModelUses(); });
   orders_.set_on_changes([this] { SendChanges(); });
@@ -151,7 +157,7 @@
               [this](const std::map<ServerId, ServerEntry>& servers,
                      const std::vector<ServerId>& removed) {
                 backends_.SetServers(Now(), servers);
-                orders_.SetServers(servers);
+                orders_.SetServers(backends_.servers());
                 for (const ServerId& it : removed)
                   pool_.Forget(it.value());
               },
@@ -164,6 +170,12 @@
           .on_difference = [this] { metrics_.OnListingDifference(); }};
 }
 
+void EdgeHost::OnServerLeaving(const ServerId& server) {
+  log_.Write(LogLine("server_leaving").Add("server", server.value()));
+  orders_.SetServers(backends_.servers());
+  pool_.Forget(server.value());
+}
+
 void EdgeHost::Run() {
   log_.Write(LogLine("start")
                  .Add("host", settings_.host.value())
--- a/lib/forward/backend_table.cc
+++ b/lib/forward/backend_table.cc
@@ -56,8 +56,24 @@
   return out;
 }
 
+std::map<ServerId, ServerEntry> BackendTable::WithSignals(
+    MonoTime now,
+    const std::map<ServerId, ServerEntry>& listed) {
+  std::map<ServerId, ServerEntry> out = listed;
+  std::set<ServerId> ids;
+  for (auto& [id, entry] : out) {
+    ids.insert(id);
+    if (signals_.IsLeaving(
+            {.server = id, .started_at_ms = entry.started_at_ms}))
+      entry.draining = true;
+  }
+  signals_.Prune(now, ids);
+  return out;
+}
+
 void BackendTable::SetServers(MonoTime now,
-                              const std::map<ServerId, ServerEntry>& servers) {
+                              const std::map<ServerId, ServerEntry>& listed) {
+  std::map<ServerId, ServerEntry> servers = WithSignals(now, listed);
   std::set<ServiceId> touched;
   std::vector<ModelId> appeared;
   for (const auto& [id, entry] : servers_) {
@@ -85,7 +101,7 @@
     for (const ResidentModel& model : entry.models)
       appeared.push_back(model.model);
   }
-  servers_ = servers;
+  servers_ = std::move(servers);
   std::erase_if(backends_, [this](const auto& it) {
     return !servers_.contains(it.first) && it.second.own_running == 0;
   });
@@ -115,6 +131,26 @@
   routers_[service].SetServers(now, list);
 }
 
+void BackendTable::NoteSignals(MonoTime now,
+                               const ServerStart& start,
+                               const ServerSignals& signals) {
+  if (!signals.leaving || !signals_.NoteLeaving(now, start))
+    return;
+  const auto it = servers_.find(start.server);
+  if (it == servers_.end() || it->second.started_at_ms != start.started_at_ms)
+    return;
+  if (!std::exchange(it->second.draining, true))
+    Rebuild(now, it->second.service);
+  if (on_leaving_)
+    on_leaving_(start.server);
+}
+
+ServerStart BackendTable::StartOf(const ServerId& server) const {
+  const auto it = servers_.find(server);
+  return {.server = server,
+          .started_at_ms = it == servers_.end() ? 0 : it->second.started_at_ms};
+}
+
 void BackendTable::NoteResidency(MonoTime now, const ResidencyChange& change) {
   const auto entry = servers_.find(change.server);
   const auto it = backends_.find(change.server);
@@ -188,6 +224,18 @@
   return false;
 }
 
+bool BackendTable::AllLeaving(const ServiceId& service) const {
+  bool any = false;
+  for (const auto& [id, entry] : servers_) {
+    if (entry.service != service)
+      continue;
+    if (!entry.draining)
+      return false;
+    any = true;
+  }
+  return any;
+}
+
 std::optional<asio::ip::tcp::endpoint> BackendTable::AddressOf(
     const ServerId& server) const {
   const auto it = backends_.find(server);
--- a/lib/forward/forwarder.cc
+++ b/lib/forward/forwarder.cc
@@ -73,6 +73,12 @@
   exchange->Start();
 }
 
+void Forwarder::NoteServerSignals(MonoTime now,
+                                  const ServerStart& start,
+                                  const HttpHead& head) {
+  parts_.backends.NoteSignals(now, start, ReadServerSignals(dialect_, head));
+}
+
 std::vector<std::shared_ptr<RequestExchange>> Forwarder::Exchanges() {
   std::vector<std::shared_ptr<RequestExchange>> out;
   out.reserve(exchanges_.size());
--- a/lib/forward/http_caller.cc
+++ b/lib/forward/http_caller.cc
@@ -64,7 +64,9 @@
   connection->Exchange(
       Serialize(call), /*bodyless=*/false,
       {.on_head =
-           [pending](const HttpHead& head) {
+           [this, pending, peer = call.peer](const HttpHead& head) {
+             if (on_head_)
+               on_head_(peer, head);
              pending->result.status = head.status;
              pending->result.fields = head.fields;
              return true;
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -122,6 +122,7 @@
 void RequestExchange::AwaitCopy(MonoTime now, const RouteChoice& choice) {
   const ServiceSpec* service = config_->FindService(service_);
   if (!service || !service->engine ||
+      host_.parts_.backends.AllLeaving(service_) ||
       host_.parts_.backends.HasModel(now, service_, routing_.model)) {
     const bool full = choice.refusal.code == ErrorCode::kOverloaded;
     Refuse(now, {.status = 503,
@@ -190,6 +191,7 @@
     --use_->waiting;
   }
   server_ = server;
+  server_start_ = host_.parts_.backends.StartOf(server);
   sent_at_ = now;
   last_byte_at_ = now;
   answer_ = Answer();
@@ -232,6 +234,7 @@
   const MonoTime now = Now();
   last_byte_at_ = now;
   host_.parts_.backends.OnActivity(now, server_);
+  host_.NoteServerSignals(now, server_start_, head);
   const std::string* id = FindField(head.fields, host_.dialect_.request_id);
   // A late answer to an earlier request on this connection.
   if (id && *id != request_id_)
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -112,6 +112,7 @@
 
   HttpConnection::Ptr connection_;
   ServerId server_;
+  ServerStart server_start_;
   MonoTime sent_at_;
   MonoTime last_byte_at_;
   Answer answer_;
--- /dev/null
+++ b/unittests/process/server_signals_test.cc
@@ -0,0 +1,201 @@
+// What backend servers say of themselves in their answers, and where the entry
+// host sends requests from then on.
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include <criterion/criterion.h>
+
+#include "unittests/support/edge_fixture.h"
+
+namespace mangoport {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kAsks = 20;
+constexpr char kLeaving[] = "Server-Leaving: 1\r\n";
+constexpr char kNotRun[] = "X-Not-Executed: 1\r\n";
+
+/// An answer with a short body and `more` lines in its head.
+std::string Whole(const ScriptedBackend& server,
+                  const SeenRequest& request,
+                  int status,
+                  const std::string& more) {
+  return server.Head(request, status, more + "Content-Length: 2\r\n") + "ok";
+}
+
+/// The callers' requests that have reached `server`.
+std::size_t Arrivals(const ScriptedBackend& server) {
+  std::size_t n = 0;
+  for (const SeenRequest& it : server.seen())
+    n += it.Field("X-Attempt-Id").empty() ? 0 : 1;
+  return n;
+}
+
+/// Lists `server` in place of one of the fixture's and asks until it has been
+/// sent a request.
+void AskUntilSeen(EdgeFixture& it,
+                  const ScriptedBackend& server,
+                  const std::string& path) {
+  it.List(server, "ready");
+  it.Unlist("i-a");
+  Require(EdgeFixture::Within(seconds(5),
+                              [&] {
+                                it.Ask(path);
+                                return Arrivals(server) > 0;
+                              }),
+          "the server is sent nothing");
+}
+
+/// Asks often, and requires that others serve all of it.
+void RequireSparedOf(EdgeFixture& it,
+                     const ScriptedBackend& server,
+                     const std::string& path) {
+  const std::size_t before = Arrivals(server);
+  int served = 0;
+  for (int i = 0; i < kAsks; ++i) {
+    const auto reply = it.Ask(path);
+    served += reply && reply->status == 200 ? 1 : 0;
+  }
+  cr_assert_eq(Arrivals(server), before, "%zu more requests",
+               Arrivals(server) - before);
+  cr_assert_eq(served, kAsks);
+}
+
+/// The entry of `server` with `from` replaced.
+std::string EntryWith(const ScriptedBackend& server,
+                      const std::string& from,
+                      const std::string& to) {
+  std::string out = server.Entry("s", "ready");
+  out.replace(out.find(from), from.size(), to);
+  return out;
+}
+
+// NOLINTBEGIN: Criterion's macros
+// A server's own word that it leaves went unheard while the list said "ready".
+Test(server_signals,
+     a_server_that_says_it_leaves_gets_no_more_requests,
+     .timeout = 60) {
+  EdgeFixture it;
+  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int) {
+    return ScriptedAnswer{.pieces = {Whole(c, request, 200, kLeaving)}};
+  });
+  AskUntilSeen(it, c, "/read/x");
+  RequireSparedOf(it, c, "/read/x");
+}
+
+// It counts in a failure too.
+Test(server_signals, a_failure_tells_that_a_server_leaves, .timeout = 60) {
+  EdgeFixture it;
+  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int) {
+    return ScriptedAnswer{.pieces = {Whole(c, request, 404, kLeaving)}};
+  });
+  AskUntilSeen(it, c, "/once/x");
+  RequireSparedOf(it, c, "/once/x");
+}
+
+// And in the head of a stream that still runs.
+Test(server_signals,
+     a_stream_under_way_tells_that_a_server_leaves,
+     .timeout = 60) {
+  EdgeFixture it;
+  ScriptedBackend d("i-d", [&d](const SeenRequest& request, int) {
+    return ScriptedAnswer{
+        .pieces = {d.Head(request, 200,
+                          std::string(kLeaving) + "Content-Length: 40\r\n") +
+                       Events(1, 1),
+                   Events(2, 2)},
+        .pause = seconds(2)};
+  });
+  it.List(d, "ready");
+  it.Unlist("i-a");
+  std::thread caller([&] {
+    EdgeFixture::Within(seconds(5), [&] {
+      it.Ask("/stream/x");
+      return Arrivals(d) > 0;
+    });
+  });
+  EdgeFixture::Within(seconds(5), [&d] { return Arrivals(d) > 0; });
+  std::this_thread::sleep_for(milliseconds(100));
+  RequireSparedOf(it, d, "/stream/x");
+  caller.join();
+}
+
+// So does a refusal, after which the request itself goes to another server.
+Test(server_signals, a_refusal_tells_that_a_server_leaves, .timeout = 60) {
+  EdgeFixture it;
+  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int) {
+    return ScriptedAnswer{
+        .pieces = {Whole(c, request, 503, std::string(kLeaving) + kNotRun)}};
+  });
+  AskUntilSeen(it, c, "/read/x");
+  RequireSparedOf(it, c, "/read/x");
+}
+
+// And an answer that belongs to an earlier request on the connection.
+Test(server_signals, a_late_answer_tells_that_a_server_leaves, .timeout = 60) {
+  EdgeFixture it;
+  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int) {
+    SeenRequest earlier = request;
+    earlier.fields.clear();
+    earlier.fields.emplace("X-Attempt-Id", "earlier");
+    return ScriptedAnswer{.pieces = {Whole(c, earlier, 200, kLeaving) +
+                                     Whole(c, request, 200, "")}};
+  });
+  AskUntilSeen(it, c, "/read/x");
+  RequireSparedOf(it, c, "/read/x");
+}
+
+// A newer list entry of the same start does not bring the server back, nor
+// does an entry that lapses and returns; a new start under its id does.
+Test(server_signals,
+     only_a_new_start_brings_a_leaving_server_back,
+     .timeout = 60) {
+  EdgeFixture it;
+  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int number) {
+    return ScriptedAnswer{
+        .pieces = {Whole(c, request, 200, number == 0 ? kLeaving : "")}};
+  });
+  AskUntilSeen(it, c, "/read/x");
+  it.store_.Put("keyed.servers", c.id(),
+                EntryWith(c, "\"Slots\":8", "\"Slots\":9"));
+  std::this_thread::sleep_for(milliseconds(1500));
+  RequireSparedOf(it, c, "/read/x");
+  it.Unlist(c.id());
+  std::this_thread::sleep_for(milliseconds(1500));
+  it.List(c, "ready");
+  std::this_thread::sleep_for(milliseconds(1500));
+  RequireSparedOf(it, c, "/read/x");
+  it.store_.Put("keyed.servers", c.id(),
+                EntryWith(c, "\"born\":1", "\"born\":2"));
+  cr_assert(EdgeFixture::Within(seconds(5), [&] {
+    it.Ask("/read/x");
+    return Arrivals(c) > 1;
+  }));
+}
+
+// With no other server left the caller is refused at once.
+Test(server_signals,
+     when_all_servers_leave_callers_are_refused_at_once,
+     .timeout = 60) {
+  EdgeFixture it;
+  it.Unlist("i-b");
+  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int) {
+    return ScriptedAnswer{.pieces = {Whole(c, request, 200, kLeaving)}};
+  });
+  AskUntilSeen(it, c, "/read/x");
+  std::this_thread::sleep_for(milliseconds(1500));
+  const std::size_t before = Arrivals(c);
+  const auto from = std::chrono::steady_clock::now();
+  const auto reply = it.Ask("/read/x");
+  cr_assert(std::chrono::steady_clock::now() - from < seconds(1));
+  cr_assert(reply && reply->status == 503);
+  cr_assert(reply->has_header("Retry-After"));
+  cr_assert_eq(Arrivals(c), before);
+}
+// NOLINTEND
+
+}  // namespace
+}  // namespace mangoport
