--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -57,6 +57,7 @@
   struct Successor {
     HttpConnection::Ptr connection;
     ServerId server;
+    ServerStart start;
     MonoTime sent_at;
   };
 
@@ -153,6 +154,7 @@
 
   HttpConnection::Ptr connection_;
   ServerId server_;
+  ServerStart server_start_;
   MonoTime sent_at_;
   MonoTime last_byte_at_;
   Successor successor_;
--- a/lib/forward/request_handover.cc
+++ b/lib/forward/request_handover.cc
@@ -79,6 +79,7 @@
   successor_paid_ = false;
   successor_ = {.connection = OpenAttempt(now, *server, *address),
                 .server = *server,
+                .start = host_.parts_.backends.StartOf(*server),
                 .sent_at = now};
   // The same server on another connection takes over only by an answer.
   if (*server == server_)
@@ -115,6 +116,7 @@
 bool RequestExchange::OnSuccessorHead(const HttpHead& head) {
   const MonoTime now = Now();
   const auto self = shared_from_this();
+  host_.NoteServerSignals(now, successor_.start, head);
   const std::string* id = FindField(head.fields, host_.dialect_.request_id);
   if (id && *id != request_id_)
     return false;
@@ -185,6 +187,7 @@
   Successor successor = std::exchange(successor_, {});
   connection_ = std::move(successor.connection);
   server_ = successor.server;
+  server_start_ = successor.start;
   sent_at_ = successor.sent_at;
   last_byte_at_ = now;
   answer_ = Answer();
