--- a/include/mangoport/placement/copy_planner.h
+++ b/include/mangoport/placement/copy_planner.h
@@ -106,6 +106,10 @@
                               const std::vector<PlannedEngine>& engines,
                               const std::map<ModelId, CopyDemand>& demand);
 
+  /// Returns the models with demand and no copy for which the last plan found
+  /// no engine.
+  const std::vector<ModelId>& unplaced() const { return unplaced_; }
+
   /// Resets the planner for a new lease holder. The weight store budget starts
   /// empty, as the new holder does not know how much of it is left.
   void Restart(MonoTime now);
@@ -229,8 +233,9 @@
   bool ReserveBusyEngine(MonoTime now,
                          const EngineCapacity& capacity,
                          const ModelId& model);
-  /// Orders a copy of the model on the best engine, if there is one.
-  void PlanCopy(MonoTime now,
+  /// Orders a copy of the model on the best engine. Returns false if there is no
+  /// such engine.
+  bool PlanCopy(MonoTime now,
                 const EngineCapacity& capacity,
                 const ModelId& model,
                 bool urgent,
@@ -273,6 +278,7 @@
   std::map<ModelId, std::vector<Engine*>> holders_;
   /// Models with an adapter in demand for which no engine has room.
   std::set<ModelId> short_of_adapter_slots_;
+  std::vector<ModelId> unplaced_;
   double store_budget_ = 0;
   std::optional<MonoTime> refilled_at_;
 };
--- a/lib/edge/order_service.cc
+++ b/lib/edge/order_service.cc
@@ -268,12 +268,17 @@
 void OrderService::PlanService(MonoTime now, const ServiceSpec& service) {
   const std::vector<PlannedEngine> engines = tracker_.Engines(now, service.id);
   const std::map<ModelId, CopyDemand> demand = demand_.Sum(now);
+  CopyPlanner& planner = planners_[service.id];
+  const std::vector<CopyOrder> orders =
+      planner.Plan(now, *service.engine, engines, demand);
   if (now - demand_logged_at_ >= kDemandLogInterval) {
     demand_logged_at_ = now;
     LogDemand(*service.engine, engines, demand);
+    for (const ModelId& it : planner.unplaced())
+      parts_.log.Write(LogLine("model_unplaced")
+                           .Add("model", it.value())
+                           .Add("engines", engines.size()));
   }
-  const std::vector<CopyOrder> orders =
-      planners_[service.id].Plan(now, *service.engine, engines, demand);
   for (const CopyOrder& it : orders) {
     const auto entry = servers_.find(it.engine);
     if (entry == servers_.end())
@@ -295,14 +300,17 @@
                              const std::map<ModelId, CopyDemand>& demand) {
   for (const ModelSpec& it : capacity.models) {
     const auto asked = demand.find(it.model);
-    if (asked == demand.end() ||
-        asked->second.running + asked->second.waiting < 1)
+    if (asked == demand.end())
       continue;
     std::size_t copies = 0;
     for (const PlannedEngine& engine : engines) {
       for (const ResidentModel& held : engine.entry.models)
         copies += held.model == it.model && !engine.entry.draining ? 1 : 0;
     }
+    // Requests for a model without a copy may be refused at once, so that none
+    // runs or waits.
+    if (copies > 0 && asked->second.running + asked->second.waiting < 1)
+      continue;
     parts_.log.Write(
         LogLine("model_demand")
             .Add("model", it.model.value())
--- a/lib/placement/copy_planner.cc
+++ b/lib/placement/copy_planner.cc
@@ -308,9 +308,12 @@
               return x.waiting + x.arrivals_per_second >
                      y.waiting + y.arrivals_per_second;
             });
-  for (const ModelId& it : missing)
-    PlanCopy(now, capacity, it, /*urgent=*/HasDemand(models_.at(it)), "no copy",
-             out);
+  unplaced_.clear();
+  for (const ModelId& it : missing) {
+    const bool urgent = HasDemand(models_.at(it));
+    if (!PlanCopy(now, capacity, it, urgent, "no copy", out) && urgent)
+      unplaced_.push_back(it);
+  }
 }
 
 bool CopyPlanner::ReserveBusyEngine(MonoTime now,
@@ -334,7 +337,7 @@
   return false;
 }
 
-void CopyPlanner::PlanCopy(MonoTime now,
+bool CopyPlanner::PlanCopy(MonoTime now,
                            const EngineCapacity& capacity,
                            const ModelId& model,
                            bool urgent,
@@ -343,9 +346,11 @@
   const std::optional<LoadTarget> target =
       FindTarget(now, capacity, model, urgent);
   if ((!target || target->victim) && ReserveBusyEngine(now, capacity, model))
-    return;
-  if (target)
-    AppendOrder(now, *target, model, reason, out);
+    return true;
+  if (!target)
+    return false;
+  AppendOrder(now, *target, model, reason, out);
+  return true;
 }
 
 bool CopyPlanner::MayAddCopy(MonoTime now,
