placement: the last copy of an idle model makes room where models outnumber places

Cause: CopyPlanner never unloaded the last copy of any model, on the assumption that all models fit. Where they don't, those that were loaded first held their places for good. A model in demand now takes the place of the least loaded copy, and the last copy of a model counts as one of low load once nobody has asked for it for five seconds. An overloaded model may take such a place, too.

Failed before: copy_planner_test.cc:354: The expression (orders.size()) == (1) is false. model_in_demand_takes_the_place_of_an_idle_one_if_room_is_short copy_planner_test.cc:429: The expression (orders.size()) == (1) is false. overloaded_model_takes_the_place_of_an_idle_one_if_room_is_short copy_planner_test.cc:403: The expression (orders[0].model.value()) == ("m2") is false. idle_model_yields_before_further_copies_of_a_busy_one

--- a/include/mangoport/placement/copy_planner.h
+++ b/include/mangoport/placement/copy_planner.h
@@ -79,6 +79,9 @@
   /// An adapter without requests for this long may be evicted even if no other
   /// engine holds it.
   Duration adapter_idle_timeout = std::chrono::seconds(5);
+  /// The last copy of a model without requests for this long may be unloaded,
+  /// if the engines cannot hold all models at once.
+  Duration model_idle_timeout = std::chrono::seconds(5);
   /// Fraction of the weight store's load rate that the planner uses.
   double store_rate_fraction = 0.85;
   /// Maximum number of unused loads from the weight store that accumulate.
@@ -91,7 +94,9 @@
 ///
 /// The planner handles demand that shifts to other models within seconds, and
 /// simultaneous requests for many rarely used models: a model without a copy
-/// has priority, and the last copy of a model is never unloaded.
+/// has priority. The last copy of a model is unloaded only where the engines
+/// cannot hold all models at once, for a model with demand, and only if nobody
+/// has asked for it lately.
 class CopyPlanner {
  public:
   explicit CopyPlanner(const CopyPlannerSettings& settings)
@@ -140,6 +145,12 @@
     ModelId model;
     MonoTime until;
   };
+  /// A copy that can be unloaded for another model.
+  struct Victim {
+    ModelId model;
+    /// Load per slot of the remaining copies, or its equivalent if none remain.
+    double load = 0;
+  };
   /// An engine that can load a model.
   struct LoadTarget {
     Engine* engine = nullptr;
@@ -219,22 +230,29 @@
                                        const EngineCapacity& capacity,
                                        const ModelId& model,
                                        bool urgent);
-  /// Returns the model with the lowest load whose copy can be unloaded from
-  /// `engine` to free enough memory for `model`. An urgent request ignores the
-  /// cooldown and the load limit, but never takes a last copy.
-  std::optional<ModelId> FindVictim(MonoTime now,
-                                    const EngineCapacity& capacity,
-                                    const Engine& engine,
-                                    const ModelId& model,
-                                    bool urgent) const;
+  /// Returns the memory of an engine that its adapter slots may take.
+  static std::uint64_t AdapterMemory(const EngineCapacity& capacity);
+  /// Returns true if `engines` engines can hold a copy of each model.
+  static bool FitOnEngines(const EngineCapacity& capacity, std::size_t engines);
+  /// Returns true if the last copy of the model may be unloaded for a model
+  /// that needs room: one with demand and no copy, or an overloaded one.
+  bool MayTakeLastCopy(MonoTime now, const ModelId& model) const;
+  /// Returns the copy with the lowest load that can be unloaded from `engine`
+  /// to free enough memory for `model`. An urgent request ignores the cooldown
+  /// and the load limit.
+  std::optional<Victim> FindVictim(MonoTime now,
+                                   const EngineCapacity& capacity,
+                                   const Engine& engine,
+                                   const ModelId& model,
+                                   bool urgent) const;
   /// Reserves memory for the model on an engine that has enough free once its
   /// current load completes, instead of evicting another copy. Returns false if
   /// there is no such engine.
   bool ReserveBusyEngine(MonoTime now,
                          const EngineCapacity& capacity,
                          const ModelId& model);
-  /// Orders a copy of the model on the best engine. Returns false if there is no
-  /// such engine.
+  /// Orders a copy of the model on the best engine. Returns false if there is
+  /// no such engine.
   bool PlanCopy(MonoTime now,
                 const EngineCapacity& capacity,
                 const ModelId& model,
@@ -252,6 +270,13 @@
                    const ModelId& model,
                    std::string reason,
                    std::vector<CopyOrder>& out);
+  /// Returns true if the time of `id` in `times` is less than `span` ago.
+  static bool IsWithin(MonoTime now,
+                       const std::map<ModelId, MonoTime>& times,
+                       const ModelId& id,
+                       Duration span);
+  /// Returns true if there are requests, or have been some lately.
+  static bool IsInUse(const CopyDemand& demand);
   /// Returns true if requests wait for a copy of the model, or arrive at more
   /// than a minimum rate.
   static bool HasDemand(const Model& model);
@@ -271,7 +296,10 @@
   std::map<ModelId, MonoTime> loaded_at_;
   std::map<ModelId, MonoTime> unloaded_at_;
   std::map<ModelId, MonoTime> missing_since_;
+  std::map<ModelId, MonoTime> model_used_at_;
   std::map<ModelId, MonoTime> adapter_used_at_;
+  /// The engines cannot hold a copy of each model.
+  bool short_of_room_ = false;
   /// By "model/adapter".
   std::map<ModelId, Adapter> adapters_;
   /// The engines that hold each model.
--- a/lib/placement/copy_planner.cc
+++ b/lib/placement/copy_planner.cc
@@ -4,8 +4,6 @@
 #include <set>
 #include <utility>
 
-#include "mangoport/core/mutant.h"
-
 namespace mangoport {
 namespace {
 
@@ -17,6 +15,10 @@
 /// immediately because no copy exists never wait, so only their arrivals count.
 constexpr double kMinArrivalsPerSecond = 0.2;
 
+/// Arrival rate up to which a model or adapter without requests counts as idle.
+/// The rate only approaches zero after the last request.
+constexpr double kMinArrivalsInUse = 0.05;
+
 /// Relative costs for comparing target engines: a load from the weight store, a
 /// load from local disk, and an eviction. The engine's present load is added.
 constexpr double kStoreLoadCost = 4;
@@ -27,19 +29,19 @@
   return std::find(list.begin(), list.end(), model) != list.end();
 }
 
-/// Returns true if the time of `id` in `times` is less than `span` ago.
-bool IsWithin(MonoTime now,
-              const std::map<ModelId, MonoTime>& times,
-              const ModelId& id,
-              Duration span) {
+}  // namespace
+
+bool CopyPlanner::IsWithin(MonoTime now,
+                           const std::map<ModelId, MonoTime>& times,
+                           const ModelId& id,
+                           Duration span) {
   const auto it = times.find(id);
   return it != times.end() && now - it->second < span;
 }
 
-}  // namespace
-
 void CopyPlanner::Restart(MonoTime now) {
   missing_since_.clear();
+  model_used_at_.clear();
   reservations_.clear();
   store_budget_ = 0;
   refilled_at_ = now;
@@ -91,6 +93,10 @@
     smoothed_work = std::max(
         work, smoothed_work + (work - smoothed_work) * kDemandSmoothing);
     model.work = smoothed_work;
+    // The holder does not know of earlier demand when it starts.
+    const auto used = model_used_at_.try_emplace(it.model, now).first;
+    if (current != demand.end() && IsInUse(current->second))
+      used->second = now;
   }
   for (const PlannedEngine& it : engines) {
     if (it.entry.draining)
@@ -130,51 +136,10 @@
         engine.reserved_for = model;
       }
     }
-    // Adapters use the same memory. Every adapter slot counts as occupied by an
-    // adapter of the largest size.
-    std::uint64_t largest_adapter = 0;
-    for (const ModelSpec& spec : capacity.models)
-      largest_adapter = std::max(largest_adapter, spec.adapter_mb);
-    engine.used_mb += largest_adapter * capacity.adapter_slots;
+    engine.used_mb += AdapterMemory(capacity);
     engines_.push_back(std::move(engine));
   }
-}
-
-std::optional<ModelId> CopyPlanner::FindVictim(MonoTime now,
-                                               const EngineCapacity& capacity,
-                                               const Engine& engine,
-                                               const ModelId& model,
-                                               bool urgent) const {
-  const Model& candidate = models_.at(model);
-  const std::uint64_t needed = candidate.spec->weights_mb;
-  const double max_load =
-      std::max(settings_.low_load,
-               LoadPerSlot(candidate, capacity, candidate.copies + 1) /
-                   settings_.min_load_ratio);
-  std::optional<ModelId> best;
-  double best_load = 0;
-  for (const ModelId& it : engine.models) {
-    const auto found = models_.find(it);
-    if (found == models_.end() || it == model)
-      continue;
-    const Model& held = found->second;
-    if (held.held < 2 && !MutantEnabled("last_copy_dropped"))
-      continue;
-    const std::uint64_t left =
-        engine.used_mb - std::min(engine.used_mb, held.spec->weights_mb);
-    if (left + needed > capacity.weights_mb)
-      continue;
-    if (!urgent && IsWithin(now, loaded_at_, it, settings_.cooldown))
-      continue;
-    const double load = LoadPerSlot(held, capacity, held.copies - 1);
-    if (!urgent && load > max_load)
-      continue;
-    if (!best || load < best_load) {
-      best = it;
-      best_load = load;
-    }
-  }
-  return best;
+  short_of_room_ = !FitOnEngines(capacity, engines_.size());
 }
 
 std::optional<CopyPlanner::LoadTarget> CopyPlanner::FindTarget(
@@ -197,10 +162,12 @@
     else if (!Contains(entry.models_in_memory, model))
       target.cost += kDiskLoadCost;
     if (it.used_mb + needed > capacity.weights_mb) {
-      target.victim = FindVictim(now, capacity, it, model, urgent);
-      if (!target.victim)
+      const std::optional<Victim> victim =
+          FindVictim(now, capacity, it, model, urgent);
+      if (!victim)
         continue;
-      target.cost += kEvictionCost;
+      target.victim = victim->model;
+      target.cost += kEvictionCost + victim->load;
     }
     // Its adapter slots too.
     if (models_.at(model).spec->adapter_count > 0) {
@@ -284,6 +251,11 @@
   }
 }
 
+bool CopyPlanner::IsInUse(const CopyDemand& demand) {
+  return demand.running > 0 || demand.waiting > 0 ||
+         demand.arrivals_per_second > kMinArrivalsInUse;
+}
+
 bool CopyPlanner::HasDemand(const Model& model) {
   return model.waiting > 0 || model.arrivals_per_second > kMinArrivalsPerSecond;
 }
--- a/lib/placement/copy_planner_adapters.cc
+++ b/lib/placement/copy_planner_adapters.cc
@@ -8,22 +8,9 @@
 namespace mangoport {
 namespace {
 
-/// Arrival rate up to which an adapter without requests counts as idle.
-constexpr double kMinAdapterArrivalsPerSecond = 0.05;
-
 /// How much more a waiting request counts than a running one.
 constexpr double kWaitingWeight = 10;
 
-/// Returns true if the adapter has requests, or has had some lately. The rate
-/// of arrivals only approaches zero once they have ended.
-bool IsInUse(const std::map<ModelId, CopyDemand>& demand,
-             const ModelId& adapter) {
-  const auto it = demand.find(adapter);
-  return it != demand.end() &&
-         (it->second.running > 0 || it->second.waiting > 0 ||
-          it->second.arrivals_per_second > kMinAdapterArrivalsPerSecond);
-}
-
 ModelId AdapterName(const ModelId& model, const AdapterId& adapter) {
   return ModelId(model.value() + "/" + adapter.value());
 }
@@ -75,7 +62,8 @@
       adapter.adapter = AdapterId("a" + std::to_string(i));
       const ModelId name = AdapterName(id, adapter.adapter);
       adapter.load = AdapterLoad(demand, name);
-      if (IsInUse(demand, name))
+      const auto current = demand.find(name);
+      if (current != demand.end() && IsInUse(current->second))
         adapter_used_at_[name] = now;
       adapters_.emplace(name, std::move(adapter));
     }
--- a/unittests/placement/copy_planner_test.cc
+++ b/unittests/placement/copy_planner_test.cc
@@ -340,6 +340,86 @@
   cr_assert(loads_copy);
 }
 
+// Models outnumbered the places for them. Those that were loaded at the start
+// kept their places unasked, and requests for others found no copy all day.
+Test(copy_planner,
+     model_in_demand_takes_the_place_of_an_idle_one_if_room_is_short) {
+  CopyPlanner planner;
+  const std::vector<PlannedEngine> engines = {Engine("a", {"m0", "m1"})};
+  std::map<ModelId, CopyDemand> demand = {{ModelId("m0"), Running(3)}};
+  planner.Plan(kStart, Capacity(3), engines, demand);
+  demand[ModelId("m2")].waiting = 1;
+  const auto orders =
+      planner.Plan(kStart + seconds(6), Capacity(3), engines, demand);
+  cr_assert_eq(orders.size(), 1);
+  cr_assert_eq(orders[0].kind, PlacementOrderKind::kUnloadModel);
+  cr_assert_eq(orders[0].model.value(), "m1");
+}
+
+// A model whose requests have only just ended may be asked for again at once.
+Test(copy_planner, last_copy_of_a_model_in_use_is_not_evicted) {
+  CopyPlanner planner;
+  const std::vector<PlannedEngine> engines = {Engine("a", {"m0", "m1"})};
+  std::map<ModelId, CopyDemand> demand = {{ModelId("m0"), Running(3)},
+                                          {ModelId("m1"), Running(1)}};
+  planner.Plan(kStart, Capacity(3), engines, demand);
+  planner.Plan(kStart + seconds(5), Capacity(3), engines, demand);
+  demand.erase(ModelId("m1"));
+  demand[ModelId("m2")].waiting = 1;
+  cr_assert(
+      planner.Plan(kStart + seconds(6), Capacity(3), engines, demand).empty());
+  cr_assert_eq(planner.unplaced().size(), 1);
+}
+
+// While all models fit, memory is made by unloading further copies only, so
+// that each model stays available.
+Test(copy_planner, last_copy_is_not_evicted_while_there_is_room_for_all) {
+  CopyPlanner planner;
+  const std::vector<PlannedEngine> engines = {Engine("a", {"m0", "m1"}),
+                                              Engine("b", {"m0", "m2"})};
+  std::map<ModelId, CopyDemand> demand = {{ModelId("m0"), Running(30)}};
+  planner.Plan(kStart, Capacity(4), engines, demand);
+  demand[ModelId("m3")].waiting = 1;
+  const auto orders =
+      planner.Plan(kStart + seconds(9), Capacity(4), engines, demand);
+  cr_assert_eq(orders.size(), 1);
+  cr_assert_eq(orders[0].model.value(), "m0");
+}
+
+// Copies of the models that callers used were unloaded for a rare model while
+// others that nobody asked for stayed.
+Test(copy_planner, idle_model_yields_before_further_copies_of_a_busy_one) {
+  CopyPlanner planner;
+  const std::vector<PlannedEngine> engines = {Engine("a", {"m0", "m1"}),
+                                              Engine("b", {"m0", "m2"})};
+  std::map<ModelId, CopyDemand> demand = {{ModelId("m0"), Running(15)},
+                                          {ModelId("m1"), Running(3)}};
+  planner.Plan(kStart, Capacity(5), engines, demand);
+  demand[ModelId("m3")].waiting = 1;
+  const auto orders =
+      planner.Plan(kStart + seconds(6), Capacity(5), engines, demand);
+  cr_assert_eq(orders.size(), 1);
+  cr_assert_eq(orders[0].engine.value(), "b");
+  cr_assert_eq(orders[0].model.value(), "m2");
+}
+
+// Requests queued for an overloaded model beside models that nobody asked for.
+Test(copy_planner,
+     overloaded_model_takes_the_place_of_an_idle_one_if_room_is_short) {
+  CopyPlanner planner;
+  const std::vector<PlannedEngine> engines = {Engine("a", {"m0", "m1"}),
+                                              Engine("b", {"m2", "m3"})};
+  const std::map<ModelId, CopyDemand> demand = {{ModelId("m0"), Running(30)},
+                                                {ModelId("m1"), Running(2)},
+                                                {ModelId("m2"), Running(2)}};
+  planner.Plan(kStart, Capacity(5), engines, demand);
+  const auto orders =
+      planner.Plan(kStart + seconds(6), Capacity(5), engines, demand);
+  cr_assert_eq(orders.size(), 1);
+  cr_assert_eq(orders[0].kind, PlacementOrderKind::kUnloadModel);
+  cr_assert_eq(orders[0].model.value(), "m3");
+}
+
 /// An order tracker with one engine whose count of accepted orders is known.
 class TrackerFixture {
  public:
