placement: models that nobody asks for displace nothing where room is short

Cause: a model without a copy for four seconds was loaded even without demand, at the cost of further copies that had no load yet. Where not all models fit that can never come to an end. Such models now get free memory only.

Failed before: copy_planner_test.cc:413: The expression planner.Plan(kStart + seconds(5), Capacity(5), engines, {}).empty() is false. model_without_demand_evicts_nothing_if_room_is_short

--- a/lib/placement/copy_planner_victims.cc
+++ b/lib/placement/copy_planner_victims.cc
@@ -56,6 +56,9 @@
     const ModelId& model,
     bool urgent) const {
   const Model& candidate = models_.at(model);
+  // Not all models fit, so those that nobody asks for get only free memory.
+  if (!urgent && short_of_room_ && candidate.copies == 0)
+    return std::nullopt;
   const std::uint64_t needed = candidate.spec->weights_mb;
   const double max_load =
       std::max(settings_.low_load,
--- a/unittests/placement/copy_planner_test.cc
+++ b/unittests/placement/copy_planner_test.cc
@@ -403,6 +403,17 @@
   cr_assert_eq(orders[0].model.value(), "m2");
 }
 
+// Before the first request, models that nobody had asked for took the places of
+// further copies that were about to be needed.
+Test(copy_planner, model_without_demand_evicts_nothing_if_room_is_short) {
+  CopyPlanner planner;
+  const std::vector<PlannedEngine> engines = {Engine("a", {"m0", "m1"}),
+                                              Engine("b", {"m0", "m2"})};
+  planner.Plan(kStart, Capacity(5), engines, {});
+  cr_assert(
+      planner.Plan(kStart + seconds(5), Capacity(5), engines, {}).empty());
+}
+
 // Requests queued for an overloaded model beside models that nobody asked for.
 Test(copy_planner,
      overloaded_model_takes_the_place_of_an_idle_one_if_room_is_short) {
