placement: an adapter is evicted only for one that is in use

Cause: an adapter was worth an eviction if its load was above zero, but a rate of arrivals only approaches zero. The idle test that protects the evicted one now decides for the other as well.

Failed before: copy_planner_test.cc:447: The expression planner.Plan(kStart + seconds(9), capacity, {engine}, demand).empty() is false. idle_adapter_is_not_evicted_for_another_idle_one

--- a/include/mangoport/placement/copy_planner.h
+++ b/include/mangoport/placement/copy_planner.h
@@ -167,6 +167,8 @@
     AdapterId adapter;
     /// Requests and arrivals, waiting ones with more weight.
     double load = 0;
+    /// It has requests, or has had some lately.
+    bool in_use = false;
     std::size_t copies = 0;
   };
   /// An engine for a copy of an adapter.
--- a/lib/placement/copy_planner_adapters.cc
+++ b/lib/placement/copy_planner_adapters.cc
@@ -63,7 +63,8 @@
       const ModelId name = AdapterName(id, adapter.adapter);
       adapter.load = AdapterLoad(demand, name);
       const auto current = demand.find(name);
-      if (current != demand.end() && IsInUse(current->second))
+      adapter.in_use = current != demand.end() && IsInUse(current->second);
+      if (adapter.in_use)
         adapter_used_at_[name] = now;
       adapters_.emplace(name, std::move(adapter));
     }
@@ -172,7 +173,7 @@
       LoadAdapter(*it, *target.engine, "no copy", out);
       continue;
     }
-    if (it->load <= 0)
+    if (!it->in_use)
       continue;
     std::optional<CopyOrder> order = EvictAdapter(now, *target.engine);
     if (order) {
--- a/unittests/placement/copy_planner_test.cc
+++ b/unittests/placement/copy_planner_test.cc
@@ -431,6 +431,23 @@
   cr_assert_eq(orders[0].model.value(), "m3");
 }
 
+// Two adapters that nobody asked for any more took each other's place four
+// times a second, for what remained of their rates of arrival. Meanwhile their
+// engine took no other orders.
+Test(copy_planner, idle_adapter_is_not_evicted_for_another_idle_one) {
+  CopyPlanner planner;
+  EngineCapacity capacity = Capacity(1);
+  capacity.models[0].adapter_count = 3;
+  PlannedEngine engine = Engine("a", {"m0"});
+  engine.entry.models[0].adapters = {AdapterId("a1"), AdapterId("a2")};
+  std::map<ModelId, CopyDemand> demand;
+  demand[ModelId("m0/a1")].arrivals_per_second = 0.001;
+  demand[ModelId("m0/a2")].arrivals_per_second = 0.003;
+  demand[ModelId("m0/a3")].arrivals_per_second = 0.002;
+  cr_assert(
+      planner.Plan(kStart + seconds(9), capacity, {engine}, demand).empty());
+}
+
 /// An order tracker with one engine whose count of accepted orders is known.
 class TrackerFixture {
  public:
