placement: an engine is free as soon as it has unloaded an adapter

Requests for an adapter that needed a slot waited a quarter of a second longer than necessary, of the 400 ms that they wait at all, and were refused as model_not_loaded.

Cause: engines answer that an adapter order is done where they carry it out at once. The tracker read that as 'had been done before', did not know whether the engine counted the order, and kept the engine busy until the next report. It now expects the count to go up; if the adapter had not been there, the engine refuses the next order for its count and a report corrects it as before.

Failed before: copy_planner_test.cc:581: The expression !(it.busy(kStart)) is false. engine_is_free_at_once_after_it_unloaded_an_adapter

--- a/lib/placement/engine_order_tracker.cc
+++ b/lib/placement/engine_order_tracker.cc
@@ -222,6 +222,12 @@
       return;
     case EngineOrderAnswer::kAlreadyDone:
       CompleteOrder(now, engine);
+      // The engine has unloaded the adapter, and counts that. If it had not
+      // held it, it refuses the next order for its count.
+      if (engine.order.kind == PlacementOrderKind::kUnloadAdapter) {
+        engine.orders_accepted = engine.order.expected_orders + 1;
+        return;
+      }
       // Only the next report shows whether the engine counted this order.
       engine.orders_accepted.reset();
       engine.next_report_at = now + kReportInterval / 2;
--- a/unittests/placement/copy_planner_test.cc
+++ b/unittests/placement/copy_planner_test.cc
@@ -565,6 +565,27 @@
   cr_assert_not(it.busy(kStart + seconds(1)));
 }
 
+// Engines unload an adapter within their answer. The tracker waited a quarter
+// of a second for a report before the adapter that needed the slot was loaded.
+Test(engine_order_tracker,
+     engine_is_free_at_once_after_it_unloaded_an_adapter) {
+  TrackerFixture it;
+  CopyOrder order;
+  order.engine = it.engine_.id;
+  order.kind = PlacementOrderKind::kUnloadAdapter;
+  order.model = ModelId("m0");
+  order.adapter = AdapterId("a1");
+  it.tracker_.Begin(kStart, order, Duration::zero());
+  cr_assert_eq(it.tracker_.DueOrders(kStart).size(), 1);
+  it.Answer(kStart, CallStatus::kOk, EngineOrderAnswer::kAlreadyDone);
+  cr_assert_not(it.busy(kStart));
+  order.kind = PlacementOrderKind::kLoadAdapter;
+  it.tracker_.Begin(kStart, order, Duration::zero());
+  const auto due = it.tracker_.DueOrders(kStart);
+  cr_assert_eq(due.size(), 1);
+  cr_assert_eq(due[0].expected_orders, 5);
+}
+
 Test(engine_order_tracker, completed_load_overrides_older_entry) {
   TrackerFixture it;
   it.Begin(kStart);
