--- a/unittests/placement/copy_planner_test.cc
+++ b/unittests/placement/copy_planner_test.cc
@@ -340,6 +340,114 @@
   cr_assert(loads_copy);
 }
 
+// Models outnumbered the places for them. Those that were loaded at the start
+// kept their places unasked, and requests for others found no copy all day.
+Test(copy_planner,
+     model_in_demand_takes_the_place_of_an_idle_one_if_room_is_short) {
+  CopyPlanner planner;
+  const std::vector<PlannedEngine> engines = {Engine("a", {"m0", "m1"})};
+  std::map<ModelId, CopyDemand> demand = {{ModelId("m0"), Running(3)}};
+  planner.Plan(kStart, Capacity(3), engines, demand);
+  demand[ModelId("m2")].waiting = 1;
+  const auto orders =
+      planner.Plan(kStart + seconds(6), Capacity(3), engines, demand);
+  cr_assert_eq(orders.size(), 1);
+  cr_assert_eq(orders[0].kind, PlacementOrderKind::kUnloadModel);
+  cr_assert_eq(orders[0].model.value(), "m1");
+}
+
+// A model whose requests have only just ended may be asked for again at once.
+Test(copy_planner, last_copy_of_a_model_in_use_is_not_evicted) {
+  CopyPlanner planner;
+  const std::vector<PlannedEngine> engines = {Engine("a", {"m0", "m1"})};
+  std::map<ModelId, CopyDemand> demand = {{ModelId("m0"), Running(3)},
+                                          {ModelId("m1"), Running(1)}};
+  planner.Plan(kStart, Capacity(3), engines, demand);
+  planner.Plan(kStart + seconds(5), Capacity(3), engines, demand);
+  demand.erase(ModelId("m1"));
+  demand[ModelId("m2")].waiting = 1;
+  cr_assert(
+      planner.Plan(kStart + seconds(6), Capacity(3), engines, demand).empty());
+  cr_assert_eq(planner.unplaced().size(), 1);
+}
+
+// While all models fit, memory is made by unloading further copies only, so
+// that each model stays available.
+Test(copy_planner, last_copy_is_not_evicted_while_there_is_room_for_all) {
+  CopyPlanner planner;
+  const std::vector<PlannedEngine> engines = {Engine("a", {"m0", "m1"}),
+                                              Engine("b", {"m0", "m2"})};
+  std::map<ModelId, CopyDemand> demand = {{ModelId("m0"), Running(30)}};
+  planner.Plan(kStart, Capacity(4), engines, demand);
+  demand[ModelId("m3")].waiting = 1;
+  const auto orders =
+      planner.Plan(kStart + seconds(9), Capacity(4), engines, demand);
+  cr_assert_eq(orders.size(), 1);
+  cr_assert_eq(orders[0].model.value(), "m0");
+}
+
+// Copies of the models that callers used were unloaded for a rare model while
+// others that nobody asked for stayed.
+Test(copy_planner, idle_model_yields_before_further_copies_of_a_busy_one) {
+  CopyPlanner planner;
+  const std::vector<PlannedEngine> engines = {Engine("a", {"m0", "m1"}),
+                                              Engine("b", {"m0", "m2"})};
+  std::map<ModelId, CopyDemand> demand = {{ModelId("m0"), Running(15)},
+                                          {ModelId("m1"), Running(3)}};
+  planner.Plan(kStart, Capacity(5), engines, demand);
+  demand[ModelId("m3")].waiting = 1;
+  const auto orders =
+      planner.Plan(kStart + seconds(6), Capacity(5), engines, demand);
+  cr_assert_eq(orders.size(), 1);
+  cr_assert_eq(orders[0].engine.value(), "b");
+  cr_assert_eq(orders[0].model.value(), "m2");
+}
+
+// Before the first request, models that nobody had asked for took the places of
+// further copies that were about to be needed.
+Test(copy_planner, model_without_demand_evicts_nothing_if_room_is_short) {
+  CopyPlanner planner;
+  const std::vector<PlannedEngine> engines = {Engine("a", {"m0", "m1"}),
+                                              Engine("b", {"m0", "m2"})};
+  planner.Plan(kStart, Capacity(5), engines, {});
+  cr_assert(
+      planner.Plan(kStart + seconds(5), Capacity(5), engines, {}).empty());
+}
+
+// Requests queued for an overloaded model beside models that nobody asked for.
+Test(copy_planner,
+     overloaded_model_takes_the_place_of_an_idle_one_if_room_is_short) {
+  CopyPlanner planner;
+  const std::vector<PlannedEngine> engines = {Engine("a", {"m0", "m1"}),
+                                              Engine("b", {"m2", "m3"})};
+  const std::map<ModelId, CopyDemand> demand = {{ModelId("m0"), Running(30)},
+                                                {ModelId("m1"), Running(2)},
+                                                {ModelId("m2"), Running(2)}};
+  planner.Plan(kStart, Capacity(5), engines, demand);
+  const auto orders =
+      planner.Plan(kStart + seconds(6), Capacity(5), engines, demand);
+  cr_assert_eq(orders.size(), 1);
+  cr_assert_eq(orders[0].kind, PlacementOrderKind::kUnloadModel);
+  cr_assert_eq(orders[0].model.value(), "m3");
+}
+
+// Two adapters that nobody asked for any more took each other's place four
+// times a second, for what remained of their rates of arrival. Meanwhile their
+// engine took no other orders.
+Test(copy_planner, idle_adapter_is_not_evicted_for_another_idle_one) {
+  CopyPlanner planner;
+  EngineCapacity capacity = Capacity(1);
+  capacity.models[0].adapter_count = 3;
+  PlannedEngine engine = Engine("a", {"m0"});
+  engine.entry.models[0].adapters = {AdapterId("a1"), AdapterId("a2")};
+  std::map<ModelId, CopyDemand> demand;
+  demand[ModelId("m0/a1")].arrivals_per_second = 0.001;
+  demand[ModelId("m0/a2")].arrivals_per_second = 0.003;
+  demand[ModelId("m0/a3")].arrivals_per_second = 0.002;
+  cr_assert(
+      planner.Plan(kStart + seconds(9), capacity, {engine}, demand).empty());
+}
+
 /// An order tracker with one engine whose count of accepted orders is known.
 class TrackerFixture {
  public:
@@ -457,6 +565,27 @@
   cr_assert_not(it.busy(kStart + seconds(1)));
 }
 
+// Engines unload an adapter within their answer. The tracker waited a quarter
+// of a second for a report before the adapter that needed the slot was loaded.
+Test(engine_order_tracker,
+     engine_is_free_at_once_after_it_unloaded_an_adapter) {
+  TrackerFixture it;
+  CopyOrder order;
+  order.engine = it.engine_.id;
+  order.kind = PlacementOrderKind::kUnloadAdapter;
+  order.model = ModelId("m0");
+  order.adapter = AdapterId("a1");
+  it.tracker_.Begin(kStart, order, Duration::zero());
+  cr_assert_eq(it.tracker_.DueOrders(kStart).size(), 1);
+  it.Answer(kStart, CallStatus::kOk, EngineOrderAnswer::kAlreadyDone);
+  cr_assert_not(it.busy(kStart));
+  order.kind = PlacementOrderKind::kLoadAdapter;
+  it.tracker_.Begin(kStart, order, Duration::zero());
+  const auto due = it.tracker_.DueOrders(kStart);
+  cr_assert_eq(due.size(), 1);
+  cr_assert_eq(due[0].expected_orders, 5);
+}
+
 Test(engine_order_tracker, completed_load_overrides_older_entry) {
   TrackerFixture it;
   it.Begin(kStart);
