After a standstill sockets are read before timers decide

A host that stood still (a configuration being applied, no processor time, a frozen process) took servers for silent, connections for not made and requests for late although the bytes that say otherwise lay in its sockets: timers that came due behind the work that took the time ran before the sockets were polled again, and one poll tells of 128 sockets only. Sound attempts were given up.

Cause: timers ran against the present time, sockets had been polled before the standstill.

Evidence, timer_queue_test on the code before: what_came_during_a_standstill_is_read_before_timers_decide: 0 of 300 After: passes; client_session_close_test 8 of 8, live_attempt_test 6 of 6, edge_process_test 12 of 12.

--- a/include/mangoport/forward/timer_queue.h
+++ b/include/mangoport/forward/timer_queue.h
@@ -15,7 +15,9 @@
 /// Many timers of one event loop behind a single timer of the system.
 ///
 /// Calls come up to `kGranularity` late, so that timers which are due together
-/// cost one wake-up. There is no tick: an empty queue costs nothing.
+/// cost one wake-up. There is no tick: an empty queue costs nothing. A loop
+/// that has stood still reads its sockets before its timers are called, so that
+/// what arrived in the meantime is known to them.
 class TimerQueue {
  public:
   using Ticket = std::uint64_t;
@@ -48,6 +50,8 @@
   std::map<Ticket, MonoTime> due_;
   MonoTime armed_for_ = MonoTime::max();
   Ticket next_ = 1;
+  /// Turns of the loop since a standstill was noticed.
+  int turns_ = 0;
 };
 
 }  // namespace mangoport
--- a/lib/forward/timer_queue.cc
+++ b/lib/forward/timer_queue.cc
@@ -1,8 +1,19 @@
 #include "mangoport/forward/timer_queue.h"
 
 #include <asio/error.hpp>
+#include <asio/post.hpp>
 
 namespace mangoport {
+namespace {
+
+/// A loop that comes to its timers later than this has stood still.
+constexpr Duration kStandstill = std::chrono::milliseconds(50);
+
+/// Turns that the loop makes before its timers after a standstill. Two turns
+/// poll the system once, which tells of up to 128 sockets.
+constexpr int kTurnsAfterStandstill = 16;
+
+}  // namespace
 
 TimerQueue::Ticket TimerQueue::Add(MonoTime due, Callback callback) {
   const Ticket ticket = next_++;
@@ -32,8 +43,16 @@
 }
 
 void TimerQueue::OnTimer() {
-  armed_for_ = MonoTime::max();
   const MonoTime now = std::chrono::steady_clock::now();
+  const bool late =
+      armed_for_ != MonoTime::max() && now - armed_for_ > kStandstill;
+  if (late && turns_ < kTurnsAfterStandstill) {
+    ++turns_;
+    asio::post(timer_.get_executor(), [this] { OnTimer(); });
+    return;
+  }
+  turns_ = 0;
+  armed_for_ = MonoTime::max();
   while (!queue_.empty() && queue_.begin()->first.first <= now) {
     const auto node = queue_.extract(queue_.begin());
     due_.erase(node.key().second);
