A server that changes its service leaves the old service's list

Requests of one service went to a server that by its newest entry belonged to another one, and once that entry was gone the host read an address that was not there: undefined behaviour in shipped builds, where the assertion is compiled out.

Cause: when an entry changed, only the list of its new service was rebuilt; the old service kept the server for good.

Fix: both lists are rebuilt. Should a chosen server still have no address, the request is refused as not run and a line `server_without_address` says so.

Evidence, backend_table_test on the code before: a_server_that_changes_its_service_leaves_the_old_one: !(table.Choose(kStart + seconds(1), kService, {}).server) is false After: it passes. Whether any deployment's servers do so is not known.

--- a/lib/forward/backend_table.cc
+++ b/lib/forward/backend_table.cc
@@ -72,6 +72,8 @@
     if (!address)
       continue;
     touched.insert(entry.service);
+    if (old != servers_.end())
+      touched.insert(old->second.service);
     const auto [it, added] = backends_.try_emplace(id);
     Backend& backend = it->second;
     if (added)
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -1,7 +1,6 @@
 #include "lib/forward/request_exchange.h"
 
 #include <algorithm>
-#include <cassert>
 #include <utility>
 
 #include "mangoport/forward/wait_policy.h"
@@ -155,7 +154,14 @@
 
 void RequestExchange::Send(MonoTime now, const ServerId& server) {
   const auto address = host_.parts_.backends.AddressOf(server);
-  assert(address && "a chosen server is listed");
+  if (!address) {
+    host_.parts_.log.Write(LogLine("server_without_address")
+                               .Add("id", request_id_)
+                               .Add("server", server.value())
+                               .Add("service", service_.value()));
+    Refuse(now, {.status = 503, .reason = "no_server"});
+    return;
+  }
   if (waiting_) {
     waiting_ = false;
     --use_->waiting;
--- a/unittests/forward/backend_table_test.cc
+++ b/unittests/forward/backend_table_test.cc
@@ -66,5 +66,22 @@
   cr_assert_not(table.HasModel(kStart, kService, kModel));
 }
 
+// An entry goes to another service under the same id, and then away: requests
+// for the old service were sent to it, and later to no address at all.
+Test(backend_table, a_server_that_changes_its_service_leaves_the_old_one) {
+  const ServiceId other("ledger");
+  BackendTable table(ZoneId("a"));
+  std::map<ServerId, ServerEntry> list = List(1, {});
+  table.SetServers(kStart, list);
+  cr_assert(table.Choose(kStart, kService, {}).server);
+  list.begin()->second.service = other;
+  table.SetServers(kStart + seconds(1), list);
+  cr_assert_not(table.Choose(kStart + seconds(1), kService, {}).server);
+  cr_assert(table.Choose(kStart + seconds(1), other, {}).server);
+  table.SetServers(kStart + seconds(2), {});
+  cr_assert_not(table.Choose(kStart + seconds(2), kService, {}).server);
+  cr_assert_not(table.Choose(kStart + seconds(2), other, {}).server);
+}
+
 }  // namespace
 }  // namespace mangoport
