A kept connection to a server's old address is not used

A server that starts again under its id at another address could be sent a request on a connection that leads to the machine that it left, where nothing or another process answers.

Cause: kept connections were looked up by the server's id only.

Fix: one that leads to another address than the server's present one is closed.

Evidence, connection_pool_test on the code before: a_kept_connection_to_an_old_address_is_not_used: Acquire(..., new_home, false) != first is false After: it passes.

--- a/include/mangoport/forward/http_connection.h
+++ b/include/mangoport/forward/http_connection.h
@@ -78,6 +78,7 @@
   /// Until when an idle connection may be used for another request.
   bool UsableAt(MonoTime now) const;
 
+  const asio::ip::tcp::endpoint& endpoint() const { return endpoint_; }
   bool request_sent() const { return stream_->has_written(); }
   /// True if the connection has carried an exchange before.
   bool reused() const { return exchanges_ > 1; }
--- a/lib/forward/connection_pool.cc
+++ b/lib/forward/connection_pool.cc
@@ -14,7 +14,7 @@
   while (!fresh && !entry.idle.empty()) {
     HttpConnection::Ptr connection = std::move(entry.idle.back());
     entry.idle.pop_back();
-    if (connection->UsableAt(now))
+    if (connection->endpoint() == endpoint && connection->UsableAt(now))
       return connection;
     connection->Close();
   }
