--- a/unittests/support/edge_fixture.cc
+++ b/unittests/support/edge_fixture.cc
@@ -147,6 +147,13 @@
 }
 
 std::string EdgeFixture::Raw(const std::string& bytes) const {
+  return RawSlowly(
+      bytes, [] { return true; }, [] {});
+}
+
+std::string EdgeFixture::RawSlowly(const std::string& bytes,
+                                   const std::function<bool()>& begun,
+                                   const std::function<void()>& pause) const {
   const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -156,6 +163,8 @@
                     sizeof(address)) == 0,
           "the host takes no connection");
   ::send(fd, bytes.data(), bytes.size(), 0);
+  if (Within(milliseconds(100), begun))
+    pause();
   std::string out;
   char buf[4096];
   for (ssize_t n = 0; (n = ::recv(fd, buf, sizeof(buf), 0)) > 0;)
--- a/unittests/support/edge_fixture.h
+++ b/unittests/support/edge_fixture.h
@@ -60,6 +60,12 @@
   /// Sends raw bytes and returns what comes back until the host closes.
   std::string Raw(const std::string& bytes) const;
 
+  /// The same, but calls `pause` before anything is read if `begun` holds
+  /// within a tenth of a second.
+  std::string RawSlowly(const std::string& bytes,
+                        const std::function<bool()>& begun,
+                        const std::function<void()>& pause) const;
+
   /// What the host has logged so far.
   std::string Log() const;
 
