A stream that its caller takes slowly is not given up as silent

A caller that took its stream slowly had it moved to another server, or cut when none took it, though its server was sound: this host stops reading from the server while much waits for the caller, and took its own not reading for the server's silence.

Cause: silence was measured from the last byte read, also while nothing was read on purpose.

Fix: while reading is paused a server is not silent; afterwards its silence counts from when it can be heard again.

Evidence, live_attempt_test without the fix: a_stream_that_its_caller_takes_slowly_stays_at_its_server: (Count(idle, "/stream/x")) == (0) is false After: live_attempt_test 7 of 7.

--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -170,6 +170,7 @@
   sent_at_ = now;
   last_byte_at_ = now;
   answer_ = Answer();
+  reading_paused_ = false;
   events_.Restart();
   connection_ = OpenAttempt(now, server, *address);
   if (route_->idempotent())
@@ -308,13 +309,21 @@
   if (session_->unsent() <= kMaxUnsentBytes || !connection_)
     return;
   connection_->SetReading(false);
+  reading_paused_ = true;
   session_->set_on_drained([weak = weak_from_this()] {
-    const auto self = weak.lock();
-    if (self && self->connection_)
-      self->connection_->SetReading(true);
+    if (const auto self = weak.lock())
+      self->OnDrained();
   });
 }
 
+void RequestExchange::OnDrained() {
+  if (!std::exchange(reading_paused_, false) || !connection_)
+    return;
+  // Silence counts from when the server can be heard again.
+  last_byte_at_ = Now();
+  connection_->SetReading(true);
+}
+
 void RequestExchange::OnComplete() {
   const auto self = shared_from_this();
   const MonoTime now = Now();
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -117,6 +117,8 @@
 
   // Answers.
   void OnEvents(MonoTime now, std::string_view whole);
+  /// The caller has taken all that was passed on.
+  void OnDrained();
   void PassOnWhole(MonoTime now);
   void Refuse(MonoTime now, const Verdict& verdict);
   void Break(MonoTime now, std::string_view reason);
@@ -164,6 +166,8 @@
   std::uint32_t runs_ = 0;
   std::uint64_t events_passed_ = 0;
   bool answer_begun_ = false;
+  /// The server is not read, since the caller takes its answer slowly.
+  bool reading_paused_ = false;
   bool waiting_ = false;
   MonoTime waiting_since_;
   bool done_ = false;
--- a/lib/forward/request_handover.cc
+++ b/lib/forward/request_handover.cc
@@ -53,6 +53,8 @@
 }
 
 bool RequestExchange::IsSilent(MonoTime now) const {
+  if (reading_paused_)
+    return false;
   const Duration silence = now - last_byte_at_;
   const BackendTable& backends = host_.parts_.backends;
   const bool to_all = silence > kServerSilence &&
@@ -188,6 +190,7 @@
   sent_at_ = successor.sent_at;
   last_byte_at_ = now;
   answer_ = Answer();
+  reading_paused_ = false;
   events_.Restart();
   ArmSilenceCheck(now);
 }
--- a/unittests/process/live_attempt_test.cc
+++ b/unittests/process/live_attempt_test.cc
@@ -1,10 +1,13 @@
 // Backend servers that fall silent and then go on, beside others that don't
 // take the request over.
+#include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <sstream>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -33,6 +36,14 @@
   return "0\r\n\r\n";
 }
 
+/// How many requests for `target` a server has had.
+std::ptrdiff_t Count(const ScriptedBackend& server, const std::string& target) {
+  const std::vector<SeenRequest> seen = server.seen();
+  return std::count_if(
+      seen.begin(), seen.end(),
+      [&target](const SeenRequest& it) { return it.target == target; });
+}
+
 /// A host whose servers are the scripted ones that are listed later.
 class Host {
  public:
@@ -114,7 +125,7 @@
   cr_assert(reply, "the stream was cut");
   cr_assert_eq(reply->status, 200);
   cr_assert_eq(reply->body, Events(1, 2));
-  cr_assert_geq(full.seen().size(), 1);
+  cr_assert_geq(Count(full, "/stream/x"), 1);
 }
 
 Test(live_attempt,
@@ -205,6 +216,46 @@
   cr_assert(reply);
   cr_assert_eq(reply->body, Events(1, 3));
 }
+// The server is not silent: this host has stopped reading, since the caller
+// takes its events slowly.
+Test(live_attempt,
+     a_stream_that_its_caller_takes_slowly_stays_at_its_server,
+     .timeout = 60) {
+  constexpr int kEvents = 600;
+  constexpr std::size_t kEventBytes = 40000;
+  Host host;
+  ScriptedBackend* self = nullptr;
+  ScriptedBackend* other = nullptr;
+  ScriptedBackend fast("i-q", [&self](const SeenRequest& request, int) {
+    std::string events;
+    for (int id = 1; id <= kEvents; ++id)
+      events += Chunk("id: " + std::to_string(id) +
+                      "\ndata: " + std::string(kEventBytes, 'x') + "\n\n");
+    return ScriptedAnswer{
+        .pieces = {self->Head(request, 200, kStreamHead), events, LastChunk()}};
+  });
+  ScriptedBackend idle("i-f", [&other](const SeenRequest& request, int) {
+    return ScriptedAnswer{.pieces = {other->Head(request, 503, kNotRunHead)}};
+  });
+  self = &fast;
+  other = &idle;
+  host.it_.List(fast, "ready");
+  std::string text;
+  EdgeFixture::Within(seconds(5), [&] {
+    text = host.it_.RawSlowly(
+        "GET /stream/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id1\r\n"
+        "Authorization: Bearer k1\r\nConnection: close\r\n\r\n",
+        [&] { return !fast.seen().empty(); },
+        [&] {
+          host.it_.List(idle, "ready");
+          std::this_thread::sleep_for(milliseconds(2600));
+        });
+    return !fast.seen().empty();
+  });
+  cr_assert_eq(Count(idle, "/stream/x"), 0);
+  cr_assert_eq(Count(fast, "/stream/x"), 1);
+  cr_assert(text.ends_with("0\r\n\r\n"), "%zu bytes", text.size());
+}
 // NOLINTEND
 
 }  // namespace
