Log what is lost with a caller's connection, and why a request failed

The logs could not tell the hypotheses of the lost requests apart: a request that was read and dropped with its connection left no line, and the line of a request that was cut did not say how long its server had been silent, whether the host was stopping or how old the configuration was.

`connection_dropped` names the request, the reason and the bytes; `request` of anything not served gains stopping, config_age_ms, silent_ms and server_silent_ms.

--- a/include/mangoport/forward/client_session.h
+++ b/include/mangoport/forward/client_session.h
@@ -40,6 +40,11 @@
   std::function<void(std::shared_ptr<ClientSession>, HttpRequest)> on_request;
   /// The session refused a request that was malformed or too slow.
   std::function<void(int status, std::string_view reason)> on_refused;
+  /// Something of a request or an answer is lost with the connection: `bytes`
+  /// of it, with what is known of the request. Optional.
+  std::function<
+      void(std::string_view reason, const HttpHead& head, std::size_t bytes)>
+      on_dropped = {};
   /// The connection is gone, and the session with it.
   std::function<void(const ClientSession*)> on_closed;
 };
@@ -113,6 +118,9 @@
   void OnTimer(MonoTime now);
   void EndConnection();
   void Shut();
+  void Report(std::string_view reason, std::size_t bytes) const;
+  /// Reports what is lost if the connection is closed now.
+  void ReportLosses() const;
   bool ShouldClose() const;
   void AppendHead(std::string& out,
                   int status,
--- a/include/mangoport/forward/forwarder.h
+++ b/include/mangoport/forward/forwarder.h
@@ -112,6 +112,7 @@
   ForwardDialect dialect_;
   RepeatLimits repeat_limits_;
   FleetConfigPtr config_;
+  MonoTime config_since_;
   std::size_t hosts_ = 1;
   std::map<ServiceId, ServiceState> services_;
   std::unordered_map<ModelId, ModelUse> uses_;
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -225,24 +225,34 @@
                                    : IngressLimits();
   const auto session = std::make_shared<ClientSession>(
       std::make_shared<TcpStream>(std::move(socket)), timers_, limits,
-      ClientSessionHooks{.on_request = listener.on_request,
-                         .on_refused =
-                             [this](int status, std::string_view reason) {
-                               metrics_.OnRefusal("unreadable");
-                               log_.Write(LogLine("request_unreadable")
-                                              .Add("status", status)
-                                              .Add("reason", reason));
-                             },
-                         .on_closed =
-                             [&sessions](const ClientSession* closed) {
-                               for (auto it = sessions.begin();
-                                    it != sessions.end(); ++it) {
-                                 if (it->get() != closed)
-                                   continue;
-                                 sessions.erase(it);
-                                 return;
-                               }
-                             }});
+      ClientSessionHooks{
+          .on_request = listener.on_request,
+          .on_refused =
+              [this](int status, std::string_view reason) {
+                metrics_.OnRefusal("unreadable");
+                log_.Write(LogLine("request_unreadable")
+                               .Add("status", status)
+                               .Add("reason", reason));
+              },
+          .on_dropped =
+              [this](std::string_view reason, const HttpHead& head,
+                     std::size_t bytes) {
+                log_.Write(
+                    LogLine("connection_dropped")
+                        .Add("id", FieldText(head.fields, dialect_.request_id))
+                        .Add("reason", reason)
+                        .Add("bytes", bytes)
+                        .Add("stopping", stopping_));
+              },
+          .on_closed =
+              [&sessions](const ClientSession* closed) {
+                for (auto it = sessions.begin(); it != sessions.end(); ++it) {
+                  if (it->get() != closed)
+                    continue;
+                  sessions.erase(it);
+                  return;
+                }
+              }});
   if (stopping_)
     session->Drain();
   sessions.insert(session);
--- a/lib/forward/client_session.cc
+++ b/lib/forward/client_session.cc
@@ -82,8 +82,10 @@
 }
 
 void ClientSession::OnData(std::string_view data) {
-  if (ending_)
+  if (ending_) {
+    Report("after_last_answer", data.size());
     return;
+  }
   ahead_.append(data);
   if (!busy_) {
     Parse();
@@ -129,6 +131,8 @@
   }
   // The request may have waited in the socket until its caller gave up.
   if (stream_->PeerHasClosed()) {
+    Report("caller_left_before_it_was_read", body_.size());
+    parser_.Reset();
     Shut();
     return;
   }
@@ -283,10 +287,26 @@
   Shut();
 }
 
+void ClientSession::Report(std::string_view reason, std::size_t bytes) const {
+  if (hooks_.on_dropped)
+    hooks_.on_dropped(
+        reason, parser_.head_complete() ? parser_.head() : HttpHead(), bytes);
+}
+
+void ClientSession::ReportLosses() const {
+  if (stream_->unsent() > 0)
+    Report("answer_not_taken", stream_->unsent());
+  if (!ahead_.empty())
+    Report("request_sent_ahead", ahead_.size());
+  if (!busy_ && parser_.started())
+    Report("request_not_whole", body_.size());
+}
+
 void ClientSession::Shut() {
   if (closed_)
     return;
   closed_ = true;
+  ReportLosses();
   const auto self = shared_from_this();
   timers_.Cancel(timer_);
   stream_->Close();
--- a/lib/forward/forwarder.cc
+++ b/lib/forward/forwarder.cc
@@ -28,6 +28,7 @@
 
 void Forwarder::SetConfig(MonoTime now, FleetConfigPtr config) {
   config_ = std::move(config);
+  config_since_ = now;
   std::vector<AccountLimit> limits;
   for (const AccountSpec& it : config_->config().accounts)
     limits.push_back({.account = it.id,
--- a/lib/forward/request_ending.cc
+++ b/lib/forward/request_ending.cc
@@ -163,9 +163,19 @@
     line.Add("first_event_ms", *first_event_at_ - request_.arrived);
   if (route_)
     line.Add("left_ms", deadline_ - now);
+  if (outcome != "served")
+    AddCircumstances(now, line);
   host_.parts_.log.Write(line);
 }
 
+void RequestExchange::AddCircumstances(MonoTime now, LogLine& line) const {
+  line.Add("stopping", host_.refuses_new_)
+      .Add("config_age_ms", now - host_.config_since_);
+  if (sends_ > 0)
+    line.Add("silent_ms", now - last_byte_at_)
+        .Add("server_silent_ms", host_.parts_.backends.SilentFor(now, server_));
+}
+
 void RequestExchange::LogAttempt(MonoTime now, std::string_view end) const {
   host_.parts_.log.Write(LogLine("attempt_ended")
                              .Add("id", request_id_)
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -134,6 +134,8 @@
   bool MayPassOn(const HttpHead& head) const;
   HttpFields EndToEndFields(const HttpHead& head) const;
   void LogAttempt(MonoTime now, std::string_view end) const;
+  /// Adds what tells the causes of a lost request apart.
+  void AddCircumstances(MonoTime now, LogLine& line) const;
 
   Forwarder& host_;
   std::shared_ptr<ClientSession> session_;
--- a/unittests/forward/client_session_close_test.cc
+++ b/unittests/forward/client_session_close_test.cc
@@ -47,6 +47,8 @@
                     on_request_();
                 },
             .on_refused = {},
+            .on_dropped = [this](std::string_view reason, const HttpHead&,
+                                 std::size_t) { dropped_ = reason; },
             .on_closed = [this](const ClientSession*) { closed_ = true; }});
     session_->Start(std::chrono::steady_clock::now());
   }
@@ -93,6 +95,7 @@
   std::shared_ptr<ClientSession> session_;
   std::function<void()> on_request_;
   std::string text_;
+  std::string dropped_;
   int requests_ = 0;
   bool closed_ = false;
   bool ended_ = false;
@@ -209,5 +212,23 @@
   cr_assert(call.RunUntilRequest(1), "the connection was closed as idle");
 }
 
+// Without a line no log tells a request that was read and dropped from one that
+// never came.
+Test(client_session_close, what_is_lost_with_a_connection_is_reported) {
+  Call last;
+  last.Send(kLastRequest);
+  cr_assert(last.RunUntilRequest(1));
+  last.session_->Answer({.status = 200});
+  last.Send(kRequest);
+  last.Run(milliseconds(50));
+  cr_assert_eq(last.dropped_, "after_last_answer");
+  Call partial;
+  partial.Send(kRequest.substr(0, 20));
+  partial.Run(milliseconds(50));
+  partial.socket_.close();
+  partial.Run(milliseconds(50));
+  cr_assert_eq(partial.dropped_, "request_not_whole");
+}
+
 }  // namespace
 }  // namespace mangoport
