routing: find the part of a prompt that crashes servers

PartSuspects keeps the evidence for each part of a prompt, not for each whole request: a crash blames the parts of all requests that were at the server and had no answer begun, over all hosts, joined by the server's id and start. An answer that begins clears the parts of its request of all earlier blame. A crash that one part explains blames no other. Three crashes of two or more different requests, spread over 300 ms, quarantine a part (five if an answer to it has begun in the last minute); many servers lost at once quarantine none.

A quarantine ends by an answer that begins, or by a sound probe after 1 min, 10 min, 2 h and 24 h; hosts take turns with probes. All tables are bounded.

--- /dev/null
+++ b/lib/routing/part_suspects.cc
@@ -0,0 +1,458 @@
+#include "mangoport/routing/part_suspects.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace mangoport {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr std::size_t kMaxCrashes = 256;
+constexpr std::size_t kMaxPartsOfCrash = 512;
+constexpr std::size_t kMaxRequestsOfPart = 4;
+constexpr std::size_t kMaxOwnLosses = 256;
+constexpr std::size_t kMaxToldLosses = 128;
+constexpr std::size_t kMaxToldStates = 128;
+constexpr std::size_t kMaxBegun = 8192;
+constexpr std::size_t kMaxQuarantined = 1024;
+
+/// Two crashes that both a suspect and no sound request was in.
+constexpr std::uint32_t kSuspiciousCrashes = 2;
+
+/// The evidence is judged at most this often, since many reports arrive at
+/// once.
+constexpr Duration kUpdateInterval = milliseconds(50);
+
+/// A quarantine is told to others once all reports of its crashes must have
+/// arrived here.
+constexpr Duration kTellAfter = seconds(3);
+
+/// A crash this long after the quarantine was caused by a probe. Earlier ones
+/// are of requests that were on their way.
+constexpr Duration kStragglers = seconds(10);
+
+/// How long a part is held before its first probe, and after each probe that
+/// crashed a server. A probe costs the streams of one server, and each further
+/// one is less likely to end well.
+constexpr std::array<Duration, 4> kHolds = {minutes(1), minutes(10), hours(2),
+                                            hours(24)};
+
+/// Each host in turn may send a probe for this long, which is enough for the
+/// others to hear what became of it.
+constexpr Duration kTurn = seconds(5);
+
+MonoTime Before(MonoTime now, Duration age) {
+  return now - std::max(age, Duration::zero());
+}
+
+}  // namespace
+
+std::vector<PartHash> SharedPartHashes(std::string_view parts) {
+  std::vector<PartHash> out;
+  while (true) {
+    const std::size_t comma = parts.find(',');
+    if (comma == std::string_view::npos)
+      return out;
+    std::string_view id = parts.substr(0, std::min(comma, parts.find(':')));
+    parts.remove_prefix(comma + 1);
+    id.remove_prefix(std::min(id.find_first_not_of(' '), id.size()));
+    const PartHash hash = XXH64(id.data(), id.size(), 0);
+    if (std::find(out.begin(), out.end(), hash) == out.end())
+      out.push_back(hash);
+  }
+}
+
+void PartSuspects::OnLost(MonoTime now,
+                          const PartLoss& loss,
+                          const std::vector<PartHash>& parts) {
+  std::erase_if(own_losses_, [&](const OwnLoss& it) {
+    return now - it.at > settings_.report_duration;
+  });
+  PartLoss out = loss;
+  for (const PartHash it : parts) {
+    out.part = it;
+    AddLoss(now, out);
+    if (own_losses_.size() < kMaxOwnLosses)
+      own_losses_.push_back({.loss = out, .at = Before(now, loss.age)});
+  }
+}
+
+void PartSuspects::OnPeerLoss(MonoTime now, const PartLoss& loss) {
+  AddLoss(now, loss);
+}
+
+void PartSuspects::AddLoss(MonoTime now, const PartLoss& loss) {
+  if (loss.age > settings_.evidence_lifetime)
+    return;
+  Crash& crash = FindOrAddCrash(now, loss);
+  const MonoTime at = Before(now, loss.age);
+  crash.at = std::min(crash.at, at);
+  const auto known = crash.parts.find(loss.part);
+  if (known == crash.parts.end() && crash.parts.size() >= kMaxPartsOfCrash)
+    return;
+  std::set<std::uint64_t>& requests = crash.parts[loss.part];
+  bool is_new = known == crash.parts.end();
+  if (requests.size() < kMaxRequestsOfPart)
+    is_new |= requests.insert(loss.fingerprint).second;
+  if (is_new)
+    UpdateBy(now);
+}
+
+PartSuspects::Crash& PartSuspects::FindOrAddCrash(MonoTime now,
+                                                  const PartLoss& loss) {
+  // Most reports are of recent crashes.
+  const auto known =
+      std::find_if(crashes_.rbegin(), crashes_.rend(), [&](const Crash& it) {
+        return it.server_started_at_ms == loss.server_started_at_ms &&
+               it.server == loss.server;
+      });
+  if (known != crashes_.rend())
+    return *known;
+  if (crashes_.size() >= kMaxCrashes)
+    crashes_.pop_front();
+  Crash& crash = crashes_.emplace_back();
+  crash.server = loss.server;
+  crash.server_started_at_ms = loss.server_started_at_ms;
+  crash.at = Before(now, loss.age);
+  crash.heard_at = now;
+  return crash;
+}
+
+void PartSuspects::OnPeerState(MonoTime now, const PartState& state) {
+  if (state.begun_age)
+    NoteBegun(Before(now, *state.begun_age), state.part);
+  if (state.crashes == 0 || quarantined_.size() >= kMaxQuarantined)
+    return;
+  const MonoTime last = Before(now, state.crash_age);
+  const auto begun = BegunAt(state.part);
+  if ((begun && *begun > last) || IsExplained(state.part))
+    return;
+  const auto [it, added] = quarantined_.try_emplace(state.part);
+  Quarantine& quarantine = it->second;
+  quarantine.crashes = std::max(quarantine.crashes, state.crashes);
+  quarantine.last_crash = std::max(quarantine.last_crash, last);
+  if (!added)
+    return;
+  quarantine.since = last;
+  Decide(now, PartDecision::Kind::kQuarantined, state.part,
+         {.crashes = state.crashes, .first = last, .last = last});
+}
+
+void PartSuspects::OnBegun(MonoTime now, const std::vector<PartHash>& parts) {
+  for (const PartHash it : parts)
+    NoteBegun(now, it);
+}
+
+void PartSuspects::NoteBegun(MonoTime at, PartHash part) {
+  const auto known = begun_.find(part);
+  if (known != begun_.end()) {
+    known->second = std::max(known->second, at);
+  } else {
+    if (begun_.size() >= kMaxBegun)
+      std::erase_if(begun_, [&](const auto& it) {
+        return at - it.second > settings_.evidence_lifetime;
+      });
+    // With as many parts as that, the oldest evidence is as good as any.
+    if (begun_.size() >= kMaxBegun)
+      begun_.erase(begun_.begin());
+    begun_.emplace(part, at);
+  }
+  if (suspects_.contains(part))
+    UpdateBy(at);
+  const auto held = quarantined_.find(part);
+  if (held != quarantined_.end() && at > held->second.last_crash)
+    Release(at, part);
+}
+
+std::optional<MonoTime> PartSuspects::BegunAt(PartHash part) const {
+  const auto it = begun_.find(part);
+  if (it == begun_.end())
+    return std::nullopt;
+  return it->second;
+}
+
+bool PartSuspects::BegunRecently(MonoTime now, PartHash part) const {
+  const auto begun = BegunAt(part);
+  return begun && now - *begun <= settings_.evidence_lifetime;
+}
+
+bool PartSuspects::IsExplained(PartHash part) const {
+  bool blamed = false;
+  for (const Crash& crash : crashes_) {
+    if (!crash.parts.contains(part))
+      continue;
+    blamed = true;
+    if (std::none_of(
+            crash.parts.begin(), crash.parts.end(), [&](const auto& it) {
+              return it.first != part && quarantined_.contains(it.first);
+            }))
+      return false;
+  }
+  return blamed;
+}
+
+bool PartSuspects::IsFinal(MonoTime now, const Quarantine& quarantine) const {
+  return !quarantine.first_crash || quarantine.probes > 0 ||
+         now - *quarantine.first_crash > settings_.evidence_lifetime / 2;
+}
+
+void PartSuspects::UpdateBy(MonoTime now) {
+  update_due_ =
+      std::min(update_due_, std::max(now, updated_at_ + kUpdateInterval));
+}
+
+void PartSuspects::RemoveExpired(MonoTime now) {
+  std::erase_if(crashes_, [&](const Crash& it) {
+    return now - it.at > settings_.evidence_lifetime;
+  });
+}
+
+PartSuspects::Tallies PartSuspects::CountCrashes(
+    MonoTime now,
+    const std::set<PartHash>& explaining,
+    Duration settled_for) const {
+  Tallies out;
+  for (const Crash& crash : crashes_) {
+    if (now - crash.heard_at < settled_for ||
+        std::any_of(explaining.begin(), explaining.end(),
+                    [&](PartHash it) { return crash.parts.contains(it); }))
+      continue;
+    for (const auto& [part, requests] : crash.parts) {
+      const auto begun = BegunAt(part);
+      if (begun && *begun > crash.at)
+        continue;
+      Tally& tally = out[part];
+      tally.first =
+          tally.crashes == 0 ? crash.at : std::min(tally.first, crash.at);
+      tally.last = std::max(tally.last, crash.at);
+      ++tally.crashes;
+      tally.requests.insert(requests.begin(), requests.end());
+    }
+  }
+  return out;
+}
+
+bool PartSuspects::Convicts(MonoTime now,
+                            PartHash part,
+                            const Tally& tally) const {
+  const std::uint32_t least = BegunRecently(now, part)
+                                  ? settings_.min_crashes_once_sound
+                                  : settings_.min_crashes;
+  return tally.crashes >= least &&
+         tally.requests.size() >= settings_.min_requests &&
+         tally.last - tally.first >= settings_.min_span;
+}
+
+std::set<PartHash> PartSuspects::FindCulprits(MonoTime now,
+                                              const Tallies& tallies) const {
+  // A part that sound requests carried a while ago is convicted only for what
+  // parts without any sound request don't explain.
+  std::set<PartHash> out;
+  std::pair<bool, std::uint32_t> most;
+  for (const auto& [part, tally] : tallies) {
+    if (!Convicts(now, part, tally))
+      continue;
+    const std::pair<bool, std::uint32_t> rank(!BegunRecently(now, part),
+                                              tally.crashes);
+    if (out.empty() || rank > most) {
+      out.clear();
+      most = rank;
+    }
+    if (rank == most)
+      out.insert(part);
+  }
+  return out;
+}
+
+void PartSuspects::Update(MonoTime now) {
+  if (now < update_due_)
+    return;
+  updated_at_ = now;
+  RemoveExpired(now);
+  std::set<PartHash> explaining;
+  for (const auto& [part, it] : quarantined_) {
+    if (IsFinal(now, it))
+      explaining.insert(part);
+  }
+  Tallies culprits;
+  while (true) {
+    const Tallies tallies =
+        CountCrashes(now, explaining, settings_.settle_time);
+    const std::set<PartHash> found = FindCulprits(now, tallies);
+    if (found.empty())
+      break;
+    for (const PartHash it : found) {
+      culprits[it] = tallies.at(it);
+      explaining.insert(it);
+    }
+  }
+  SetQuarantined(now, culprits);
+  SetSuspects(now, explaining);
+  // Crashes that have not settled yet will count then.
+  update_due_ = MonoTime::max();
+  for (const Crash& it : crashes_) {
+    const MonoTime settled = it.heard_at + settings_.settle_time;
+    if (settled > now)
+      update_due_ = std::min(update_due_, settled);
+  }
+}
+
+void PartSuspects::SetQuarantined(MonoTime now, const Tallies& culprits) {
+  std::vector<PartHash> explained;
+  for (auto& [part, it] : quarantined_) {
+    for (const Crash& crash : crashes_) {
+      if (!crash.parts.contains(part) || crash.at <= it.last_crash)
+        continue;
+      it.last_crash = crash.at;
+      ++it.crashes;
+      if (crash.at > it.since + kStragglers)
+        ++it.probes;
+    }
+    if (!culprits.contains(part) && !IsFinal(now, it))
+      explained.push_back(part);
+  }
+  for (const PartHash it : explained)
+    Release(now, it);
+  for (const auto& [part, tally] : culprits) {
+    if (quarantined_.size() >= kMaxQuarantined)
+      return;
+    const auto [it, added] = quarantined_.try_emplace(part);
+    if (!added)
+      continue;
+    it->second.crashes = tally.crashes;
+    it->second.since = now;
+    it->second.first_crash = tally.first;
+    it->second.last_crash = tally.last;
+    Decide(now, PartDecision::Kind::kQuarantined, part, tally);
+  }
+}
+
+void PartSuspects::SetSuspects(MonoTime now,
+                               const std::set<PartHash>& culprits) {
+  std::set<PartHash> suspects;
+  for (const auto& [part, tally] :
+       CountCrashes(now, culprits, Duration::zero())) {
+    if (tally.crashes < kSuspiciousCrashes ||
+        tally.requests.size() < settings_.min_requests ||
+        BegunRecently(now, part))
+      continue;
+    suspects.insert(part);
+    if (!suspects_.contains(part))
+      Decide(now, PartDecision::Kind::kSuspected, part, tally);
+  }
+  suspects_ = std::move(suspects);
+}
+
+void PartSuspects::Release(MonoTime now, PartHash part) {
+  const auto it = quarantined_.find(part);
+  Decide(now, PartDecision::Kind::kReleased, part,
+         {.crashes = it->second.crashes,
+          .first = it->second.last_crash,
+          .last = it->second.last_crash});
+  quarantined_.erase(it);
+}
+
+void PartSuspects::Decide(MonoTime now,
+                          PartDecision::Kind kind,
+                          PartHash part,
+                          const Tally& tally) const {
+  if (!on_decision_)
+    return;
+  const auto begun = BegunAt(part);
+  on_decision_({.kind = kind,
+                .part = part,
+                .crashes = tally.crashes,
+                .requests = static_cast<std::uint32_t>(tally.requests.size()),
+                .first_crash_age = now - tally.first,
+                .last_crash_age = now - tally.last,
+                .begun_age = begun ? now - *begun : milliseconds(-1)});
+}
+
+std::optional<Duration> PartSuspects::HoldLeft(MonoTime now,
+                                               Quarantine& quarantine) {
+  const std::size_t n =
+      std::min<std::size_t>(quarantine.probes, kHolds.size() - 1);
+  const Duration hold = kHolds[n];
+  const Duration held = now - quarantine.last_crash;
+  if (held < hold)
+    return hold - held;
+  // The hosts take turns, so that one probe at a time is under way.
+  const HostTurn turn = turn_ ? turn_() : HostTurn{};
+  const auto turns = (held - hold) / kTurn;
+  const auto hosts =
+      static_cast<Duration::rep>(std::max<std::size_t>(turn.hosts, 1));
+  const bool own = turns % hosts == static_cast<Duration::rep>(turn.rank);
+  const bool probed =
+      quarantine.probed_at && now - *quarantine.probed_at < kTurn;
+  if (!own || probed)
+    return kTurn;
+  quarantine.probed_at = now;
+  return std::nullopt;
+}
+
+std::optional<Duration> PartSuspects::Refusal(
+    MonoTime now,
+    const std::vector<PartHash>& parts,
+    bool repeat) {
+  Update(now);
+  for (const PartHash it : parts) {
+    const auto quarantine = quarantined_.find(it);
+    if (quarantine != quarantined_.end()) {
+      if (const auto left = HoldLeft(now, quarantine->second))
+        return left;
+    }
+    if (repeat && suspects_.contains(it))
+      return settings_.settle_time;
+  }
+  return std::nullopt;
+}
+
+bool PartSuspects::IsQuarantined(MonoTime now, PartHash part) {
+  Update(now);
+  return quarantined_.contains(part);
+}
+
+std::vector<PartLoss> PartSuspects::RecentLosses(MonoTime now) const {
+  std::vector<PartLoss> out;
+  for (auto it = own_losses_.rbegin();
+       it != own_losses_.rend() && out.size() < kMaxToldLosses; ++it) {
+    const auto begun = BegunAt(it->loss.part);
+    if (now - it->at > settings_.report_duration || (begun && *begun > it->at))
+      continue;
+    out.push_back(it->loss);
+    out.back().age = now - it->at;
+  }
+  return out;
+}
+
+std::vector<PartState> PartSuspects::States(MonoTime now) {
+  Update(now);
+  std::vector<PartState> out;
+  for (const auto& [part, it] : quarantined_) {
+    if (now - it.since >= kTellAfter && out.size() < kMaxToldStates)
+      out.push_back({.part = part,
+                     .crashes = it.crashes,
+                     .crash_age = now - it.last_crash});
+  }
+  // Parts that other hosts may blame, although answers to them begin here.
+  std::set<PartHash> told;
+  for (auto crash = crashes_.rbegin(); crash != crashes_.rend(); ++crash) {
+    if (now - crash->at > settings_.report_duration)
+      continue;
+    for (const auto& [part, requests] : crash->parts) {
+      const auto begun = BegunAt(part);
+      if (begun && out.size() < kMaxToldStates && told.insert(part).second)
+        out.push_back({.part = part, .begun_age = now - *begun});
+    }
+  }
+  return out;
+}
+
+}  // namespace mangoport
--- /dev/null
+++ b/unittests/routing/part_suspects_test.cc
@@ -0,0 +1,377 @@
+#include "mangoport/routing/part_suspects.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+namespace mangoport {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr MonoTime kStart{seconds(5000)};
+constexpr PartHash kShared = 1;
+constexpr PartHash kDeadly = 2;
+constexpr PartHash kSound = 3;
+
+PartLoss Loss(std::uint64_t request, int server) {
+  return {.fingerprint = request,
+          .server = ServerId("s" + std::to_string(server)),
+          .server_started_at_ms = 1};
+}
+
+/// `n` servers lost 400 ms apart from `at` on, each with another request that
+/// carries `parts`; the number of the first is `first`.
+void LoseServers(PartSuspects& suspects,
+                 MonoTime at,
+                 int n,
+                 const std::vector<PartHash>& parts,
+                 int first = 0) {
+  for (int i = 0; i < n; ++i)
+    suspects.OnLost(at + milliseconds(400) * i,
+                    Loss(static_cast<std::uint64_t>(first + i), first + i),
+                    parts);
+}
+
+Test(part_suspects, the_last_part_is_the_requests_own) {
+  const auto two = SharedPartHashes("ab:1,cd:2,ef:3");
+  cr_assert_eq(two.size(), 2);
+  cr_assert_eq(SharedPartHashes("ab:9,xx:1").front(), two.front());
+  cr_assert(SharedPartHashes("ab:1").empty());
+  cr_assert(SharedPartHashes("").empty());
+}
+
+// Requests with one part crashed server after server, no two of them alike.
+Test(part_suspects, part_of_different_requests_is_quarantined_after_3_crashes) {
+  PartSuspects suspects;
+  LoseServers(suspects, kStart, 2, {kShared, kDeadly});
+  suspects.OnBegun(kStart + milliseconds(900), {kShared, kSound});
+  cr_assert_not(suspects.IsQuarantined(kStart + seconds(1), kDeadly));
+  LoseServers(suspects, kStart + seconds(1), 1, {kShared, kDeadly}, 2);
+  suspects.OnBegun(kStart + milliseconds(1100), {kShared, kSound});
+  const MonoTime now = kStart + milliseconds(1400);
+  cr_assert(suspects.IsQuarantined(now, kDeadly));
+  cr_assert_not(suspects.IsQuarantined(now, kShared));
+  cr_assert_not(suspects.Refusal(now, {kShared, kSound}, false));
+  const auto wait = suspects.Refusal(now, {kShared, kDeadly}, false);
+  cr_assert(wait && *wait > seconds(50) && *wait <= seconds(60));
+}
+
+Test(part_suspects, a_lost_request_with_a_suspect_part_is_not_repeated) {
+  PartSuspects suspects;
+  LoseServers(suspects, kStart, 2, {kDeadly});
+  const MonoTime now = kStart + milliseconds(500);
+  cr_assert(suspects.Refusal(now, {kDeadly}, /*repeat=*/true));
+  cr_assert_not(suspects.Refusal(now, {kDeadly}, /*repeat=*/false));
+}
+
+Test(part_suspects, losses_at_different_hosts_add_up) {
+  PartSuspects a;
+  PartSuspects b;
+  LoseServers(a, kStart, 2, {kShared, kDeadly});
+  const MonoTime told = kStart + milliseconds(700);
+  for (const PartLoss& it : a.RecentLosses(told))
+    b.OnPeerLoss(told, it);
+  b.OnLost(told + milliseconds(100), Loss(7, 7), {kShared, kDeadly});
+  b.OnBegun(told + milliseconds(110), {kShared});
+  cr_assert(b.IsQuarantined(told + milliseconds(500), kDeadly));
+  cr_assert_not(b.IsQuarantined(told + milliseconds(500), kShared));
+}
+
+// Servers that fail together say nothing about what ran there.
+Test(part_suspects, servers_lost_at_once_quarantine_no_part) {
+  PartSuspects suspects;
+  for (int i = 0; i < 40; ++i)
+    suspects.OnLost(kStart + milliseconds(i),
+                    Loss(static_cast<std::uint64_t>(i), i % 8),
+                    {kShared, kSound});
+  cr_assert_not(suspects.IsQuarantined(kStart + seconds(2), kShared));
+  cr_assert_not(suspects.IsQuarantined(kStart + seconds(2), kSound));
+}
+
+Test(part_suspects, crashes_between_sound_answers_quarantine_no_part) {
+  PartSuspects suspects;
+  for (int i = 0; i < 30; ++i) {
+    const MonoTime at = kStart + milliseconds(500) * i;
+    suspects.OnLost(at, Loss(static_cast<std::uint64_t>(i), i), {kShared});
+    suspects.OnBegun(at + milliseconds(100), {kShared});
+    cr_assert_not(suspects.IsQuarantined(at + milliseconds(400), kShared));
+  }
+}
+
+Test(part_suspects, an_answer_elsewhere_clears_a_part) {
+  PartSuspects a;
+  PartSuspects b;
+  LoseServers(a, kStart, 4, {kSound});
+  cr_assert(a.IsQuarantined(kStart + seconds(2), kSound));
+  for (const PartLoss& it : a.RecentLosses(kStart + seconds(2)))
+    b.OnPeerLoss(kStart + seconds(2), it);
+  b.OnBegun(kStart + seconds(2), {kSound});
+  for (const PartState& it : b.States(kStart + seconds(3)))
+    a.OnPeerState(kStart + seconds(3), it);
+  cr_assert_not(a.IsQuarantined(kStart + seconds(3), kSound));
+}
+
+// A part that was beside the deadly one at each crash was taken for deadly too.
+Test(part_suspects, a_part_that_another_explains_is_released) {
+  PartSuspects suspects;
+  LoseServers(suspects, kStart, 3, {kSound, kDeadly});
+  cr_assert(suspects.IsQuarantined(kStart + seconds(2), kSound));
+  LoseServers(suspects, kStart + seconds(2), 1, {kDeadly}, 3);
+  cr_assert_not(suspects.IsQuarantined(kStart + seconds(3), kSound));
+  cr_assert(suspects.IsQuarantined(kStart + seconds(3), kDeadly));
+}
+
+Test(part_suspects, a_host_that_has_just_started_is_told) {
+  PartSuspects old;
+  PartSuspects fresh;
+  LoseServers(old, kStart, 5, {kDeadly});
+  cr_assert(old.IsQuarantined(kStart + seconds(3), kDeadly));
+  for (const PartState& it : old.States(kStart + seconds(20)))
+    fresh.OnPeerState(kStart + seconds(20), it);
+  cr_assert(fresh.IsQuarantined(kStart + seconds(20), kDeadly));
+  cr_assert(fresh.IsQuarantined(kStart + minutes(30), kDeadly));
+}
+
+// Crashes that are forgotten one after the other must not end a quarantine.
+Test(part_suspects, a_quarantine_outlives_its_evidence) {
+  PartSuspects suspects;
+  LoseServers(suspects, kStart, 5, {kDeadly});
+  for (int s = 2; s < 200; ++s)
+    cr_assert(suspects.IsQuarantined(kStart + seconds(s), kDeadly), "%d s", s);
+}
+
+// A part that stays deadly crashes three servers in the day after its
+// quarantine at most.
+Test(part_suspects, probes_of_a_deadly_part_are_seldom) {
+  PartSuspects suspects;
+  LoseServers(suspects, kStart, 5, {kDeadly});
+  int sent = 0;
+  for (int s = 10; s < 24 * 3600; ++s) {
+    const MonoTime now = kStart + seconds(s);
+    if (suspects.Refusal(now, {kDeadly}, false))
+      continue;
+    ++sent;
+    suspects.OnLost(now + milliseconds(200), Loss(1000U + s, 1000 + s),
+                    {kDeadly});
+  }
+  cr_assert_leq(sent, 3, "%d", sent);
+  cr_assert_geq(sent, 2, "%d", sent);
+}
+
+Test(part_suspects, hosts_take_turns_with_probes) {
+  std::vector<PartSuspects> hosts(5);
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    hosts[i].set_turn([i] { return HostTurn{.rank = i, .hosts = 5}; });
+    LoseServers(hosts[i], kStart, 5, {kDeadly});
+  }
+  for (int ms = 60'000; ms < 120'000; ms += 100) {
+    int sent = 0;
+    for (PartSuspects& it : hosts)
+      sent += it.Refusal(kStart + milliseconds(ms), {kDeadly}, false) ? 0 : 1;
+    cr_assert_leq(sent, 1);
+  }
+}
+
+Test(part_suspects, a_probe_that_is_answered_ends_the_quarantine) {
+  PartSuspects suspects;
+  LoseServers(suspects, kStart, 5, {kSound});
+  cr_assert(suspects.Refusal(kStart + seconds(3), {kSound}, false));
+  const MonoTime now = kStart + minutes(2);
+  cr_assert_not(suspects.Refusal(now, {kSound}, false));
+  cr_assert(suspects.Refusal(now, {kSound}, false));
+  suspects.OnBegun(now + seconds(1), {kSound});
+  cr_assert_not(suspects.Refusal(now + seconds(2), {kSound}, false));
+}
+
+Test(part_suspects, evidence_of_many_parts_stays_bounded) {
+  PartSuspects suspects;
+  for (std::uint64_t i = 0; i < 50'000; ++i) {
+    suspects.OnBegun(kStart, {i + 10});
+    suspects.OnLost(kStart, Loss(i, static_cast<int>(i)), {i + 10});
+  }
+  cr_assert_leq(suspects.RecentLosses(kStart).size(), 128);
+  cr_assert_leq(suspects.States(kStart).size(), 128);
+}
+
+/// Hosts that send requests to servers; requests with one part crash the server
+/// that begins to answer them, or servers crash for no such reason.
+class Fleet {
+ public:
+  Fleet(std::uint64_t seed, int hosts, int servers)
+      : random_(seed), hosts_(static_cast<std::size_t>(hosts)) {
+    for (int i = 0; i < servers; ++i)
+      servers_.push_back({});
+  }
+
+  /// One request in `one_in` carries the deadly part.
+  int deadly_one_in = 0;
+  /// A server crashes by itself each so many milliseconds; never if zero.
+  int crash_interval_ms = 0;
+
+  void Run(Duration time) {
+    const MonoTime end = now_ + time;
+    for (; now_ < end; now_ += milliseconds(5)) {
+      if (Draw(3) == 0)
+        Arrive();
+      Answer();
+      if (crash_interval_ms > 0 && Draw(crash_interval_ms / 5) == 0)
+        Crash(
+            static_cast<std::size_t>(Draw(static_cast<int>(servers_.size()))));
+      Gossip();
+    }
+  }
+
+  int crashes = 0;
+  int deadly_sent = 0;
+  int sound_refused = 0;
+  int sound_sent = 0;
+
+ private:
+  struct Request {
+    std::size_t host = 0;
+    std::uint64_t number = 0;
+    std::vector<PartHash> parts;
+    bool deadly = false;
+    MonoTime begins;
+  };
+  struct Server {
+    std::vector<Request> waiting;
+    std::uint64_t starts = 1;
+    MonoTime up_at;
+  };
+
+  int Draw(int n) { return std::uniform_int_distribution<>(0, n - 1)(random_); }
+
+  void Arrive() {
+    Request it;
+    it.number = ++requests_;
+    it.host = static_cast<std::size_t>(Draw(static_cast<int>(hosts_.size())));
+    it.deadly = deadly_one_in > 0 && Draw(deadly_one_in) == 0;
+    const PartHash document = 100 + static_cast<PartHash>(Draw(40));
+    it.parts = {kShared, it.deadly ? kDeadly : document};
+    Send(std::move(it), /*repeat=*/false);
+  }
+
+  void Send(Request it, bool repeat) {
+    PartSuspects& host = hosts_[it.host];
+    if (host.Refusal(now_, it.parts, repeat)) {
+      sound_refused += it.deadly ? 0 : 1;
+      return;
+    }
+    std::vector<std::size_t> up;
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+      if (servers_[i].up_at <= now_)
+        up.push_back(i);
+    }
+    if (up.empty())
+      return;
+    (it.deadly ? deadly_sent : sound_sent) += 1;
+    it.begins = now_ + milliseconds(40 + Draw(160));
+    servers_[up[static_cast<std::size_t>(Draw(static_cast<int>(up.size())))]]
+        .waiting.push_back(std::move(it));
+  }
+
+  void Answer() {
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+      const std::vector<Request> waiting = std::move(servers_[i].waiting);
+      servers_[i].waiting.clear();
+      bool crashes_now = false;
+      for (const Request& it : waiting) {
+        if (it.begins > now_ || it.deadly) {
+          crashes_now |= it.begins <= now_;
+          servers_[i].waiting.push_back(it);
+          continue;
+        }
+        hosts_[it.host].OnBegun(now_, it.parts);
+      }
+      if (crashes_now)
+        Crash(i);
+    }
+  }
+
+  void Crash(std::size_t index) {
+    Server& server = servers_[index];
+    if (server.up_at > now_)
+      return;
+    ++crashes;
+    const std::vector<Request> lost = std::move(server.waiting);
+    server.waiting.clear();
+    server.up_at = now_ + seconds(3);
+    const std::uint64_t start = server.starts++;
+    for (const Request& it : lost) {
+      PartLoss loss = Loss(it.number, static_cast<int>(index));
+      loss.server_started_at_ms = start;
+      hosts_[it.host].OnLost(now_, loss, it.parts);
+    }
+    for (const Request& it : lost)
+      Send(it, /*repeat=*/true);
+  }
+
+  /// Each host tells another one, each a fifth of a second.
+  void Gossip() {
+    if ((now_ - kStart) % milliseconds(200) != milliseconds(0))
+      return;
+    for (std::size_t from = 0; from < hosts_.size(); ++from) {
+      for (std::size_t to = 0; to < hosts_.size(); ++to) {
+        if (from == to || Draw(10) == 0)
+          continue;
+        for (const PartLoss& it : hosts_[from].RecentLosses(now_))
+          hosts_[to].OnPeerLoss(now_, it);
+        for (const PartState& it : hosts_[from].States(now_))
+          hosts_[to].OnPeerState(now_, it);
+      }
+    }
+  }
+
+  std::mt19937_64 random_;
+  std::vector<PartSuspects> hosts_;
+  std::vector<Server> servers_;
+  std::uint64_t requests_ = 0;
+  MonoTime now_ = kStart;
+};
+
+// A deadly part kept crashing the servers of the whole fleet.
+Test(part_suspects, a_fleet_stops_sending_a_deadly_part, .timeout = 120) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Fleet fleet(seed, 12, 10);
+    fleet.Run(seconds(5));
+    fleet.deadly_one_in = 15;
+    fleet.Run(seconds(8));
+    const int sent = fleet.deadly_sent;
+    cr_assert_leq(fleet.crashes, 15, "seed %d: %d crashes",
+                  static_cast<int>(seed), fleet.crashes);
+    fleet.sound_refused = 0;
+    fleet.sound_sent = 0;
+    fleet.Run(seconds(30));
+    cr_assert_eq(fleet.deadly_sent, sent, "seed %d: %d more sent",
+                 static_cast<int>(seed), fleet.deadly_sent - sent);
+    cr_assert_leq(fleet.sound_refused * 10, fleet.sound_sent,
+                  "seed %d: %d refused, %d sent", static_cast<int>(seed),
+                  fleet.sound_refused, fleet.sound_sent);
+  }
+}
+
+// Crashes for other reasons must keep no sound part from the servers.
+Test(part_suspects, a_storm_of_crashes_quarantines_no_part, .timeout = 120) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Fleet fleet(seed, 12, 10);
+    fleet.crash_interval_ms = 500;
+    fleet.Run(seconds(60));
+    cr_assert_geq(fleet.crashes, 50);
+    cr_assert_leq(fleet.sound_refused * 100, fleet.sound_sent,
+                  "seed %d: %d refused, %d sent", static_cast<int>(seed),
+                  fleet.sound_refused, fleet.sound_sent);
+  }
+}
+
+}  // namespace
+}  // namespace mangoport
