forward: keep parts of prompts that crash servers from them

Cause: suspicion was keyed on a hash of the whole request, so no evidence ever met when no two requests were alike. Evidence of one host said nothing of a part, and no log line named the parts that ran at a server that ended.

Requests now ask PartSuspects before each attempt. A connection that the peer closed or reset blames the parts of a request with no answer begun; a way that was lost (a timeout) blames nothing. The first event, or a whole answer, clears its parts. Losses, answers begun and quarantines go to all hosts in the datagrams, losses at once. A lost request with a suspect part is not repeated, one with a quarantined part is refused as not run, with the time of the next probe, and what servers have of it and have not begun is taken back.

Logged: lost_with_server (hashed parts, server, its start), part_suspected, part_quarantined, part_released (crashes, requests, ages of the evidence).

--- a/include/mangoport/edge/edge_host.h
+++ b/include/mangoport/edge/edge_host.h
@@ -90,6 +90,10 @@
   void AdaptToFleetSize();
   void SendToHolder();
   void SendChanges();
+  /// Tells all hosts what was lost together with servers.
+  void SendLosses();
+  /// This host's place among the hosts in touch.
+  HostTurn ProbeTurn() const;
 
   void FlushLogLater(MonoTime now);
   void WaitForSignals();
@@ -123,6 +127,7 @@
   MonoTime holder_heard_at_;
   Duration holder_lifetime_{};
   MonoTime sent_to_holder_at_;
+  MonoTime losses_sent_at_;
   MonoTime stop_began_;
   bool stopping_ = false;
   bool released_ = false;
--- a/include/mangoport/forward/forwarder.h
+++ b/include/mangoport/forward/forwarder.h
@@ -23,6 +23,7 @@
 #include "mangoport/forward/timer_queue.h"
 #include "mangoport/limits/shared_quota.h"
 #include "mangoport/routing/crash_suspects.h"
+#include "mangoport/routing/part_suspects.h"
 #include "mangoport/routing/retry_budget.h"
 #include "mangoport/telemetry/decision_log.h"
 
@@ -93,6 +94,13 @@
   /// Requests that were lost together with servers.
   CrashSuspects& crash_suspects() { return crash_suspects_; }
 
+  /// Parts of prompts that crash the servers which answer to them.
+  PartSuspects& part_suspects() { return part_suspects_; }
+
+  /// Called when a request was lost with a server whose process may have ended,
+  /// so that other hosts are told without delay.
+  void set_on_loss(std::function<void()> hook) { on_loss_ = std::move(hook); }
+
   const FleetConfigPtr& config() const { return config_; }
   std::size_t active() const { return active_; }
 
@@ -111,6 +119,7 @@
 
   ServiceState& StateOf(const ServiceId& service);
   RetryBudgetSettings BudgetSettingsFor(std::size_t hosts) const;
+  void OnPartDecision(const PartDecision& decision);
   /// Lets requests that wait for `model` choose again.
   void WakeWaiting(const ModelId& model);
 
@@ -124,6 +133,8 @@
   std::unordered_map<ModelId, std::vector<std::weak_ptr<RequestExchange>>>
       waiting_;
   CrashSuspects crash_suspects_;
+  PartSuspects part_suspects_;
+  std::function<void()> on_loss_;
   std::function<void()> on_missing_;
   std::mt19937_64 random_;
   std::size_t active_ = 0;
--- a/include/mangoport/forward/http_connection.h
+++ b/include/mangoport/forward/http_connection.h
@@ -31,6 +31,9 @@
   Kind kind = Kind::kNoAnswer;
   /// True if some byte of the request may have reached the peer.
   bool request_sent = false;
+  /// True if the peer closed or reset the connection, as it does when its
+  /// process ends; false if the way to it was lost or its bytes were wrong.
+  bool by_peer = false;
 };
 
 /// What one exchange tells its owner. After `on_complete`, `on_failed` or
@@ -91,7 +94,7 @@
   /// False if the exchange has ended.
   bool TakeMessage();
   void Complete();
-  void Fail(HttpFailure::Kind kind);
+  void Fail(HttpFailure::Kind kind, bool by_peer = false);
   void NoteKeepAlive(const HttpHead& head);
 
   TimerQueue& timers_;
--- a/lib/edge/edge_peers.cc
+++ b/lib/edge/edge_peers.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "lib/edge/feed_wire.h"
+#include "lib/edge/part_wire.h"
 #include "mangoport/edge/edge_host.h"
 
 namespace mangoport {
@@ -13,6 +14,10 @@
 
 /// Waiting requests are reported to the holder at once, at most this often.
 constexpr Duration kSendToHolderInterval = std::chrono::milliseconds(15);
+
+/// Losses of servers are told at once, at most this often.
+constexpr Duration kSendLossesInterval = std::chrono::milliseconds(100);
+
 constexpr Duration kHolderLifetime = std::chrono::seconds(2);
 
 /// The holder is suspected after this time without a datagram from it. Readers
@@ -84,6 +89,7 @@
     note.set_fingerprint(it.fingerprint);
     note.set_server(it.server.value());
   }
+  WriteParts(now, forwarder_.part_suspects(), message);
   const std::uint64_t term = orders_.held_term();
   message.set_order_term(term);
   if (orders_.resigned_term() != 0 && term == 0) {
@@ -136,10 +142,14 @@
                      .silent = std::chrono::milliseconds(it.silent_ms()),
                      .work = it.work_per_mille() / kPerMille});
   backends_.SetPeerLoads(now, host, loads);
-  for (const wire::CrashSuspicionNote& it : message.suspicions())
-    forwarder_.crash_suspects().OnPeerServerLost(
-        now,
-        {.fingerprint = it.fingerprint(), .server = ServerId(it.server())});
+  for (const wire::CrashSuspicionNote& it : message.suspicions()) {
+    if (it.part() != 0)
+      ReadPart(now, it, forwarder_.part_suspects());
+    else
+      forwarder_.crash_suspects().OnPeerServerLost(
+          now,
+          {.fingerprint = it.fingerprint(), .server = ServerId(it.server())});
+  }
   if (message.leaving())
     return;
   if (message.order_term() != 0) {
@@ -189,6 +199,22 @@
   soft_state_.SendTo(*holder_);
 }
 
+void EdgeHost::SendLosses() {
+  const MonoTime now = Now();
+  if (now - losses_sent_at_ < kSendLossesInterval)
+    return;
+  losses_sent_at_ = now;
+  soft_state_.SendToAllSoon();
+}
+
+HostTurn EdgeHost::ProbeTurn() const {
+  const std::vector<PeerHost> peers = soft_state_.peers().ReachablePeers(Now());
+  const auto before = std::count_if(
+      peers.begin(), peers.end(),
+      [&](const PeerHost& it) { return it.host < settings_.host; });
+  return {.rank = static_cast<std::size_t>(before), .hosts = peers.size() + 1};
+}
+
 void EdgeHost::SendChanges() {
   const MonoTime now = Now();
   for (const EngineOrderTracker::ResidencyUpdate& it : orders_.Changes(now))
--- a/lib/forward/http_connection.cc
+++ b/lib/forward/http_connection.cc
@@ -1,6 +1,7 @@
 #include "mangoport/forward/http_connection.h"
 
 #include <algorithm>
+#include <asio/error.hpp>
 #include <cassert>
 #include <charconv>
 #include <utility>
@@ -22,6 +23,11 @@
   return std::chrono::steady_clock::now();
 }
 
+bool WasEndedByPeer(const asio::error_code& error) {
+  return error == asio::error::connection_reset ||
+         error == asio::error::broken_pipe;
+}
+
 /// The seconds of "timeout=5, max=100".
 std::optional<Duration> ParseKeepAlive(std::string_view value) {
   constexpr std::string_view kName = "timeout=";
@@ -103,11 +109,12 @@
                           self->OnEnd();
                       },
                   .on_error =
-                      [weak](const asio::error_code&) {
+                      [weak](const asio::error_code& error) {
                         if (const Ptr self = weak.lock())
                           self->Fail(self->head_taken_
                                          ? HttpFailure::Kind::kBrokenAnswer
-                                         : HttpFailure::Kind::kNoAnswer);
+                                         : HttpFailure::Kind::kNoAnswer,
+                                     WasEndedByPeer(error));
                       },
                   .on_drained = {}});
   stream_->SetUserTimeout(kUserTimeout);
@@ -204,14 +211,15 @@
   parser_.FeedEnd();
   if (!parser_.message_complete() || skipping_ || !head_taken_) {
     Fail(head_taken_ && !skipping_ ? HttpFailure::Kind::kBrokenAnswer
-                                   : HttpFailure::Kind::kNoAnswer);
+                                   : HttpFailure::Kind::kNoAnswer,
+         /*by_peer=*/true);
     return;
   }
   state_ = State::kClosed;
   Complete();
 }
 
-void HttpConnection::Fail(HttpFailure::Kind kind) {
+void HttpConnection::Fail(HttpFailure::Kind kind, bool by_peer) {
   if (state_ == State::kClosed)
     return;
   const Ptr self = shared_from_this();
@@ -220,7 +228,7 @@
   const std::shared_ptr<HttpExchangeHooks> hooks = std::move(hooks_);
   Close();
   if (had_exchange && hooks)
-    hooks->on_failed({.kind = kind, .request_sent = sent_});
+    hooks->on_failed({.kind = kind, .request_sent = sent_, .by_peer = by_peer});
 }
 
 void HttpConnection::Cancel() {
--- a/lib/forward/request_admission.cc
+++ b/lib/forward/request_admission.cc
@@ -157,6 +157,8 @@
   if (const std::string* model = FindField(fields, host_.dialect_.model))
     routing_.model = ModelId(*model);
   const std::string* parts = FindField(fields, host_.dialect_.prompt_parts);
+  if (parts)
+    shared_parts_ = SharedPartHashes(*parts);
   if (parts && route_->prefers_cached_prefix) {
     const std::string_view shared = SharedParts(*parts);
     routing_.prefix_hash =
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -67,6 +67,8 @@
                  .retry_after = kQuarantineRetryAfter});
     return;
   }
+  if (!AdmitParts(now))
+    return;
   routing_.deadline = CallerLeavesAt(
       deadline_, answer_begun_ ? last_byte_at_ : request_.arrived,
       route_->stall_limit);
@@ -289,6 +291,7 @@
 }
 
 void RequestExchange::OnEvents(MonoTime now, std::string_view whole) {
+  NoteAnswerBegun(now);
   if (!first_event_at_) {
     first_event_at_ = now;
     host_.parts_.backends.OnFirstToken(now, server_, prompt_tokens_,
@@ -322,6 +325,7 @@
     return;
   }
   if (status / 100 == 2) {
+    NoteAnswerBegun(now);
     FinishAttempt(now, AttemptOutcome::kCompleted);
     if (!answer_.streaming) {
       PassOnWhole(now);
@@ -365,6 +369,7 @@
   if (failure.request_sent)
     host_.crash_suspects_.OnServerLost(
         Now(), {.fingerprint = fingerprint_, .server = server_});
+  NoteLoss(Now(), server_start_, failure);
   EndAttempt(Now(), EndOf(failure));
 }
 
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "mangoport/forward/attempt_policy.h"
 #include "mangoport/forward/forwarder.h"
@@ -29,6 +30,10 @@
   /// A server may hold the model now.
   void OnModelAppeared();
 
+  /// Requests with this part are kept from the servers from now on: one that a
+  /// server has, and has not begun to answer, is taken back.
+  void OnPartQuarantined(MonoTime now, PartHash part);
+
   /// The host stops: a request that waits for a copy is refused, since the copy
   /// may come too late.
   void OnHostStopping(MonoTime now);
@@ -116,6 +121,19 @@
   /// The successor becomes the attempt under way.
   void AdoptSuccessor(MonoTime now);
 
+  // Parts of the prompt.
+  /// None if the parts of the prompt let the request be sent, else the time
+  /// after which they may.
+  std::optional<Duration> PartRefusal(MonoTime now);
+  /// False if a part of the prompt keeps the request from being sent; it has
+  /// been answered then.
+  bool AdmitParts(MonoTime now);
+  void NoteAnswerBegun(MonoTime now);
+  /// A connection was lost, perhaps because the server's process has ended.
+  void NoteLoss(MonoTime now,
+                const ServerStart& start,
+                const HttpFailure& failure);
+
   // Answers.
   void OnEvents(MonoTime now, std::string_view whole);
   void PassOnWhole(MonoTime now);
@@ -145,6 +163,11 @@
   std::string request_id_;
   /// The same for each try of one request by its caller.
   std::uint64_t fingerprint_ = 0;
+  /// The parts of the prompt that other requests may share.
+  std::vector<PartHash> shared_parts_;
+  bool begun_noted_ = false;
+  /// Lost with a server whose process may have ended.
+  bool lost_ = false;
   /// Tokens of the prompt that no other request shares.
   std::int64_t prompt_tokens_ = 0;
   std::int64_t charge_ = 0;
--- /dev/null
+++ b/unittests/process/deadly_part_test.cc
@@ -0,0 +1,114 @@
+// A part of a prompt that crashes each server which begins to answer to it.
+#include <chrono>
+#include <list>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include "unittests/support/edge_fixture.h"
+
+namespace mangoport {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kDeadlyPart = "dead";
+
+/// A host with servers that close their connection, as a process that ends
+/// does, instead of answering to a prompt with the deadly part.
+class DeadlyEdge {
+ public:
+  DeadlyEdge() {
+    for (const char* id : {"i-c", "i-d", "i-e", "i-f"}) {
+      ScriptedBackend*& self = selves_.emplace_back();
+      edge_.List(
+          servers_.emplace_back(id, [&self](const SeenRequest& it,
+                                            int) { return Answer(*self, it); }),
+          "ready");
+      self = &servers_.back();
+    }
+    edge_.Unlist("i-a");
+    edge_.Unlist("i-b");
+    Require(EdgeFixture::Within(seconds(10), [this] { return OnlyScripted(); }),
+            "the fixture's servers are still used");
+  }
+
+  /// A request like no other, on the prompt "aaaa", `part` and a part of its
+  /// own.
+  httplib::Result Ask(const std::string& part) {
+    const std::string n = std::to_string(asked_++);
+    return edge_.Ask("/once/" + n, {{"X-Prompt-Prefix",
+                                     "aaaa:90," + part + ":50,f" + n + ":10"}});
+  }
+
+  int DeadlySeen() const {
+    int n = 0;
+    for (const ScriptedBackend& server : servers_) {
+      for (const SeenRequest& it : server.seen())
+        n += IsDeadly(it) ? 1 : 0;
+    }
+    return n;
+  }
+
+  EdgeFixture edge_;
+
+ private:
+  static bool IsDeadly(const SeenRequest& request) {
+    return request.Field("X-Prompt-Prefix").find(kDeadlyPart) !=
+           std::string::npos;
+  }
+
+  static ScriptedAnswer Answer(const ScriptedBackend& server,
+                               const SeenRequest& request) {
+    if (IsDeadly(request))
+      return {.pieces = {}, .end = ScriptedAnswer::End::kReset};
+    return {
+        .pieces = {server.Head(request, 200, "Content-Length: 2\r\n") + "ok"}};
+  }
+
+  bool OnlyScripted() {
+    const std::size_t before = edge_.SeenInAll();
+    for (int i = 0; i < 8; ++i)
+      Ask("bbbb");
+    return edge_.SeenInAll() == before;
+  }
+
+  int asked_ = 0;
+  std::list<ScriptedBackend*> selves_;
+  std::list<ScriptedBackend> servers_;
+};
+
+// NOLINTBEGIN: Criterion's macros
+// Requests with one part crashed server after server, since no two were alike.
+Test(deadly_part,
+     it_is_kept_from_the_servers_after_a_few_crashes,
+     .timeout = 60) {
+  DeadlyEdge it;
+  int refused = 0;
+  for (int i = 0; i < 30; ++i) {
+    const auto deadly = it.Ask(kDeadlyPart);
+    refused += deadly && deadly->status == 503 ? 1 : 0;
+    const auto sound = it.Ask("bbbb");
+    cr_assert(sound && sound->status == 200);
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  cr_assert_geq(refused, 10, "%d of 30 refused", refused);
+  const int seen = it.DeadlySeen();
+  const auto last = it.Ask(kDeadlyPart);
+  cr_assert(last && last->status == 503);
+  cr_assert_neq(last->body.find("quarantined_part"), std::string::npos);
+  cr_assert_neq(last->body.find("\"not_run\":true"), std::string::npos);
+  const double wait = std::stod(last->get_header_value("Retry-After"));
+  cr_assert_geq(wait, 50.0, "%f", wait);
+  cr_assert_eq(it.DeadlySeen(), seen);
+  const std::string log = it.edge_.Log();
+  cr_assert_neq(log.find("lost_with_server"), std::string::npos);
+  cr_assert_neq(log.find("part_quarantined"), std::string::npos);
+}
+// NOLINTEND
+
+}  // namespace
+}  // namespace mangoport
