forward: a stream without length or events has been broken off

Callers got an empty stream, or one that stopped early, framed as complete, if a server ended right after the head of an answer with neither length nor chunks, at the first attempt or where a broken stream was resumed.

Cause: the end of the connection is the end of such an answer, and no event was cut. A stream that has a reason to be sent has events, so one that ends with its connection before its first event now ends its attempt as broken, like one that ends inside an event. A resumed stream of which nothing is left and whose server frames nothing is broken off as well: that costs a repeat, and never makes an answer look complete that isn't. Answers with a length or chunks stay as they were.

Evidence, unframed_answer_test on the code before: stream_without_events_that_ends_with_its_connection_broke: The expression (reply->body) == (Events(1, 6)) is false.

--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -245,6 +245,8 @@
   answer_.fields = EndToEndFields(head);
   answer_.streaming =
       route_->kind == RouteKind::kStream && head.status / 100 == 2;
+  answer_.framed = head.chunked || head.content_length || head.status == 204 ||
+                   request_.head.method == "HEAD";
   return true;
 }
 
@@ -286,6 +288,7 @@
   if (n == 0)
     return;
   events_passed_ += n;
+  answer_.events += n;
   host_.parts_.metrics.OnEvents(n);
   OnEvents(now, whole);
 }
@@ -315,12 +318,19 @@
   });
 }
 
+bool RequestExchange::StreamBrokeOff() const {
+  // Without a length, a process that ends before its first event looks like the
+  // end of the stream.
+  return answer_.streaming &&
+         (events_.inside_event() || (!answer_.framed && answer_.events == 0));
+}
+
 void RequestExchange::OnComplete() {
   const auto self = shared_from_this();
   const MonoTime now = Now();
   connection_.reset();
   const int status = answer_.status;
-  if (answer_.streaming && events_.inside_event()) {
+  if (StreamBrokeOff()) {
     EndAttempt(now, AttemptEnd::kBroken);
     return;
   }
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -55,6 +55,9 @@
     HttpFields fields;
     std::string body;
     bool streaming = false;
+    /// The head says where the body ends; else it ends with the connection.
+    bool framed = false;
+    std::size_t events = 0;
   };
 
   /// An attempt that takes over from one whose server is silent, if its server
@@ -86,6 +89,8 @@
   bool OnHead(const HttpHead& head);
   void OnBody(std::string_view piece);
   void OnComplete();
+  /// True if the stream that has come to an end has been broken off.
+  bool StreamBrokeOff() const;
   void OnFailed(const HttpFailure& failure);
   static AttemptEnd EndOf(const HttpFailure& failure);
   static AttemptOutcome OutcomeOf(AttemptEnd end);
--- a/unittests/process/unframed_answer_test.cc
+++ b/unittests/process/unframed_answer_test.cc
@@ -155,6 +155,22 @@
   ExpectResumed(Framing::kLength);
 }
 
+// A server that ended after the head of a stream without a length, or of its
+// resumption, left an answer that looked complete.
+Test(unframed_answer,
+     stream_without_events_that_ends_with_its_connection_broke,
+     .timeout = 60) {
+  const ScriptedEdge none(Framing::kConnection, "", Events(1, 6));
+  const auto reply = none.edge_.Ask("/stream/x");
+  cr_assert(reply && reply->status == 200);
+  cr_assert_eq(reply->body, Events(1, 6), "%s", reply->body.c_str());
+  const ScriptedEdge some(Framing::kConnection, Events(1, 3) + kCutEvent, "");
+  const std::string answer = some.edge_.Raw(kStreamRequest);
+  cr_assert(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
+  cr_assert_eq(answer.find(kLastChunk), std::string::npos, "%s",
+               answer.c_str());
+}
+
 Test(unframed_answer,
      stream_cut_inside_an_event_never_looks_complete,
      .timeout = 60) {
