--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -66,6 +66,8 @@
                  .retry_after = kQuarantineRetryAfter});
     return;
   }
+  if (!AdmitParts(now))
+    return;
   routing_.deadline = CallerLeavesAt(
       deadline_, answer_begun_ ? last_byte_at_ : request_.arrived,
       route_->stall_limit);
@@ -250,6 +252,8 @@
   answer_.fields = EndToEndFields(head);
   answer_.streaming =
       route_->kind == RouteKind::kStream && head.status / 100 == 2;
+  answer_.framed = head.chunked || head.content_length || head.status == 204 ||
+                   request_.head.method == "HEAD";
   return true;
 }
 
@@ -291,11 +295,13 @@
   if (n == 0)
     return;
   events_passed_ += n;
+  answer_.events += n;
   host_.parts_.metrics.OnEvents(n);
   OnEvents(now, whole);
 }
 
 void RequestExchange::OnEvents(MonoTime now, std::string_view whole) {
+  NoteAnswerBegun(now);
   if (!first_event_at_) {
     first_event_at_ = now;
     host_.parts_.backends.OnFirstToken(now, server_, prompt_tokens_,
@@ -327,16 +333,24 @@
   connection_->SetReading(true);
 }
 
+bool RequestExchange::StreamBrokeOff() const {
+  // Without a length, a process that ends before its first event looks like the
+  // end of the stream.
+  return answer_.streaming &&
+         (events_.inside_event() || (!answer_.framed && answer_.events == 0));
+}
+
 void RequestExchange::OnComplete() {
   const auto self = shared_from_this();
   const MonoTime now = Now();
   connection_.reset();
   const int status = answer_.status;
-  if (answer_.streaming && events_.inside_event()) {
+  if (StreamBrokeOff()) {
     EndAttempt(now, AttemptEnd::kBroken);
     return;
   }
   if (status / 100 == 2) {
+    NoteAnswerBegun(now);
     FinishAttempt(now, AttemptOutcome::kCompleted);
     if (!answer_.streaming) {
       PassOnWhole(now);
@@ -380,6 +394,7 @@
   if (failure.request_sent)
     host_.crash_suspects_.OnServerLost(
         Now(), {.fingerprint = fingerprint_, .server = server_});
+  NoteLoss(Now(), server_start_, failure);
   EndAttempt(Now(), EndOf(failure));
 }
 
