forward: a server that asks for rest with 503 gets it

What callers saw: requests that were refused by a server which had just asked to be spared for some seconds, and tries that another server could have served.

Cause: the Retry-After of a backend server's 503 was read by nobody; only the one request that was refused went elsewhere, the next came back at once.

Evidence, server_signals_test on the code before: a_server_that_asks_for_rest_gets_it: 7 more requests (of 20, within 4 s) when_all_servers_rest_callers_learn_how_long: told 1.04 s, not 20 s and more

Why the fix works: the head of every answer is read already; a 503's Retry-After (seconds, with a fraction or without, at most an hour) now holds the server from that moment on. No pool of the router has a held server, so no last resort, affinity, retry or newer list brings it back; it ends with its time or with a new start of the server. If every server of a model that does not leave is held, the caller is refused at once and told the soonest end. A value that is not in seconds is logged and changes nothing.

--- a/include/mangoport/forward/backend_table.h
+++ b/include/mangoport/forward/backend_table.h
@@ -62,8 +62,9 @@
   void NoteMissing(MonoTime now, const ServerId& server, const ModelId& model);
 
   /// Takes in what a server said in an answer. From its word that it leaves
-  /// until its next start it gets no new requests, whatever the list says.
-  void NoteSignals(MonoTime now,
+  /// until its next start, and while it wants to be spared, it gets no new
+  /// requests, whatever the list says. True if the latter begins now.
+  bool NoteSignals(MonoTime now,
                    const ServerStart& start,
                    const ServerSignals& signals);
 
@@ -160,6 +161,8 @@
   std::map<ServerId, ServerEntry> WithSignals(
       MonoTime now,
       const std::map<ServerId, ServerEntry>& listed);
+  void NoteLeaving(MonoTime now, const ServerStart& start);
+  bool NoteHold(MonoTime now, const ServerStart& start, Duration hold);
   void Rebuild(MonoTime now, const ServiceId& service);
   void ReportLoad(MonoTime now, const ServerId& server);
 
--- a/include/mangoport/forward/server_signals.h
+++ b/include/mangoport/forward/server_signals.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 
 #include "mangoport/core/ids.h"
@@ -16,6 +17,10 @@
 struct ServerSignals {
   /// The server shuts down and takes no new requests.
   bool leaving = false;
+  /// The server refused and wants no request from this host for so long.
+  std::optional<Duration> hold;
+  /// The server asks for a hold whose length can't be read.
+  bool unreadable_hold = false;
 };
 
 /// The signals in the head of an answer.
@@ -40,6 +45,13 @@
 
   bool IsLeaving(const ServerStart& start) const;
 
+  /// The server wants no request until `until`. False if it said so before, or
+  /// is known to have started again since.
+  bool NoteHold(MonoTime now, const ServerStart& start, MonoTime until);
+
+  /// Until when the server wants no request from this host.
+  MonoTime HeldUntil(const ServerStart& start) const;
+
   /// Drops what servers other than `listed` said long ago.
   void Prune(MonoTime now, const std::set<ServerId>& listed);
 
@@ -47,6 +59,7 @@
   struct Record {
     std::uint64_t started_at_ms = 0;
     MonoTime noted_at;
+    MonoTime held_until;
     bool leaving = false;
   };
 
--- a/include/mangoport/routing/router.h
+++ b/include/mangoport/routing/router.h
@@ -103,6 +103,9 @@
   /// operator or the server itself.
   void OnLeaving(MonoTime since, const ServerId& server);
 
+  /// Sends no new requests to `server` until `until`, at its own request.
+  void Hold(const ServerId& server, MonoTime until);
+
   /// Sends no new requests to `server` until `until` while other servers are
   /// eligible.
   void Reserve(const ServerId& server, MonoTime until);
@@ -169,8 +172,8 @@
     /// Position of the round-robin policy.
     std::uint64_t next_turn = 0;
   };
-  /// Which servers are eligible, apart from servers that are leaving, which
-  /// never are.
+  /// Which servers are eligible, apart from servers that are leaving or held,
+  /// which never are.
   enum class Pool {
     /// Servers that are neither reserved nor ejected.
     kRegular,
@@ -226,6 +229,8 @@
                                              const RouteRequest& request,
                                              const Ring& ring) const;
   Duration ExpectedWait(double relative_load) const;
+  /// When a request that found no server should come back.
+  Duration UnavailableFor(MonoTime now, const ModelEntry& entry) const;
 
   RouterSettings settings_;
   std::mt19937_64 random_;
--- a/include/mangoport/routing/server.h
+++ b/include/mangoport/routing/server.h
@@ -22,6 +22,8 @@
   std::uint32_t batch_size = 16;
   /// Being removed from service; gets no new requests.
   bool leaving = false;
+  /// The server asked this host to send nothing until then.
+  MonoTime held_until = {};
 
   friend bool operator==(const ServerSpec&, const ServerSpec&) = default;
 };
--- a/lib/forward/backend_table.cc
+++ b/lib/forward/backend_table.cc
@@ -126,15 +126,22 @@
     spec.models = ModelsOf(now, entry, backend->second);
     spec.batch_size = entry.batch_size;
     spec.leaving = entry.draining;
+    spec.held_until = signals_.HeldUntil(StartOf(id));
     list.servers.push_back(std::move(spec));
   }
   routers_[service].SetServers(now, list);
 }
 
-void BackendTable::NoteSignals(MonoTime now,
+bool BackendTable::NoteSignals(MonoTime now,
                                const ServerStart& start,
                                const ServerSignals& signals) {
-  if (!signals.leaving || !signals_.NoteLeaving(now, start))
+  if (signals.leaving)
+    NoteLeaving(now, start);
+  return signals.hold && NoteHold(now, start, *signals.hold);
+}
+
+void BackendTable::NoteLeaving(MonoTime now, const ServerStart& start) {
+  if (!signals_.NoteLeaving(now, start))
     return;
   const auto it = servers_.find(start.server);
   if (it == servers_.end() || it->second.started_at_ms != start.started_at_ms)
@@ -145,6 +152,17 @@
     on_leaving_(start.server);
 }
 
+bool BackendTable::NoteHold(MonoTime now,
+                            const ServerStart& start,
+                            Duration hold) {
+  const bool begins = signals_.NoteHold(now, start, now + hold);
+  const auto it = servers_.find(start.server);
+  if (it != servers_.end())
+    routers_[it->second.service].Hold(
+        start.server, signals_.HeldUntil(StartOf(start.server)));
+  return begins;
+}
+
 ServerStart BackendTable::StartOf(const ServerId& server) const {
   const auto it = servers_.find(server);
   return {.server = server,
--- a/lib/forward/forwarder.cc
+++ b/lib/forward/forwarder.cc
@@ -76,7 +76,16 @@
 void Forwarder::NoteServerSignals(MonoTime now,
                                   const ServerStart& start,
                                   const HttpHead& head) {
-  parts_.backends.NoteSignals(now, start, ReadServerSignals(dialect_, head));
+  const ServerSignals signals = ReadServerSignals(dialect_, head);
+  if (signals.unreadable_hold)
+    parts_.log.Write(
+        LogLine("server_hold_unreadable")
+            .Add("server", start.server.value())
+            .Add("retry_after", FieldText(head.fields, "retry-after")));
+  if (parts_.backends.NoteSignals(now, start, signals))
+    parts_.log.Write(LogLine("server_held")
+                         .Add("server", start.server.value())
+                         .Add("hold_ms", *signals.hold));
 }
 
 std::vector<std::shared_ptr<RequestExchange>> Forwarder::Exchanges() {
--- a/lib/routing/router.cc
+++ b/lib/routing/router.cc
@@ -114,6 +114,14 @@
   known = known ? std::max(*known, since) : since;
 }
 
+void Router::Hold(const ServerId& server, MonoTime until) {
+  const auto it = by_id_.find(server);
+  if (it == by_id_.end())
+    return;
+  MonoTime& known = slots_[it->second].spec.held_until;
+  known = std::max(known, until);
+}
+
 void Router::Reserve(const ServerId& server, MonoTime until) {
   const auto it = by_id_.find(server);
   if (it == by_id_.end())
@@ -148,6 +156,8 @@
   const BackendState& state = slots_[slot];
   if (state.leaving_since && !MutantEnabled("leaving_ignored"))
     return false;
+  if (now < state.spec.held_until)
+    return false;
   if (pool == Pool::kRegular && now < state.reserved_until)
     return false;
   if (pool != Pool::kWithEjected && !state.health.AcceptsRequest(now))
@@ -320,6 +330,22 @@
                                               (relative_load - 1.0));
 }
 
+Duration Router::UnavailableFor(MonoTime now, const ModelEntry& entry) const {
+  std::optional<MonoTime> soonest;
+  for (const ZoneRing& zone : entry.zones) {
+    for (const Slot slot : zone.ring) {
+      const BackendState& state = slots_[slot];
+      if (state.leaving_since)
+        continue;
+      if (state.spec.held_until <= now)
+        return kUnavailableRetryAfter;
+      soonest =
+          std::min(soonest.value_or(MonoTime::max()), state.spec.held_until);
+    }
+  }
+  return soonest ? *soonest - now : kUnavailableRetryAfter;
+}
+
 RouteChoice Router::Choose(MonoTime now, const RouteRequest& request) {
   RouteChoice choice;
   const auto entry = models_.find(request.model);
@@ -353,7 +379,7 @@
     choice.refusal =
         NotRun(ErrorCode::kUnavailable,
                "no backend server left for model " + request.model.value());
-    choice.retry_after = kUnavailableRetryAfter;
+    choice.retry_after = UnavailableFor(now, entry->second);
     return choice;
   }
   const Duration wait =
--- a/unittests/forward/server_signals_table_test.cc
+++ b/unittests/forward/server_signals_table_test.cc
@@ -1,12 +1,14 @@
 #include "mangoport/forward/server_signals.h"
 
 #include <chrono>
+#include <string>
 
 #include <criterion/criterion.h>
 
 namespace mangoport {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::minutes;
 using std::chrono::seconds;
 
@@ -55,5 +57,36 @@
   cr_assert_not(table.IsLeaving(kFirst));
 }
 
+// Only a 503 asks for a rest, in seconds; what can't be read is told apart.
+Test(server_signals_table, reads_how_long_a_server_wants_to_be_spared) {
+  const auto read = [](int status, const std::string& value) {
+    HttpHead head;
+    head.status = status;
+    head.fields = {{"Retry-After", value}};
+    return ReadServerSignals(ForwardDialect(), head);
+  };
+  cr_assert(read(503, "3").hold == seconds(3));
+  cr_assert(read(503, "0.25").hold == milliseconds(250));
+  cr_assert(read(503, "1e300").hold == std::chrono::hours(1));
+  cr_assert_not(read(200, "3").hold.has_value());
+  for (const char* value : {"", "-1", "nan", "inf", "soon", "3 s",
+                            "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+    const ServerSignals signals = read(503, value);
+    cr_assert(!signals.hold && signals.unreadable_hold, "%s", value);
+  }
+}
+
+// A shorter wish doesn't end a longer one; a new start has none.
+Test(server_signals_table, a_hold_lasts_until_its_latest_end) {
+  ServerSignalTable table;
+  cr_assert(table.NoteHold(kStart, kFirst, kStart + seconds(5)));
+  cr_assert_not(table.NoteHold(kStart, kFirst, kStart + seconds(2)));
+  cr_assert(table.HeldUntil(kFirst) == kStart + seconds(5));
+  cr_assert(table.HeldUntil(kSecond) == MonoTime());
+  cr_assert(table.NoteHold(kStart, kSecond, kStart + seconds(1)));
+  cr_assert_not(table.NoteHold(kStart, kFirst, kStart + seconds(9)));
+  cr_assert(table.HeldUntil(kSecond) == kStart + seconds(1));
+}
+
 }  // namespace
 }  // namespace mangoport
--- a/unittests/process/server_signals_test.cc
+++ b/unittests/process/server_signals_test.cc
@@ -73,6 +73,14 @@
   return out;
 }
 
+/// A refusal that asks for `seconds` of rest.
+std::string Refusal(const ScriptedBackend& server,
+                    const SeenRequest& request,
+                    const std::string& seconds) {
+  return Whole(server, request, 503,
+               std::string(kNotRun) + "Retry-After: " + seconds + "\r\n");
+}
+
 // NOLINTBEGIN: Criterion's macros
 // A server's own word that it leaves went unheard while the list said "ready".
 Test(server_signals,
@@ -195,6 +203,48 @@
   cr_assert(reply->has_header("Retry-After"));
   cr_assert_eq(Arrivals(c), before);
 }
+
+// A server that asked to be spared for some seconds was sent requests at once.
+Test(server_signals, a_server_that_asks_for_rest_gets_it, .timeout = 60) {
+  EdgeFixture it;
+  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int number) {
+    return ScriptedAnswer{.pieces = {number == 0 ? Refusal(c, request, "4")
+                                                 : Whole(c, request, 200, "")}};
+  });
+  AskUntilSeen(it, c, "/read/x");
+  const auto until = std::chrono::steady_clock::now() + milliseconds(3500);
+  RequireSparedOf(it, c, "/read/x");
+  // A newer entry of the same start changes nothing.
+  it.store_.Put("keyed.servers", c.id(),
+                EntryWith(c, "\"Slots\":8", "\"Slots\":9"));
+  while (std::chrono::steady_clock::now() < until)
+    RequireSparedOf(it, c, "/read/x");
+  cr_assert(EdgeFixture::Within(seconds(3), [&] {
+    it.Ask("/read/x");
+    return Arrivals(c) > 1;
+  }));
+}
+
+// With every server at rest, a caller learns at once when the first is back.
+Test(server_signals,
+     when_all_servers_rest_callers_learn_how_long,
+     .timeout = 60) {
+  EdgeFixture it;
+  it.Unlist("i-b");
+  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int) {
+    return ScriptedAnswer{.pieces = {Refusal(c, request, "20")}};
+  });
+  AskUntilSeen(it, c, "/read/x");
+  std::this_thread::sleep_for(milliseconds(1500));
+  const std::size_t before = Arrivals(c);
+  const auto from = std::chrono::steady_clock::now();
+  const auto reply = it.Ask("/read/x");
+  cr_assert(std::chrono::steady_clock::now() - from < seconds(1));
+  cr_assert(reply && reply->status == 503);
+  const double told = std::stod(reply->get_header_value("Retry-After"));
+  cr_assert(told > 15 && told < 31, "%f s", told);
+  cr_assert_eq(Arrivals(c), before);
+}
 // NOLINTEND
 
 }  // namespace
--- a/unittests/routing/router_test.cc
+++ b/unittests/routing/router_test.cc
@@ -75,6 +75,24 @@
   cr_assert(router.Choose(kStart, Request()).server.has_value());
 }
 
+// A server at rest is no last resort, not even if all others are ejected.
+// NOLINTNEXTLINE
+Test(router, held_servers_get_nothing_until_the_soonest_is_back) {
+  Router router = WithServers(kStart);
+  router.Hold(ServerId("a1"), kStart + seconds(3));
+  router.OnFinished(kStart, ServerId("a2"), AttemptOutcome::kServerDied);
+  router.OnFinished(kStart, ServerId("b1"), AttemptOutcome::kServerDied);
+  for (int i = 0; i < 50; ++i)
+    cr_assert_neq(router.Choose(kStart, Request()).server->value(), "a1");
+  router.Hold(ServerId("a2"), kStart + seconds(2));
+  router.Hold(ServerId("b1"), kStart + seconds(9));
+  const RouteChoice none = router.Choose(kStart + seconds(1), Request());
+  cr_assert_not(none.server.has_value());
+  cr_assert(none.retry_after == seconds(1));
+  cr_assert_eq(router.Choose(kStart + seconds(2), Request()).server->value(),
+               "a2");
+}
+
 // NOLINTNEXTLINE
 Test(router, ejected_server_gets_a_single_probe) {
   Router router;
