edge: hosts tell each other which servers said they leave

What callers saw: after a server had told one host that it shuts down, the others sent it requests until it had told each of them too.

Cause: the server's word stayed with the host that heard it.

Evidence, peer_signals_test on the code before: a_server_that_leaves_by_a_peers_word_is_spared: (ArrivalsOf20(it, it.a_)) == (0) is false peers_are_told_that_a_server_leaves: not told within 10 s

Why the fix works: each full datagram names the listed servers of which the sender knows that they leave, in the field that was set aside for it. The ids mean the starts in the sender's list, so a host whose list is newer than the sender's ignores them: a server may have started again since. Holds are not passed on: a server asks each host for itself.

--- a/include/mangoport/edge/edge_host.h
+++ b/include/mangoport/edge/edge_host.h
@@ -86,6 +86,8 @@
                    const wire::HostState& message);
   /// Processes the part of a peer's state that is not about feeds.
   void OnPeerFullState(MonoTime now, const wire::HostState& message);
+  /// Takes in which backend servers told a peer that they leave.
+  void NotePeerLeavingServers(MonoTime now, const wire::HostState& message);
   /// Adapts timeouts for silent peers to the size of the fleet.
   void AdaptToFleetSize();
   void SendToHolder();
--- a/include/mangoport/forward/backend_table.h
+++ b/include/mangoport/forward/backend_table.h
@@ -71,6 +71,9 @@
   /// The present start of the server by the list.
   ServerStart StartOf(const ServerId& server) const;
 
+  /// The listed servers that have said that they leave, to tell other hosts.
+  std::vector<ServerId> SaidLeaving() const;
+
   /// Called when a server says that it leaves.
   void set_on_leaving(std::function<void(const ServerId&)> hook) {
     on_leaving_ = std::move(hook);
--- a/include/mangoport/forward/server_signals.h
+++ b/include/mangoport/forward/server_signals.h
@@ -18,7 +18,7 @@
   /// The server shuts down and takes no new requests.
   bool leaving = false;
   /// The server refused and wants no request from this host for so long.
-  std::optional<Duration> hold;
+  std::optional<Duration> hold = std::nullopt;
   /// The server asks for a hold whose length can't be read.
   bool unreadable_hold = false;
 };
--- a/lib/edge/edge_peers.cc
+++ b/lib/edge/edge_peers.cc
@@ -84,6 +84,8 @@
     note.set_fingerprint(it.fingerprint);
     note.set_server(it.server.value());
   }
+  for (const ServerId& it : backends_.SaidLeaving())
+    message.add_leaving_servers(it.value());
   const std::uint64_t term = orders_.held_term();
   message.set_order_term(term);
   if (orders_.resigned_term() != 0 && term == 0) {
@@ -140,6 +142,7 @@
     forwarder_.crash_suspects().OnPeerServerLost(
         now,
         {.fingerprint = it.fingerprint(), .server = ServerId(it.server())});
+  NotePeerLeavingServers(now, message);
   if (message.leaving())
     return;
   if (message.order_term() != 0) {
@@ -164,6 +167,17 @@
   orders_.OnPeerDemand(now, host, uses);
 }
 
+void EdgeHost::NotePeerLeavingServers(MonoTime now,
+                                      const wire::HostState& message) {
+  // The ids mean the starts in the sender's list. If that is older than this
+  // host's, a server may have started again since.
+  if (message.servers_position() < feeds_.servers_position())
+    return;
+  for (const std::string& it : message.leaving_servers())
+    backends_.NoteSignals(now, backends_.StartOf(ServerId(it)),
+                          {.leaving = true});
+}
+
 void EdgeHost::AdaptToFleetSize() {
   const Duration round = soft_state_.peers().RoundDuration();
   quota_.set_update_round(round);
--- a/lib/forward/backend_table.cc
+++ b/lib/forward/backend_table.cc
@@ -169,6 +169,15 @@
           .started_at_ms = it == servers_.end() ? 0 : it->second.started_at_ms};
 }
 
+std::vector<ServerId> BackendTable::SaidLeaving() const {
+  std::vector<ServerId> out;
+  for (const auto& [id, entry] : servers_) {
+    if (entry.draining && signals_.IsLeaving(StartOf(id)))
+      out.push_back(id);
+  }
+  return out;
+}
+
 void BackendTable::NoteResidency(MonoTime now, const ResidencyChange& change) {
   const auto entry = servers_.find(change.server);
   const auto it = backends_.find(change.server);
--- /dev/null
+++ b/unittests/process/peer_signals_test.cc
@@ -0,0 +1,147 @@
+// What hosts tell each other about backend servers that leave, between an entry
+// host and this test, which speaks as another host.
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <thread>
+
+#include <criterion/criterion.h>
+
+#include "mangoport/soft_state.pb.h"
+#include "unittests/support/edge_fixture.h"
+
+namespace mangoport {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Beyond all records that the store has in a test.
+constexpr std::uint64_t kFarPosition = 1000000;
+
+sockaddr_in Loopback(std::uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+/// The other host: a socket for datagrams.
+class PeerStandin {
+ public:
+  PeerStandin() : fd_(::socket(AF_INET, SOCK_DGRAM, 0)) {
+    const sockaddr_in address = Loopback(port_);
+    Require(::bind(fd_, reinterpret_cast<const sockaddr*>(&address),
+                   sizeof(address)) == 0,
+            "no port for a peer");
+    const timeval limit{.tv_sec = 0, .tv_usec = 100000};
+    ::setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  }
+  ~PeerStandin() { ::close(fd_); }
+
+  PeerStandin(const PeerStandin&) = delete;
+  PeerStandin& operator=(const PeerStandin&) = delete;
+
+  void Tell(std::uint16_t port,
+            std::uint64_t position,
+            const std::string& leaving_server) {
+    wire::HostState message;
+    message.set_host("edge-2");
+    message.set_zone("z1");
+    message.set_address("127.0.0.1:" + std::to_string(port_));
+    message.set_incarnation(1);
+    message.set_sequence(++sequence_);
+    message.set_servers_position(position);
+    if (!leaving_server.empty())
+      message.add_leaving_servers(leaving_server);
+    const std::string bytes = message.SerializeAsString();
+    const sockaddr_in address = Loopback(port);
+    ::sendto(fd_, bytes.data(), bytes.size(), 0,
+             reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  }
+
+  /// True if the next datagram says that `server` leaves.
+  bool HearsLeaving(const std::string& server) const {
+    char buf[65536];
+    const ssize_t n = ::recv(fd_, buf, sizeof(buf), 0);
+    wire::HostState message;
+    if (n <= 0 || !message.ParseFromArray(buf, static_cast<int>(n)))
+      return false;
+    const auto& told = message.leaving_servers();
+    return std::find(told.begin(), told.end(), server) != told.end();
+  }
+
+ private:
+  std::uint16_t port_ = FreePort();
+  int fd_ = -1;
+  std::uint64_t sequence_ = 0;
+};
+
+/// The port on which the host of the fixture hears its peers.
+std::uint16_t PeerPort(const EdgeFixture& it) {
+  const std::string text = FileText(it.settings_);
+  const std::string name = "peers = \"127.0.0.1:";
+  return static_cast<std::uint16_t>(
+      std::stoi(text.substr(text.find(name) + name.size())));
+}
+
+/// The callers' requests that reach `server` while 20 are served.
+std::size_t ArrivalsOf20(EdgeFixture& it, const BackendStandin& server) {
+  const auto arrivals = [&server] {
+    std::size_t n = 0;
+    for (const SeenRequest& seen : server.seen())
+      n += seen.Field("X-Attempt-Id").empty() ? 0 : 1;
+    return n;
+  };
+  const std::size_t before = arrivals();
+  for (int i = 0; i < 20; ++i) {
+    const auto reply = it.Ask("/read/x");
+    Require(reply && reply->status == 200, "not served");
+  }
+  return arrivals() - before;
+}
+
+// NOLINTBEGIN: Criterion's macros
+// A server that told another host that it leaves was sent requests until it
+// told this one too.
+Test(peer_signals,
+     a_server_that_leaves_by_a_peers_word_is_spared,
+     .timeout = 60) {
+  EdgeFixture it;
+  PeerStandin peer;
+  // A list that is older than the host's may mean an earlier start.
+  peer.Tell(PeerPort(it), 0, it.a_.id());
+  std::this_thread::sleep_for(milliseconds(300));
+  cr_assert_gt(ArrivalsOf20(it, it.a_), 0);
+  peer.Tell(PeerPort(it), kFarPosition, it.a_.id());
+  std::this_thread::sleep_for(milliseconds(300));
+  cr_assert_eq(ArrivalsOf20(it, it.a_), 0);
+}
+
+// The host tells its peers what it heard from a server.
+Test(peer_signals, peers_are_told_that_a_server_leaves, .timeout = 60) {
+  EdgeFixture it;
+  PeerStandin peer;
+  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int) {
+    return ScriptedAnswer{
+        .pieces = {
+            c.Head(request, 200, "Server-Leaving: 1\r\nContent-Length: 2\r\n") +
+            "ok"}};
+  });
+  it.List(c, "ready");
+  cr_assert(EdgeFixture::Within(seconds(10), [&] {
+    it.Ask("/read/x");
+    peer.Tell(PeerPort(it), kFarPosition, "");
+    return peer.HearsLeaving(c.id());
+  }));
+}
+// NOLINTEND
+
+}  // namespace
+}  // namespace mangoport
