--- a/include/mangoport/forward/backend_table.h
+++ b/include/mangoport/forward/backend_table.h
@@ -62,14 +62,18 @@
   void NoteMissing(MonoTime now, const ServerId& server, const ModelId& model);
 
   /// Takes in what a server said in an answer. From its word that it leaves
-  /// until its next start it gets no new requests, whatever the list says.
-  void NoteSignals(MonoTime now,
+  /// until its next start, and while it wants to be spared, it gets no new
+  /// requests, whatever the list says. True if the latter begins now.
+  bool NoteSignals(MonoTime now,
                    const ServerStart& start,
                    const ServerSignals& signals);
 
   /// The present start of the server by the list.
   ServerStart StartOf(const ServerId& server) const;
 
+  /// The listed servers that have said that they leave, to tell other hosts.
+  std::vector<ServerId> SaidLeaving() const;
+
   /// Called when a server says that it leaves.
   void set_on_leaving(std::function<void(const ServerId&)> hook) {
     on_leaving_ = std::move(hook);
@@ -160,6 +164,8 @@
   std::map<ServerId, ServerEntry> WithSignals(
       MonoTime now,
       const std::map<ServerId, ServerEntry>& listed);
+  void NoteLeaving(MonoTime now, const ServerStart& start);
+  bool NoteHold(MonoTime now, const ServerStart& start, Duration hold);
   void Rebuild(MonoTime now, const ServiceId& service);
   void ReportLoad(MonoTime now, const ServerId& server);
 
