forward: what arrived before a request is not its answer

Callers could get a refusal, or any answer, that a backend server had written behind an earlier answer on a kept connection, and a request could be sent on a connection that its server had already closed, so that it ended as "may have run".

Cause: an idle connection that gets bytes is closed when the event loop reads them. A request that is sent in the same turn of the loop is sent first, and the bytes that lie in the socket are then read as its answer.

Evidence, before the change: kept_connection_test.cc:115: status 503 kept_connection::bytes_from_before_a_request_are_not_its_answer FAIL kept_connection_test.cc:131: The expression !(it.failed()) is false. kept_connection::one_that_the_server_has_closed_is_not_used FAIL

The pool now asks the system, at the moment of use, whether anything has arrived since the last answer (bytes, an end, an error), and opens another connection if so. Both tests pass.

--- a/include/mangoport/forward/http_connection.h
+++ b/include/mangoport/forward/http_connection.h
@@ -75,7 +75,8 @@
 
   void Close();
 
-  /// Until when an idle connection may be used for another request.
+  /// True if another request may be sent on this idle connection: the peer's
+  /// idle limit is not near, and nothing has arrived since the last answer.
   bool UsableAt(MonoTime now) const;
 
   bool request_sent() const { return stream_->has_written(); }
--- a/include/mangoport/forward/tcp_stream.h
+++ b/include/mangoport/forward/tcp_stream.h
@@ -69,6 +69,11 @@
   /// that arrived while this process stood still.
   bool PeerHasClosed();
 
+  /// True if the connection is open and the peer has sent nothing that has not
+  /// been read. Asks the system, so it also tells of what the loop has yet to
+  /// hear.
+  bool IsQuiet();
+
   bool is_open() const { return open_; }
   std::size_t unsent() const { return out_.size(); }
   /// True if any byte has been given to the system.
--- a/lib/forward/http_connection.cc
+++ b/lib/forward/http_connection.cc
@@ -246,7 +246,10 @@
   if (state_ != State::kIdle)
     return false;
   const Duration limit = idle_limit_.value_or(kDefaultIdleLimit);
-  return now - idle_since_ < std::max(limit - kIdleMargin, limit / 4);
+  if (now - idle_since_ >= std::max(limit - kIdleMargin, limit / 4))
+    return false;
+  // What came before a request is not its answer.
+  return stream_->IsQuiet();
 }
 
 }  // namespace mangoport
--- a/lib/forward/tcp_stream.cc
+++ b/lib/forward/tcp_stream.cc
@@ -118,6 +118,13 @@
   return ec == asio::error::eof || ec == asio::error::connection_reset;
 }
 
+bool TcpStream::IsQuiet() {
+  std::array<char, 1> next{};
+  asio::error_code ec;
+  socket_.receive(asio::buffer(next), asio::ip::tcp::socket::message_peek, ec);
+  return ec == asio::error::would_block;
+}
+
 bool TcpStream::Flush(std::string_view& data) {
   while (!data.empty()) {
     asio::error_code ec;
