http: a body in an unknown transfer coding is malformed

Callers could get a 200 whose body was still in its transfer coding, framed as whole: the field that names the coding concerns one connection and is dropped, so nothing told them. The same held for a request's body on its way to a backend server ("gzip, chunked" lost the "gzip").

Cause: http_parser takes any coding but a last "chunked" for a body that ends with the connection, and undoes only the chunks of a list.

Now a message with any transfer coding but exactly one "chunked" is malformed. The table an_answer_cut_anywhere_is_malformed, which cuts five answers after every byte, passed before and after: the parser takes no cut head, length, chunk or trailer for whole.

--- a/lib/http/message_parser.cc
+++ b/lib/http/message_parser.cc
@@ -27,6 +27,20 @@
   return !text.empty();
 }
 
+/// True if the body's transfer coding, if any, is chunks and nothing else.
+/// `chunked` says that they will be undone.
+bool CanDecode(const HttpFields& fields, bool chunked) {
+  int codings = 0;
+  for (const HttpField& it : fields) {
+    if (!EqualsIgnoringCase(it.name, "transfer-encoding"))
+      continue;
+    ++codings;
+    if (it.value.find(',') != std::string::npos)
+      return false;
+  }
+  return codings == (chunked ? 1 : 0);
+}
+
 /// True if the value could not be passed on as one line.
 bool HasControl(std::string_view text) {
   for (const char c : text) {
@@ -119,6 +133,8 @@
       ++hosts;
   }
   head.chunked = (parser.flags & F_CHUNKED) != 0;
+  if (!CanDecode(head.fields, head.chunked))
+    return Refuse();
   if ((parser.flags & F_CONTENTLENGTH) != 0)
     head.content_length = parser.content_length;
   if (head.chunked && head.content_length)
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -77,6 +77,43 @@
   cr_assert_eq(parser.error(), HttpParseError::kMalformed);
 }
 
+// Answers whose end is stated must not end with their connection, wherever that
+// cuts them.
+Test(message_parser, an_answer_cut_anywhere_is_malformed) {
+  for (const std::string text :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "4\r\nbody\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "4;a=b\r\nbody\r\n0\r\nX-End: 1\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nX-A: b\r\n c\r\n\r\n"}) {
+    for (std::size_t n = 0; n < text.size(); ++n) {
+      MessageParser parser(HttpMessageKind::kResponse, kHeadBytes);
+      std::string body;
+      parser.Feed(text.substr(0, n), body);
+      parser.FeedEnd();
+      cr_expect_not(parser.message_complete(), "%zu bytes of %s", n,
+                    text.c_str());
+      cr_expect_eq(parser.error(), HttpParseError::kMalformed);
+    }
+  }
+}
+
+// The body of an unknown transfer coding was passed on as if it were plain.
+Test(message_parser, an_answer_in_an_unknown_transfer_coding_is_malformed) {
+  for (const char* coding : {"gzip", "identity", "chunked, gzip", "chunke",
+                             "gzip, chunked", "chunked, chunked"}) {
+    MessageParser parser(HttpMessageKind::kResponse, kHeadBytes);
+    std::string body;
+    parser.Feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(coding) +
+                    "\r\n\r\nbody",
+                body);
+    parser.FeedEnd();
+    cr_expect_eq(parser.error(), HttpParseError::kMalformed, "%s", coding);
+  }
+}
+
 Test(message, fields_that_connection_names_stay_on_the_connection) {
   cr_assert(IsHopByHop("Keep-Alive", ""));
   cr_assert(IsHopByHop("X-Trace", "close, x-trace"));
