http: space behind a field's value is not part of it

An answer whose id was followed by a space would have been taken for one to another request and skipped, so that its caller waited until its deadline.

Cause: http_parser strips the space before a value but not behind it, where HTTP allows it as well.

Evidence, before the change, of space_around_a_value_is_not_part_of_it: http_test.cc:125: (FieldText(parser.head().fields, "x-a")) == ("b") is false

--- a/lib/http/message_parser.cc
+++ b/lib/http/message_parser.cc
@@ -126,7 +126,8 @@
 
 int MessageParser::State::OnHeadComplete() {
   int hosts = 0;
-  for (const HttpField& it : head.fields) {
+  for (HttpField& it : head.fields) {
+    it.value.erase(it.value.find_last_not_of(" \t") + 1);
     if (!IsToken(it.name) || HasControl(it.value))
       return Refuse();
     if (EqualsIgnoringCase(it.name, "host"))
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -114,6 +114,17 @@
   }
 }
 
+Test(message_parser, space_around_a_value_is_not_part_of_it) {
+  MessageParser parser(HttpMessageKind::kResponse, kHeadBytes);
+  std::string body;
+  parser.Feed(
+      "HTTP/1.1 200 OK\r\nX-A: \t b \t \r\n"
+      "Transfer-Encoding: chunked \r\n\r\n0\r\n\r\n",
+      body);
+  cr_expect(parser.message_complete());
+  cr_expect_eq(FieldText(parser.head().fields, "x-a"), "b");
+}
+
 Test(message, fields_that_connection_names_stay_on_the_connection) {
   cr_assert(IsHopByHop("Keep-Alive", ""));
   cr_assert(IsHopByHop("X-Trace", "close, x-trace"));
