forward: only an answer that names the request says what became of it

Callers were told "not run, try again" (503) for requests that a backend server had run, and requests that may run only once ran at a second server, when a server wrote a refusal that names no request.

Cause: an answer with the id of another request was skipped, but one without an id was taken for this request's, and its refusal for the proof that nothing ran. A head with two ids was judged by the first.

Servers echo the id in every answer. One that has none, or several, now ends the attempt as broken: it proves nothing, closes the connection, and is not passed on. An answer to another request is still skipped, and now logged (stale_answer). The stand-in server refused without the id; it echoes it now.

--- a/lib/forward/request_ending.cc
+++ b/lib/forward/request_ending.cc
@@ -178,4 +178,13 @@
                              .Add("left_ms", deadline_ - now));
 }
 
+void RequestExchange::LogStaleAnswer(const HttpHead& head) const {
+  host_.parts_.log.Write(
+      LogLine("stale_answer")
+          .Add("id", request_id_)
+          .Add("answer_to", FieldText(head.fields, host_.dialect_.request_id))
+          .Add("status", head.status)
+          .Add("server", server_.value()));
+}
+
 }  // namespace mangoport
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -4,6 +4,7 @@
 #include <cassert>
 #include <utility>
 
+#include "mangoport/forward/answer_policy.h"
 #include "mangoport/forward/wait_policy.h"
 
 namespace mangoport {
@@ -232,13 +233,14 @@
   const MonoTime now = Now();
   last_byte_at_ = now;
   host_.parts_.backends.OnActivity(now, server_);
-  const std::string* id = FindField(head.fields, host_.dialect_.request_id);
-  // A late answer to an earlier request on this connection.
-  if (id && *id != request_id_)
+  const AnswerOwner owner = OwnerOf(head, host_.dialect_, request_id_);
+  if (owner == AnswerOwner::kOtherRequest) {
+    LogStaleAnswer(head);
     return false;
+  }
   answer_.status = head.status;
   answer_.reason = head.reason;
-  if (!MayPassOn(head)) {
+  if (owner == AnswerOwner::kUnknown || !MayPassOn(head)) {
     EndAttempt(now, AttemptEnd::kBroken);
     return true;
   }
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -91,6 +91,7 @@
   bool MayPassOn(const HttpHead& head) const;
   HttpFields EndToEndFields(const HttpHead& head) const;
   void LogAttempt(MonoTime now, std::string_view end) const;
+  void LogStaleAnswer(const HttpHead& head) const;
 
   Forwarder& host_;
   std::shared_ptr<ClientSession> session_;
--- a/unittests/support/platform_standin.cc
+++ b/unittests/support/platform_standin.cc
@@ -233,13 +233,13 @@
     plan = plan_;
     seen_.push_back(seen);
   }
+  response.set_header("X-Attempt-Id", seen.Field("X-Attempt-Id"));
   if (plan.not_run) {
     response.status = 503;
     response.set_header("X-Not-Executed", "1");
     return;
   }
   response.status = plan.status;
-  response.set_header("X-Attempt-Id", seen.Field("X-Attempt-Id"));
   response.set_header("X-Server-Seal", id_);
   if (request.path.find("/stream/") == std::string::npos) {
     response.set_content("from " + id_, "text/plain");
--- a/unittests/support/scripted_fleet.h
+++ b/unittests/support/scripted_fleet.h
@@ -13,11 +13,14 @@
 namespace mangoport {
 
 /// A host whose only two backend servers follow one script. Requests have the
-/// id "id1". "/read/warm" is answered well, whatever the script says.
+/// id "id1". The script is not asked about "/read/warm", which is answered
+/// well, nor about what is outside the host's routes.
 class ScriptedFleet {
  public:
-  explicit ScriptedFleet(const ScriptedBackend::Script& script)
-      : x_("i-x", Guarded(script)), y_("i-y", Guarded(script)) {
+  /// `bounds` are lines for the settings' table of that name.
+  explicit ScriptedFleet(const ScriptedBackend::Script& script,
+                         const std::string& bounds = "")
+      : it_(bounds), x_("i-x", Guarded(script)), y_("i-y", Guarded(script)) {
     it_.Unlist(it_.a_.id());
     it_.Unlist(it_.b_.id());
     it_.List(x_, "ready");
@@ -30,6 +33,14 @@
 
   httplib::Result Ask(const std::string& path) const { return it_.Ask(path); }
 
+  /// The bytes of the answer to a request on a connection of its own.
+  std::string RawAnswer(const std::string& path) const {
+    return it_.Raw("POST " + path +
+                   " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id1\r\n"
+                   "X-Deadline-Ms: 4900\r\nAuthorization: Bearer k1\r\n"
+                   "Connection: close\r\nContent-Length: 0\r\n\r\n");
+  }
+
   /// Asks until both servers have answered well, so that neither is avoided for
   /// what it did before.
   void Warm() const {
@@ -65,11 +76,16 @@
   }
 
  private:
+  static bool IsRouted(const std::string& target) {
+    return target.starts_with("/read/") || target.starts_with("/once/") ||
+           target.starts_with("/stream/");
+  }
+
   static ScriptedBackend::Script Guarded(ScriptedBackend::Script script) {
     return [script = std::move(script)](const SeenRequest& request, int n) {
-      if (request.target == "/read/warm")
-        return ScriptedAnswer{.pieces = {GoodAnswer()}};
-      return script(request, n);
+      if (request.target != "/read/warm" && IsRouted(request.target))
+        return script(request, n);
+      return ScriptedAnswer{.pieces = {GoodAnswer()}};
     };
   }
 
