forward: a server's status that promises "not run" needs the proof of it

Callers got a backend server's 503, 429 or 408 passed on for a request that may have run. They take these statuses for the promise that it has not run and never will, and send it again.

Cause: such an answer without the field that says "not run" was passed on like any other failure of the server (503 after a last try, 429 and 408 at once).

Evidence, before the change, of a_promise_without_proof_is_not_passed_on: stale_answers_test.cc:55: 503: the caller got 503 stale_answers_test.cc:55: 429: the caller got 429 stale_answers_test.cc:55: 408: the caller got 408

--- a/include/mangoport/forward/answer_policy.h
+++ b/include/mangoport/forward/answer_policy.h
@@ -24,6 +24,9 @@
                     const ForwardDialect& dialect,
                     std::string_view request_id);
 
+/// True if callers take the status as a promise that the request has not run.
+bool PromisesNotRun(int status);
+
 }  // namespace mangoport
 
 #endif  // MANGOPORT_FORWARD_ANSWER_POLICY_H_
--- a/lib/forward/answer_policy.cc
+++ b/lib/forward/answer_policy.cc
@@ -20,4 +20,8 @@
                               : AnswerOwner::kOtherRequest;
 }
 
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 }  // namespace mangoport
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -342,6 +342,11 @@
     EndAttempt(now, AttemptEnd::kRefusedFull);
     return;
   }
+  // Without the proof that it has not run, the request may have.
+  if (PromisesNotRun(status)) {
+    EndAttempt(now, AttemptEnd::kBroken);
+    return;
+  }
   if (status >= 500 || answer_begun_) {
     EndAttempt(now, AttemptEnd::kServerError);
     return;
--- a/unittests/process/stale_answers_test.cc
+++ b/unittests/process/stale_answers_test.cc
@@ -39,6 +39,26 @@
   }
 }
 
+// A status that promises "not run" came without the proof of it, and was passed
+// on for a request that may have run.
+Test(stale_answers, a_promise_without_proof_is_not_passed_on, .timeout = 60) {
+  ScriptedFleet fleet([](const SeenRequest& request, int) {
+    return Bytes("HTTP/1.1 " + LastPart(request) +
+                 " Failed\r\nX-Attempt-Id: id1\r\nX-Server-Seal: s\r\n"
+                 "Content-Length: 2\r\n\r\nno");
+  });
+  for (const char* status : {"503", "429", "408"}) {
+    fleet.Warm();
+    const std::string path = std::string("/once/") + status;
+    const auto reply = fleet.Ask(path);
+    cr_assert(reply, "%s: no answer", status);
+    cr_expect_eq(reply->status, 502, "%s: the caller got %d", status,
+                 reply->status);
+    cr_expect_not(reply->has_header("X-Server-Seal"));
+    cr_expect_eq(fleet.Sends(path).size(), 1);
+  }
+}
+
 // Two heads ran into one: a refusal's fields follow the id of this request.
 Test(stale_answers, a_head_with_two_ids_proves_nothing, .timeout = 60) {
   ScriptedFleet fleet([](const SeenRequest& request, int) {
