forward: only the rest of a stream may go on with it

Callers of a stream that had broken off found the text of another answer behind their events (JSON, HTML, plain text), or the stream ended as if it were whole: after a 202 or 204, or when the next server closed behind its head.

Cause: on a stream route every 2xx was taken for events, whatever its status and content type, also when it was to continue a stream, and the end of the connection was taken for the end of a stream that had sent no event.

FormOf decides from the head how a body is passed on: as events only with 200 and no other content type than text/event-stream; any other success whole, or, once the caller has had events, not at all (the attempt is broken: the next server, or the caller's connection is closed without the last chunk). A stream without a stated end is whole only if it had an event. Errors of the next server were not passed on before either (an_error_of_the_next_server_is_not_passed_on passed).

--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -240,13 +240,16 @@
   }
   answer_.status = head.status;
   answer_.reason = head.reason;
-  if (owner == AnswerOwner::kUnknown || !MayPassOn(head)) {
+  const AnswerForm form = FormOf(head, route_->kind, answer_begun_);
+  if (owner == AnswerOwner::kUnknown || form == AnswerForm::kUnusable ||
+      !MayPassOn(head)) {
     EndAttempt(now, AttemptEnd::kBroken);
     return true;
   }
   answer_.fields = EndToEndFields(head);
-  answer_.streaming =
-      route_->kind == RouteKind::kStream && head.status / 100 == 2;
+  answer_.streaming = form == AnswerForm::kEvents;
+  answer_.framed =
+      head.chunked || head.content_length || request_.head.method == "HEAD";
   return true;
 }
 
@@ -285,6 +288,7 @@
   }
   if (n == 0)
     return;
+  answer_.events += n;
   events_passed_ += n;
   host_.parts_.metrics.OnEvents(n);
   OnEvents(now, whole);
@@ -314,12 +318,20 @@
   });
 }
 
+bool RequestExchange::StreamIsWhole() const {
+  if (events_.inside_event())
+    return false;
+  // With no events, the end of the connection is the only sign of an end, and a
+  // server that is lost behind its head gives it as well.
+  return answer_.framed || answer_.events > 0;
+}
+
 void RequestExchange::OnComplete() {
   const auto self = shared_from_this();
   const MonoTime now = Now();
   connection_.reset();
   const int status = answer_.status;
-  if (answer_.streaming && events_.inside_event()) {
+  if (answer_.streaming && !StreamIsWhole()) {
     EndAttempt(now, AttemptEnd::kBroken);
     return;
   }
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -50,6 +50,10 @@
     HttpFields fields;
     std::string body;
     bool streaming = false;
+    /// The end of the body is stated, by its length or by chunks.
+    bool framed = false;
+    /// Whole events so far.
+    std::size_t events = 0;
   };
 
   // Admission.
@@ -67,6 +71,8 @@
   bool OnHead(const HttpHead& head);
   void OnBody(std::string_view piece);
   void OnComplete();
+  /// True if a stream that has ended in order has all that its server sent.
+  bool StreamIsWhole() const;
   void OnFailed(const HttpFailure& failure);
   /// `may_repeat` says that the retry budget has been charged already.
   void EndAttempt(MonoTime now, AttemptEnd end, bool may_repeat = false);
