http: a run that does not continue a stream is not joined to it

Callers of a stream that had broken off found the events of another run, an unnumbered error event, plain text or a whole answer's head joined to theirs, or a gap, and the stream ended as if it were whole. A run that repeated an event took the good events before it along, and no other server could go on.

Cause: only an id that did not rise was noticed. An event without an id, and a first event that lies beyond the next one, were passed on. After a repeat the whole piece was dropped, the place to resume moved to the repeated event, and the fault stayed noted for all further runs of the request.

A run that continues a stream must begin with a numbered event (comments aside) whose id rises by no more than the ids of that stream have risen before: ids need not be consecutive, so the stream itself is the measure. The first event that does not go on ends the attempt; what came before it stands, and the next run is asked to go on from there.

--- a/include/mangoport/http/event_splitter.h
+++ b/include/mangoport/http/event_splitter.h
@@ -1,6 +1,7 @@
 #ifndef MANGOPORT_HTTP_EVENT_SPLITTER_H_
 #define MANGOPORT_HTTP_EVENT_SPLITTER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -9,34 +10,55 @@
 namespace mangoport {
 
 /// Cuts a `text/event-stream` body into whole events, so that a stream which
-/// breaks in the middle of an event can be continued after the last whole one.
+/// breaks in the middle of an event can be continued after the last whole one
+/// by another run.
+///
+/// Event ids rise within a stream. A run that continues one must begin with the
+/// event that follows the last one: an event without an id, a repeat or a gap
+/// shows that it does something else.
 class EventSplitter {
  public:
-  /// Takes in body bytes and appends to `whole` all events that are complete
-  /// by now. Returns how many those are.
+  /// Says that the caller has the events up to `id` from an earlier request.
+  void StartAfter(std::uint64_t id) { origin_ = id; }
+
+  /// Takes in body bytes and appends to `whole` the events that are complete by
+  /// now and go on with the stream. Returns how many those are. After the first
+  /// event that does not, nothing more is taken in until `Restart`.
   std::size_t Feed(std::string_view data, std::string& whole);
 
-  /// The id of the newest whole event, if any had one.
+  /// The id of the newest event that was passed on, if any had one.
   const std::optional<std::uint64_t>& last_id() const { return last_id_; }
 
-  /// Bytes of an event that is not complete yet.
-  const std::string& partial() const { return partial_; }
-
   /// True if an event has begun and is not complete: a stream that ends here
   /// has been broken off, however its end is marked.
   bool inside_event() const;
 
-  /// True if an event's id did not rise: a repeat or an event of another run.
+  /// Bytes of an event that is not complete yet.
+  const std::string& partial() const { return partial_; }
+
+  /// True if an event did not go on with the stream.
   bool out_of_order() const { return out_of_order_; }
 
-  /// Drops the incomplete event; ids go on from the last whole one.
-  void Restart() { partial_.clear(); }
+  /// True if another run can continue the stream: no event without an id has
+  /// been passed on since the last one with an id.
+  bool resumable() const { return !unnumbered_; }
+
+  /// Another run continues the stream. Drops the incomplete event.
+  void Restart();
 
  private:
-  void NoteEvent(std::string_view event);
+  /// False if the event does not go on with the stream.
+  bool Accept(std::string_view event);
+  bool Continues(std::uint64_t id) const;
 
   std::string partial_;
+  std::uint64_t origin_ = 0;
   std::optional<std::uint64_t> last_id_;
+  /// The largest rise from one id to the next so far; zero if there was none.
+  std::uint64_t widest_step_ = 0;
+  /// The next event is the first of a run that continues the stream.
+  bool joining_ = false;
+  bool unnumbered_ = false;
   bool out_of_order_ = false;
 };
 
--- a/lib/forward/request_admission.cc
+++ b/lib/forward/request_admission.cc
@@ -154,6 +154,10 @@
   routing_.request = RequestId(request_id_);
   if (account_)
     routing_.account = account_->id;
+  if (const auto after =
+          ParseInteger(FieldText(fields, host_.dialect_.resume_after)))
+    events_.StartAfter(
+        static_cast<std::uint64_t>(std::max<std::int64_t>(*after, 0)));
   if (const std::string* model = FindField(fields, host_.dialect_.model))
     routing_.model = ModelId(*model);
   const std::string* parts = FindField(fields, host_.dialect_.prompt_parts);
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -282,16 +282,14 @@
   }
   std::string whole;
   const std::size_t n = events_.Feed(piece, whole);
-  if (events_.out_of_order()) {
-    EndAttempt(now, AttemptEnd::kBroken);
-    return;
+  if (n > 0) {
+    answer_.events += n;
+    events_passed_ += n;
+    host_.parts_.metrics.OnEvents(n);
+    OnEvents(now, whole);
   }
-  if (n == 0)
-    return;
-  answer_.events += n;
-  events_passed_ += n;
-  host_.parts_.metrics.OnEvents(n);
-  OnEvents(now, whole);
+  if (events_.out_of_order())
+    EndAttempt(now, AttemptEnd::kBroken);
 }
 
 void RequestExchange::OnEvents(MonoTime now, std::string_view whole) {
--- a/lib/http/event_splitter.cc
+++ b/lib/http/event_splitter.cc
@@ -1,43 +1,92 @@
 #include "mangoport/http/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace mangoport {
 namespace {
 
-constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kIdField = "id:";
 
+/// Takes the first line off `text`, without its end.
+std::string_view TakeLine(std::string_view& text) {
+  const std::size_t end = text.find('\n');
+  std::string_view line = text.substr(0, end);
+  text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+  if (line.ends_with('\r'))
+    line.remove_suffix(1);
+  return line;
+}
+
 std::optional<std::uint64_t> ParseEventId(std::string_view event) {
   while (!event.empty()) {
-    const std::size_t end = event.find('\n');
-    std::string_view line = event.substr(0, end);
-    if (line.starts_with(kIdField)) {
-      line.remove_prefix(kIdField.size());
-      if (line.starts_with(' '))
-        line.remove_prefix(1);
-      std::uint64_t id = 0;
-      const auto parsed =
-          std::from_chars(line.data(), line.data() + line.size(), id);
-      if (parsed.ec == std::errc())
-        return id;
-    }
-    if (end == std::string_view::npos)
-      break;
-    event.remove_prefix(end + 1);
+    std::string_view line = TakeLine(event);
+    if (!line.starts_with(kIdField))
+      continue;
+    line.remove_prefix(kIdField.size());
+    if (line.starts_with(' '))
+      line.remove_prefix(1);
+    std::uint64_t id = 0;
+    const char* end = line.data() + line.size();
+    const auto parsed = std::from_chars(line.data(), end, id);
+    if (parsed.ec == std::errc() && parsed.ptr == end)
+      return id;
   }
   return std::nullopt;
 }
 
+/// True if the event is only comments, such as those that keep a connection.
+bool IsComment(std::string_view event) {
+  while (!event.empty()) {
+    const std::string_view line = TakeLine(event);
+    if (!line.empty() && !line.starts_with(':'))
+      return false;
+  }
+  return true;
+}
+
+/// The place behind the first empty line of `text` from `from` on.
+std::size_t FindEventEnd(std::string_view text, std::size_t from) {
+  while (true) {
+    const std::size_t line_end = text.find('\n', from);
+    if (line_end == std::string_view::npos)
+      return line_end;
+    from = line_end + 1;
+    const std::string_view rest = text.substr(from);
+    if (rest.starts_with('\n'))
+      return from + 1;
+  }
+}
+
 }  // namespace
 
-void EventSplitter::NoteEvent(std::string_view event) {
+bool EventSplitter::Continues(std::uint64_t id) const {
+  if (!last_id_)
+    return true;
+  if (id <= *last_id_)
+    return false;
+  // Ids need not be consecutive. Where two runs meet, a step that is wider than
+  // all others means that events are missing.
+  return !joining_ || widest_step_ == 0 || id - *last_id_ <= widest_step_;
+}
+
+bool EventSplitter::Accept(std::string_view event) {
   const std::optional<std::uint64_t> id = ParseEventId(event);
-  if (!id)
-    return;
-  if (last_id_ && *id <= *last_id_)
-    out_of_order_ = true;
+  if (!id) {
+    if (IsComment(event))
+      return true;
+    unnumbered_ = !joining_;
+    return unnumbered_;
+  }
+  if (!Continues(*id))
+    return false;
+  const std::uint64_t before = last_id_.value_or(origin_);
+  if (*id > before)
+    widest_step_ = std::max(widest_step_, *id - before);
+  joining_ = false;
+  unnumbered_ = false;
   last_id_ = id;
+  return true;
 }
 
 bool EventSplitter::inside_event() const {
@@ -45,20 +94,24 @@
 }
 
 std::size_t EventSplitter::Feed(std::string_view data, std::string& whole) {
+  if (out_of_order_)
+    return 0;
   // An event's end may lie across the two pieces.
-  std::size_t searched = partial_.empty() ? 0 : partial_.size() - 1;
+  constexpr std::size_t kOverlap = 2;
+  std::size_t searched = partial_.size() - std::min(partial_.size(), kOverlap);
   partial_.append(data);
+  const std::string_view text = partial_;
   std::size_t begin = 0;
   std::size_t n = 0;
   while (true) {
-    const std::size_t end = partial_.find(kEventEnd, searched);
-    if (end == std::string::npos)
+    const std::size_t end = FindEventEnd(text, searched);
+    if (end == std::string_view::npos)
+      break;
+    out_of_order_ = !Accept(text.substr(begin, end - begin));
+    if (out_of_order_)
       break;
-    const std::size_t next = end + kEventEnd.size();
-    const std::string_view text = partial_;
-    NoteEvent(text.substr(begin, next - begin));
-    begin = next;
-    searched = next;
+    begin = end;
+    searched = end;
     ++n;
   }
   whole.append(partial_, 0, begin);
@@ -66,4 +119,10 @@
   return n;
 }
 
+void EventSplitter::Restart() {
+  partial_.clear();
+  out_of_order_ = false;
+  joining_ = last_id_.has_value();
+}
+
 }  // namespace mangoport
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -167,5 +167,59 @@
   cr_assert(splitter.out_of_order());
 }
 
+// A second run began elsewhere, and its events were joined to the first one's.
+Test(event_splitter, a_run_that_does_not_continue_the_last_one_is_refused) {
+  for (const char* next :
+       {"id: 5\ndata: c\n\n", "id: 2\ndata: c\n\n", "data: c\n\n",
+        "HTTP/1.1 500 Failed\n\n", "id: 3x\ndata: c\n\n"}) {
+    EventSplitter splitter;
+    std::string whole;
+    splitter.Feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\n", whole);
+    splitter.Restart();
+    whole.clear();
+    cr_expect_eq(splitter.Feed(next, whole), 0, "%s", next);
+    cr_expect(splitter.out_of_order(), "%s", next);
+    cr_expect_eq(whole, "");
+    splitter.Restart();
+    cr_expect_eq(splitter.Feed("id: 3\ndata: c\n\n", whole), 1, "%s", next);
+    cr_expect_not(splitter.out_of_order());
+    cr_expect(splitter.resumable());
+  }
+}
+
+Test(event_splitter, ids_may_rise_by_more_than_one) {
+  EventSplitter splitter;
+  std::string whole;
+  splitter.StartAfter(20);
+  splitter.Feed("id: 27\n\nid: 30\n\n", whole);
+  splitter.Restart();
+  cr_expect_eq(splitter.Feed("id: 37\n\n", whole), 1);
+  splitter.Restart();
+  cr_expect_eq(splitter.Feed("id: 45\n\n", whole), 0);
+  cr_expect(splitter.out_of_order());
+}
+
+// A repeat took the good events before it along, and the place to go on from.
+Test(event_splitter, events_before_a_repeat_stand) {
+  EventSplitter splitter;
+  std::string whole;
+  cr_expect_eq(splitter.Feed("id: 1\n\nid: 2\n\nid: 1\n\nid: 2\n\n", whole), 2);
+  cr_expect_eq(whole, "id: 1\n\nid: 2\n\n");
+  cr_expect_eq(splitter.last_id(), 2);
+  cr_expect(splitter.out_of_order());
+  cr_expect_eq(splitter.Feed("id: 3\n\n", whole), 0);
+}
+
+Test(event_splitter, events_without_ids_cannot_be_continued) {
+  EventSplitter splitter;
+  std::string whole;
+  splitter.Feed(": ping\n\n", whole);
+  cr_expect(splitter.resumable());
+  splitter.Feed("data: a\n\n", whole);
+  cr_expect_not(splitter.resumable());
+  splitter.Feed("id: 1\ndata: b\n\n", whole);
+  cr_expect(splitter.resumable());
+}
+
 }  // namespace
 }  // namespace mangoport
--- a/unittests/process/resumed_streams_test.cc
+++ b/unittests/process/resumed_streams_test.cc
@@ -177,6 +177,22 @@
   cr_expect(answer.ends_with("\r\n\r\n{\"x\":1}"), "%s", answer.c_str());
 }
 
+// The next server began at another place than the one it was asked for.
+Test(resumed_streams,
+     events_that_do_not_continue_are_not_joined,
+     .timeout = 60) {
+  ExpectBroken({
+      {"no-type", WithLength(200, "", "failed\n\n")},
+      {"head-in-body",
+       Chunked(kEvents, "HTTP/1.1 500 Failed\r\nX: y\r\n\r\nfailed\n\n")},
+      {"unnumbered", Chunked(kEvents, "data: failed\n\n")},
+      {"from-start", Chunked(kEvents, Events(1, 6))},
+      {"last-again", Chunked(kEvents, Events(3, 6))},
+      {"gap", Chunked(kEvents, Events(5, 6))},
+      {"unnumbered-first", Chunked(kEvents, "data: failed\n\n" + Events(4, 6))},
+  });
+}
+
 // All events had arrived and only the end of the stream was lost.
 Test(resumed_streams, an_empty_rest_ends_the_stream, .timeout = 60) {
   ScriptedFleet fleet(
@@ -192,6 +208,23 @@
   cr_expect(rest.whole);
   cr_expect_eq(rest.body, Events(1, 3) + ": ping\n\n" + Events(4, 6));
 }
+
+// A run that repeats an event is given up there; what came before stands, and
+// another server goes on.
+Test(resumed_streams, a_repeated_event_is_not_passed_on, .timeout = 60) {
+  ScriptedFleet fleet(
+      [](const SeenRequest& request, int) {
+        const std::string body = request.Field("Last-Event-Id") == "3"
+                                     ? Events(4, 6)
+                                     : Events(1, 3) + Events(2, 6);
+        return ScriptedAnswer{.pieces = {Chunked(kEvents, body)}};
+      },
+      kManyRepeats);
+  const Stream seen = ReadChunks(fleet.RawAnswer("/stream/x"));
+  cr_expect_eq(seen.body, Events(1, 6), "the caller got '%s'",
+               seen.body.c_str());
+  cr_expect(seen.whole);
+}
 // NOLINTEND
 
 }  // namespace
