--- a/include/mangoport/forward/tcp_stream.h
+++ b/include/mangoport/forward/tcp_stream.h
@@ -72,12 +72,19 @@
   /// True if bytes have arrived that have not been read. Asks the system.
   bool HasUnread();
 
+  /// True if the connection is open and the peer has sent nothing that has not
+  /// been read. Asks the system, so it also tells of what the loop has yet to
+  /// hear.
+  bool IsQuiet();
+
   bool is_open() const { return open_; }
   std::size_t unsent() const { return out_.size(); }
   /// True if any byte has been given to the system.
   bool has_written() const { return has_written_; }
 
  private:
+  /// Looks for a byte to read: none, the end of the connection, or an error.
+  asio::error_code Peek();
   void WaitReadable();
   void OnReadable(const asio::error_code& ec);
   void WaitWritable();
--- a/lib/forward/request_ending.cc
+++ b/lib/forward/request_ending.cc
@@ -189,4 +189,14 @@
                              .Add("left_ms", deadline_ - now));
 }
 
+void RequestExchange::LogStaleAnswer(const HttpHead& head,
+                                     const ServerId& server) const {
+  host_.parts_.log.Write(
+      LogLine("stale_answer")
+          .Add("id", request_id_)
+          .Add("answer_to", FieldText(head.fields, host_.dialect_.request_id))
+          .Add("status", head.status)
+          .Add("server", server.value()));
+}
+
 }  // namespace mangoport
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "mangoport/forward/answer_policy.h"
 #include "mangoport/forward/wait_policy.h"
 
 namespace mangoport {
@@ -237,21 +238,23 @@
   last_byte_at_ = now;
   host_.parts_.backends.OnActivity(now, server_);
   host_.NoteServerSignals(now, server_start_, head);
-  const std::string* id = FindField(head.fields, host_.dialect_.request_id);
-  // A late answer to an earlier request on this connection.
-  if (id && *id != request_id_)
+  const AnswerOwner owner = OwnerOf(head, host_.dialect_, request_id_);
+  if (owner == AnswerOwner::kOtherRequest) {
+    LogStaleAnswer(head, server_);
     return false;
+  }
   answer_.status = head.status;
   answer_.reason = head.reason;
-  if (!MayPassOn(head)) {
+  const AnswerForm form = FormOf(head, route_->kind, answer_begun_);
+  if (owner == AnswerOwner::kUnknown || form == AnswerForm::kUnusable ||
+      !MayPassOn(head)) {
     EndAttempt(now, AttemptEnd::kBroken);
     return true;
   }
   if (head.status / 100 == 2)
     DropSuccessor(now, "overtaken", AttemptOutcome::kCancelled);
   answer_.fields = EndToEndFields(head);
-  answer_.streaming =
-      route_->kind == RouteKind::kStream && head.status / 100 == 2;
+  answer_.streaming = form == AnswerForm::kEvents;
   answer_.framed = head.chunked || head.content_length || head.status == 204 ||
                    request_.head.method == "HEAD";
   return true;
@@ -288,16 +291,14 @@
   }
   std::string whole;
   const std::size_t n = events_.Feed(piece, whole);
-  if (events_.out_of_order()) {
-    EndAttempt(now, AttemptEnd::kBroken);
-    return;
+  if (n > 0) {
+    answer_.events += n;
+    events_passed_ += n;
+    host_.parts_.metrics.OnEvents(n);
+    OnEvents(now, whole);
   }
-  if (n == 0)
-    return;
-  events_passed_ += n;
-  answer_.events += n;
-  host_.parts_.metrics.OnEvents(n);
-  OnEvents(now, whole);
+  if (events_.out_of_order() && !done_)
+    EndAttempt(now, AttemptEnd::kBroken);
 }
 
 void RequestExchange::OnEvents(MonoTime now, std::string_view whole) {
@@ -333,11 +334,12 @@
   connection_->SetReading(true);
 }
 
-bool RequestExchange::StreamBrokeOff() const {
-  // Without a length, a process that ends before its first event looks like the
-  // end of the stream.
-  return answer_.streaming &&
-         (events_.inside_event() || (!answer_.framed && answer_.events == 0));
+bool RequestExchange::StreamIsWhole() const {
+  if (events_.inside_event())
+    return false;
+  // With no events, the end of the connection is the only sign of an end, and a
+  // server that is lost behind its head gives it as well.
+  return answer_.framed || answer_.events > 0;
 }
 
 void RequestExchange::OnComplete() {
@@ -345,7 +347,7 @@
   const MonoTime now = Now();
   connection_.reset();
   const int status = answer_.status;
-  if (StreamBrokeOff()) {
+  if (answer_.streaming && !StreamIsWhole()) {
     EndAttempt(now, AttemptEnd::kBroken);
     return;
   }
@@ -364,17 +366,11 @@
     Finish(now, "served", status);
     return;
   }
-  if (status == 421) {
+  const AttemptEnd end = EndOf(status, answer_.fields);
+  if (end == AttemptEnd::kMisdirected)
     host_.parts_.backends.NoteMissing(now, server_, routing_.model);
-    EndAttempt(now, AttemptEnd::kMisdirected);
-    return;
-  }
-  if (FindField(answer_.fields, host_.dialect_.not_run) && status != 400) {
-    EndAttempt(now, AttemptEnd::kRefusedFull);
-    return;
-  }
-  if (status >= 500 || answer_begun_) {
-    EndAttempt(now, AttemptEnd::kServerError);
+  if (end != AttemptEnd::kServerError || status >= 500 || answer_begun_) {
+    EndAttempt(now, end);
     return;
   }
   FinishAttempt(now, AttemptOutcome::kCompleted);
@@ -398,6 +394,16 @@
   EndAttempt(Now(), EndOf(failure));
 }
 
+AttemptEnd RequestExchange::EndOf(int status, const HttpFields& fields) const {
+  if (status == 421)
+    return AttemptEnd::kMisdirected;
+  if (FindField(fields, host_.dialect_.not_run) && status != 400)
+    return AttemptEnd::kRefusedFull;
+  // Without the proof that it has not run, the request may have.
+  return PromisesNotRun(status) ? AttemptEnd::kBroken
+                                : AttemptEnd::kServerError;
+}
+
 AttemptEnd RequestExchange::EndOf(const HttpFailure& failure) {
   switch (failure.kind) {
     case HttpFailure::Kind::kConnect:
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -89,10 +89,12 @@
   bool OnHead(const HttpHead& head);
   void OnBody(std::string_view piece);
   void OnComplete();
-  /// True if the stream that has come to an end has been broken off.
-  bool StreamBrokeOff() const;
+  /// True if a stream that has ended in order has all that its server sent.
+  bool StreamIsWhole() const;
   void OnFailed(const HttpFailure& failure);
   static AttemptEnd EndOf(const HttpFailure& failure);
+  /// What an answer that is no success says of this request.
+  AttemptEnd EndOf(int status, const HttpFields& fields) const;
   static AttemptOutcome OutcomeOf(AttemptEnd end);
   void EndAttempt(MonoTime now, AttemptEnd end);
   void FinishAttempt(MonoTime now, AttemptOutcome outcome);
@@ -160,6 +162,7 @@
   void LogAttempt(MonoTime now, std::string_view end) const;
   /// Adds what tells the causes of a lost request apart.
   void AddCircumstances(MonoTime now, LogLine& line) const;
+  void LogStaleAnswer(const HttpHead& head, const ServerId& server) const;
 
   Forwarder& host_;
   std::shared_ptr<ClientSession> session_;
--- a/lib/forward/request_handover.cc
+++ b/lib/forward/request_handover.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "lib/forward/request_exchange.h"
+#include "mangoport/forward/answer_policy.h"
 #include "mangoport/forward/wait_policy.h"
 
 namespace mangoport {
@@ -120,23 +121,23 @@
   const MonoTime now = Now();
   const auto self = shared_from_this();
   host_.NoteServerSignals(now, successor_.start, head);
-  const std::string* id = FindField(head.fields, host_.dialect_.request_id);
-  if (id && *id != request_id_)
+  const AnswerOwner owner = OwnerOf(head, host_.dialect_, request_id_);
+  if (owner == AnswerOwner::kOtherRequest) {
+    LogStaleAnswer(head, successor_.server);
     return false;
-  if (head.status / 100 == 2 && MayPassOn(head)) {
+  }
+  const bool own = owner == AnswerOwner::kThisRequest;
+  const bool success = head.status / 100 == 2;
+  if (own && success && MayPassOn(head) &&
+      FormOf(head, route_->kind, answer_begun_) != AnswerForm::kUnusable) {
     TakeOver(now);
     return OnHead(head);
   }
-  if (head.status == 421) {
+  const AttemptEnd end =
+      own && !success ? EndOf(head.status, head.fields) : AttemptEnd::kBroken;
+  if (end == AttemptEnd::kMisdirected)
     host_.parts_.backends.NoteMissing(now, successor_.server, routing_.model);
-    RejectSuccessor(now, AttemptEnd::kMisdirected);
-    return true;
-  }
-  const bool not_run =
-      FindField(head.fields, host_.dialect_.not_run) && head.status != 400;
-  RejectSuccessor(now, not_run                  ? AttemptEnd::kRefusedFull
-                       : head.status / 100 == 2 ? AttemptEnd::kBroken
-                                                : AttemptEnd::kServerError);
+  RejectSuccessor(now, end);
   return true;
 }
 
--- a/lib/forward/tcp_stream.cc
+++ b/lib/forward/tcp_stream.cc
@@ -111,19 +111,24 @@
     WaitReadable();
 }
 
-bool TcpStream::PeerHasClosed() {
+asio::error_code TcpStream::Peek() {
   std::array<char, 1> next{};
   asio::error_code ec;
   socket_.receive(asio::buffer(next), asio::ip::tcp::socket::message_peek, ec);
+  return ec;
+}
+
+bool TcpStream::PeerHasClosed() {
+  const asio::error_code ec = Peek();
   return ec == asio::error::eof || ec == asio::error::connection_reset;
 }
 
 bool TcpStream::HasUnread() {
-  std::array<char, 1> next{};
-  asio::error_code ec;
-  const std::size_t n = socket_.receive(
-      asio::buffer(next), asio::ip::tcp::socket::message_peek, ec);
-  return !ec && n > 0;
+  return !Peek();
+}
+
+bool TcpStream::IsQuiet() {
+  return Peek() == asio::error::would_block;
 }
 
 bool TcpStream::Flush(std::string_view& data) {
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -77,6 +77,54 @@
   cr_assert_eq(parser.error(), HttpParseError::kMalformed);
 }
 
+// Answers whose end is stated must not end with their connection, wherever that
+// cuts them.
+Test(message_parser, an_answer_cut_anywhere_is_malformed) {
+  for (const std::string text :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "4\r\nbody\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "4;a=b\r\nbody\r\n0\r\nX-End: 1\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nX-A: b\r\n c\r\n\r\n"}) {
+    for (std::size_t n = 0; n < text.size(); ++n) {
+      MessageParser parser(HttpMessageKind::kResponse, kHeadBytes);
+      std::string body;
+      parser.Feed(text.substr(0, n), body);
+      parser.FeedEnd();
+      cr_expect_not(parser.message_complete(), "%zu bytes of %s", n,
+                    text.c_str());
+      cr_expect_eq(parser.error(), HttpParseError::kMalformed);
+    }
+  }
+}
+
+// The body of an unknown transfer coding was passed on as if it were plain.
+Test(message_parser, an_answer_in_an_unknown_transfer_coding_is_malformed) {
+  for (const char* coding : {"gzip", "identity", "chunked, gzip", "chunke",
+                             "gzip, chunked", "chunked, chunked"}) {
+    MessageParser parser(HttpMessageKind::kResponse, kHeadBytes);
+    std::string body;
+    parser.Feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(coding) +
+                    "\r\n\r\nbody",
+                body);
+    parser.FeedEnd();
+    cr_expect_eq(parser.error(), HttpParseError::kMalformed, "%s", coding);
+  }
+}
+
+Test(message_parser, space_around_a_value_is_not_part_of_it) {
+  MessageParser parser(HttpMessageKind::kResponse, kHeadBytes);
+  std::string body;
+  parser.Feed(
+      "HTTP/1.1 200 OK\r\nX-A: \t b \t \r\n"
+      "Transfer-Encoding: chunked \r\n\r\n0\r\n\r\n",
+      body);
+  cr_expect(parser.message_complete());
+  cr_expect_eq(FieldText(parser.head().fields, "x-a"), "b");
+}
+
 Test(message, fields_that_connection_names_stay_on_the_connection) {
   cr_assert(IsHopByHop("Keep-Alive", ""));
   cr_assert(IsHopByHop("X-Trace", "close, x-trace"));
@@ -119,5 +167,59 @@
   cr_assert(splitter.out_of_order());
 }
 
+// A second run began elsewhere, and its events were joined to the first one's.
+Test(event_splitter, a_run_that_does_not_continue_the_last_one_is_refused) {
+  for (const char* next :
+       {"id: 5\ndata: c\n\n", "id: 2\ndata: c\n\n", "data: c\n\n",
+        "HTTP/1.1 500 Failed\n\n", "id: 3x\ndata: c\n\n"}) {
+    EventSplitter splitter;
+    std::string whole;
+    splitter.Feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\n", whole);
+    splitter.Restart();
+    whole.clear();
+    cr_expect_eq(splitter.Feed(next, whole), 0, "%s", next);
+    cr_expect(splitter.out_of_order(), "%s", next);
+    cr_expect_eq(whole, "");
+    splitter.Restart();
+    cr_expect_eq(splitter.Feed("id: 3\ndata: c\n\n", whole), 1, "%s", next);
+    cr_expect_not(splitter.out_of_order());
+    cr_expect(splitter.resumable());
+  }
+}
+
+Test(event_splitter, ids_may_rise_by_more_than_one) {
+  EventSplitter splitter;
+  std::string whole;
+  splitter.StartAfter(20);
+  splitter.Feed("id: 27\n\nid: 30\n\n", whole);
+  splitter.Restart();
+  cr_expect_eq(splitter.Feed("id: 37\n\n", whole), 1);
+  splitter.Restart();
+  cr_expect_eq(splitter.Feed("id: 45\n\n", whole), 0);
+  cr_expect(splitter.out_of_order());
+}
+
+// A repeat took the good events before it along, and the place to go on from.
+Test(event_splitter, events_before_a_repeat_stand) {
+  EventSplitter splitter;
+  std::string whole;
+  cr_expect_eq(splitter.Feed("id: 1\n\nid: 2\n\nid: 1\n\nid: 2\n\n", whole), 2);
+  cr_expect_eq(whole, "id: 1\n\nid: 2\n\n");
+  cr_expect_eq(splitter.last_id(), 2);
+  cr_expect(splitter.out_of_order());
+  cr_expect_eq(splitter.Feed("id: 3\n\n", whole), 0);
+}
+
+Test(event_splitter, events_without_ids_cannot_be_continued) {
+  EventSplitter splitter;
+  std::string whole;
+  splitter.Feed(": ping\n\n", whole);
+  cr_expect(splitter.resumable());
+  splitter.Feed("data: a\n\n", whole);
+  cr_expect_not(splitter.resumable());
+  splitter.Feed("id: 1\ndata: b\n\n", whole);
+  cr_expect(splitter.resumable());
+}
+
 }  // namespace
 }  // namespace mangoport
