edge: demand for missing copies reaches the host that orders engines

Callers of a rarely used model or adapter were refused until a regular datagram happened to report their demand: in a fleet of 295 hosts that is a round of 3.7 seconds, longer than callers of a stream wait.

Cause: a host dropped a report to the holder of the order lease if it had sent one within 15 ms or did not know the holder yet, and made none at all for a request that it refused at once because the load would take too long; a new holder became known only with its next round. Demand is now kept until it can be sent, refused requests report theirs as well, and a host that wins the lease tells all others at once. What a notice carries and its rate are unchanged; the store gets no more calls.

Found by reading; the effect alone was not measured.

--- a/include/mangoport/edge/edge_host.h
+++ b/include/mangoport/edge/edge_host.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "mangoport/edge/feed_service.h"
+#include "mangoport/edge/holder_notice.h"
 #include "mangoport/edge/order_service.h"
 #include "mangoport/edge/soft_state_service.h"
 #include "mangoport/forward/backend_table.h"
@@ -86,7 +87,9 @@
   void OnPeerFullState(MonoTime now, const wire::HostState& message);
   /// Adapts timeouts for silent peers to the size of the fleet.
   void AdaptToFleetSize();
+  /// Reports demand for missing copies to the holder as soon as possible.
   void SendToHolder();
+  void SendNoticeIfDue(MonoTime now);
   void SendChanges();
 
   void FlushLogLater(MonoTime now);
@@ -120,7 +123,8 @@
   std::optional<HostId> holder_;
   MonoTime holder_heard_at_;
   Duration holder_lifetime_{};
-  MonoTime sent_to_holder_at_;
+  HolderNotice holder_notice_;
+  bool notice_timer_set_ = false;
   MonoTime stop_began_;
   bool stopping_ = false;
   bool released_ = false;
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -135,8 +135,12 @@
   forwarder_.set_on_missing([this] { SendToHolder(); });
   orders_.set_own_uses([this] { return forwarder_.ModelUses(); });
   orders_.set_on_changes([this] { SendChanges(); });
-  orders_.set_on_role(
-      [this](bool holds) { soft_state_.SetHoldsOrders(holds); });
+  orders_.set_on_role([this](bool holds) {
+    soft_state_.SetHoldsOrders(holds);
+    // Hosts report demand to a holder that they know.
+    if (holds)
+      soft_state_.SendToAllSoon();
+  });
 }
 
 EdgeHost::~EdgeHost() = default;
--- a/lib/edge/edge_peers.cc
+++ b/lib/edge/edge_peers.cc
@@ -2,6 +2,8 @@
 // it receives.
 #include <algorithm>
 #include <cmath>
+#include <optional>
+#include <utility>
 
 #include "lib/edge/feed_wire.h"
 #include "mangoport/edge/edge_host.h"
@@ -11,8 +13,6 @@
 
 constexpr double kPerMille = 1000;
 
-/// Waiting requests are reported to the holder at once, at most this often.
-constexpr Duration kSendToHolderInterval = std::chrono::milliseconds(15);
 constexpr Duration kHolderLifetime = std::chrono::seconds(2);
 
 /// The holder is suspected after this time without a datagram from it. Readers
@@ -146,6 +146,7 @@
     holder_ = host;
     holder_heard_at_ = now;
     orders_.OnHolderUpdate(host, message.order_term());
+    SendNoticeIfDue(now);
     for (const wire::ResidencyNote& it : message.residencies())
       backends_.NoteResidency(now, {.server = ServerId(it.server()),
                                     .item = ModelId(it.model()),
@@ -177,16 +178,30 @@
 }
 
 void EdgeHost::SendToHolder() {
-  if (orders_.held_term() != 0) {
-    orders_.PlanSoon();
-    return;
-  }
-  const MonoTime now = Now();
+  holder_notice_.OnDemand();
+  SendNoticeIfDue(Now());
+}
+
+void EdgeHost::SendNoticeIfDue(MonoTime now) {
+  const bool holds = orders_.held_term() != 0;
   const bool known = holder_ && now - holder_heard_at_ < holder_lifetime_;
-  if (!known || now - sent_to_holder_at_ < kSendToHolderInterval)
+  const std::optional<MonoTime> due = holder_notice_.DueAt(holds || known);
+  if (!due)
+    return;
+  if (now < *due) {
+    if (std::exchange(notice_timer_set_, true))
+      return;
+    timers_.Add(*due, [this](MonoTime time) {
+      notice_timer_set_ = false;
+      SendNoticeIfDue(time);
+    });
     return;
-  sent_to_holder_at_ = now;
-  soft_state_.SendTo(*holder_);
+  }
+  holder_notice_.OnSent(now);
+  if (holds)
+    orders_.PlanSoon();
+  else
+    soft_state_.SendTo(*holder_);
 }
 
 void EdgeHost::SendChanges() {
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -151,6 +151,9 @@
       missing.is_adapter ? Duration::zero() : spec->load_from_store;
   const WaitDecision decision = DecideWait(missing);
   if (!decision.wait) {
+    // The caller comes back, and the copy should be there by then.
+    if (host_.on_missing_)
+      host_.on_missing_();
     Refuse(now, {.status = 503,
                  .reason = "model_not_loaded",
                  .retry_after = decision.retry_after});
