edge: changes of copies are announced in small datagrams at a bounded rate

On a fleet of 295 small hosts the one that orders engines could not keep up: orders and their announcements came late, and so did the answers to its own callers.

Cause: each answer to an order and each report of an engine, changed or not, made it send its whole state (loads, spendings, feeds) to every host within 10 ms: up to 100 times 295 datagrams a second. Only changes are announced now, in a message without the loads and spendings, and all announcements together stay within 2,000 datagrams a second; a fleet of 20 hosts still hears within 10 ms.

With the old rate and the old rule in place, the tests fail: [FAIL] peer_table::announcements_to_a_large_fleet_are_spaced [FAIL] engine_order_tracker::report_without_a_change_is_not_announced

--- a/include/mangoport/edge/edge_host.h
+++ b/include/mangoport/edge/edge_host.h
@@ -90,6 +90,8 @@
   /// Reports demand for missing copies to the holder as soon as possible.
   void SendToHolder();
   void SendNoticeIfDue(MonoTime now);
+  void FillChanges(MonoTime now, wire::HostState& message);
+  void OnHolderState(MonoTime now, const wire::HostState& message);
   void SendChanges();
 
   void FlushLogLater(MonoTime now);
--- a/include/mangoport/edge/order_service.h
+++ b/include/mangoport/edge/order_service.h
@@ -102,6 +102,8 @@
   void SendOrder(MonoTime now, EngineOrder order);
   void RequestReport(const ServerId& engine);
   void UpdateRole();
+  /// Calls `on_changes_` if the tracker has recorded any since the last call.
+  void NotifyChanges();
 
   Parts parts_;
   HostId self_;
@@ -116,6 +118,7 @@
   std::function<void(bool holds)> on_role_;
   MonoTime planned_at_;
   MonoTime demand_logged_at_;
+  std::uint64_t notified_changes_ = 0;
   bool held_before_ = false;
   bool plan_soon_ = false;
   bool stopped_ = false;
--- a/include/mangoport/edge/soft_state_service.h
+++ b/include/mangoport/edge/soft_state_service.h
@@ -26,6 +26,8 @@
 
   /// Adds the state of the feeds to a message for `peer`.
   Fill fill_feeds;
+  /// Adds the recent changes of copies, if this host orders engines.
+  Fill fill_changes;
   /// Adds the rest of this host's state.
   Fill fill;
   /// A peer's newest state. `sent_after` is a time on this host's clock before
@@ -59,9 +61,10 @@
   /// Sends the full state to one peer now.
   void SendTo(const HostId& host);
 
-  /// Sends the full state to all peers within a few milliseconds. Several calls
-  /// in that time cause one datagram per peer.
-  void SendToAllSoon();
+  /// Sends the recent changes of copies to all peers within a few milliseconds,
+  /// or as soon as `PeerTable::BroadcastInterval` allows. Several calls in that
+  /// time cause one datagram per peer.
+  void SendChangesSoon();
 
   /// Does the same for the feeds and the peers of this availability zone.
   void SendFeedsSoon();
@@ -84,7 +87,10 @@
   void OnDatagram(MonoTime now, std::size_t bytes);
   void SendDue(MonoTime now);
   void ChooseReaders(MonoTime now);
-  void Send(MonoTime now, const PeerHost& peer, bool full_state = true);
+  enum class Content { kFeeds, kChanges, kFull };
+  void Send(MonoTime now,
+            const PeerHost& peer,
+            Content content = Content::kFull);
 
   TimerQueue& timers_;
   DecisionLog& log_;
@@ -97,7 +103,8 @@
   std::uint64_t incarnation_;
   std::uint64_t sequence_ = 0;
   std::set<HostId> readers_;
-  bool send_all_pending_ = false;
+  bool send_changes_pending_ = false;
+  MonoTime changes_sent_at_;
   bool send_feeds_pending_ = false;
   bool leaving_ = false;
   std::array<char, 65536> buffer_;
--- a/include/mangoport/gossip/soft_state.h
+++ b/include/mangoport/gossip/soft_state.h
@@ -48,6 +48,9 @@
   /// The number of full-state datagrams per second that a host sends in
   /// rotation in a large fleet.
   double datagrams_per_second = 80;
+  /// The number of datagrams per second in which a host announces changes to
+  /// all peers at once.
+  double broadcast_datagrams_per_second = 2000;
   /// The interval at which a feed reader and the other hosts of its
   /// availability zone send each other datagrams, even if a round takes longer.
   Duration reader_interval = std::chrono::milliseconds(400);
@@ -90,6 +93,9 @@
   /// Returns the time in which each peer is sent the full state once.
   Duration RoundDuration() const;
 
+  /// Returns the minimum time between two announcements to all peers.
+  Duration BroadcastInterval() const;
+
   /// Returns the peers that sent a datagram recently and are not shutting down.
   std::vector<PeerHost> ReachablePeers(MonoTime now) const;
 
--- a/include/mangoport/placement/engine_order_tracker.h
+++ b/include/mangoport/placement/engine_order_tracker.h
@@ -63,6 +63,9 @@
   /// Returns the changes of the last few seconds, to report to other hosts.
   std::vector<ResidencyUpdate> RecentChanges(MonoTime now) const;
 
+  /// Returns the number of changes recorded so far.
+  std::uint64_t change_count() const { return change_count_; }
+
   /// Discards all orders in progress, when another host takes over sending.
   void Clear();
 
@@ -118,6 +121,7 @@
 
   std::map<ServerId, Engine> engines_;
   std::vector<Change> changes_;
+  std::uint64_t change_count_ = 0;
 };
 
 }  // namespace mangoport
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -102,6 +102,10 @@
                       wire::HostState& message) {
                  FillFeeds(now, peer, message);
                },
+           .fill_changes =
+               [this](MonoTime now,
+                      const PeerHost& /*peer*/,
+                      wire::HostState& message) { FillChanges(now, message); },
            .fill =
                [this](MonoTime now,
                       const PeerHost& peer,
@@ -139,7 +143,7 @@
     soft_state_.SetHoldsOrders(holds);
     // Hosts report demand to a holder that they know.
     if (holds)
-      soft_state_.SendToAllSoon();
+      soft_state_.SendChangesSoon();
   });
 }
 
--- a/lib/edge/edge_peers.cc
+++ b/lib/edge/edge_peers.cc
@@ -84,40 +84,58 @@
     note.set_fingerprint(it.fingerprint);
     note.set_server(it.server.value());
   }
-  const std::uint64_t term = orders_.held_term();
-  message.set_order_term(term);
-  if (orders_.resigned_term() != 0 && term == 0) {
+  if (orders_.resigned_term() != 0 && orders_.held_term() == 0) {
     message.set_resigned_term(orders_.resigned_term());
     message.set_last_order_age_ms(static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(
             orders_.last_order_age())
             .count()));
   }
-  if (term != 0) {
-    for (const EngineOrderTracker::ResidencyUpdate& it : orders_.Changes(now)) {
-      wire::ResidencyNote& note = *message.add_residencies();
-      note.set_server(it.engine.value());
-      note.set_model(it.item.value());
-      note.set_orders_accepted(it.orders_accepted);
-      note.set_gone(it.gone);
-    }
-  }
   if (holder_ && *holder_ == peer.host) {
     for (const ModelUse& it : forwarder_.ModelUses())
       ToWire(it, *message.add_demands());
   }
 }
 
+void EdgeHost::FillChanges(MonoTime now, wire::HostState& message) {
+  const std::uint64_t term = orders_.held_term();
+  if (term == 0)
+    return;
+  message.set_order_term(term);
+  for (const EngineOrderTracker::ResidencyUpdate& it : orders_.Changes(now)) {
+    wire::ResidencyNote& note = *message.add_residencies();
+    note.set_server(it.engine.value());
+    note.set_model(it.item.value());
+    note.set_orders_accepted(it.orders_accepted);
+    note.set_gone(it.gone);
+  }
+}
+
 void EdgeHost::OnPeerState(MonoTime now,
                            std::optional<BootTime> sent_after,
                            const wire::HostState& message) {
   if (!message.leaving())
     feeds_.OnPeerUpdates(now, HostId(message.host()),
                          ReadFeeds(sent_after, message));
+  if (message.order_term() != 0 && !message.leaving())
+    OnHolderState(now, message);
   if (!message.feeds_only())
     OnPeerFullState(now, message);
 }
 
+void EdgeHost::OnHolderState(MonoTime now, const wire::HostState& message) {
+  const HostId host(message.host());
+  holder_ = host;
+  holder_heard_at_ = now;
+  orders_.OnHolderUpdate(host, message.order_term());
+  SendNoticeIfDue(now);
+  for (const wire::ResidencyNote& it : message.residencies())
+    backends_.NoteResidency(now, {.server = ServerId(it.server()),
+                                  .item = ModelId(it.model()),
+                                  .orders_accepted = it.orders_accepted(),
+                                  .gone = it.gone()});
+}
+
 void EdgeHost::OnPeerFullState(MonoTime now, const wire::HostState& message) {
   const HostId host(message.host());
   PeerUsage spending{.host = host,
@@ -142,17 +160,6 @@
         {.fingerprint = it.fingerprint(), .server = ServerId(it.server())});
   if (message.leaving())
     return;
-  if (message.order_term() != 0) {
-    holder_ = host;
-    holder_heard_at_ = now;
-    orders_.OnHolderUpdate(host, message.order_term());
-    SendNoticeIfDue(now);
-    for (const wire::ResidencyNote& it : message.residencies())
-      backends_.NoteResidency(now, {.server = ServerId(it.server()),
-                                    .item = ModelId(it.model()),
-                                    .orders_accepted = it.orders_accepted(),
-                                    .gone = it.gone()});
-  }
   if (message.resigned_term() != 0)
     orders_.OnHolderResigned(
         host, message.resigned_term(),
@@ -211,7 +218,7 @@
                                   .item = it.item,
                                   .orders_accepted = it.orders_accepted,
                                   .gone = it.gone});
-  soft_state_.SendToAllSoon();
+  soft_state_.SendChangesSoon();
 }
 
 }  // namespace mangoport
--- a/lib/edge/order_service.cc
+++ b/lib/edge/order_service.cc
@@ -283,8 +283,7 @@
                        .Add("adapter", order.adapter.value())
                        .Add("expected_orders", order.expected_orders)
                        .Add("term", order.fence));
-  if (IsUnload(order.kind) && on_changes_)
-    on_changes_();
+  NotifyChanges();
   parts_.platform.SendOrder(
       entry->second.address, order,
       [this, order, sent = now](const CallReply<EngineOrderAnswer>& reply) {
@@ -301,12 +300,17 @@
                              .Add("answer", answer)
                              .Add("after_ms", answered - sent));
         tracker_.OnAnswer(answered, order.engine, reply);
-        if (on_changes_)
-          on_changes_();
+        NotifyChanges();
         PlanSoon();
       });
 }
 
+void OrderService::NotifyChanges() {
+  const std::uint64_t count = tracker_.change_count();
+  if (std::exchange(notified_changes_, count) != count && on_changes_)
+    on_changes_();
+}
+
 void OrderService::RequestReport(const ServerId& engine) {
   const auto entry = servers_.find(engine);
   if (entry == servers_.end())
@@ -315,8 +319,7 @@
       entry->second.address, engine,
       [this, engine](const CallReply<EngineReport>& reply) {
         tracker_.OnReport(Now(), engine, reply);
-        if (on_changes_)
-          on_changes_();
+        NotifyChanges();
         PlanSoon();
       });
 }
--- a/lib/edge/soft_state_service.cc
+++ b/lib/edge/soft_state_service.cc
@@ -1,5 +1,6 @@
 #include "mangoport/edge/soft_state_service.h"
 
+#include <algorithm>
 #include <asio/buffer.hpp>
 #include <utility>
 
@@ -122,7 +123,7 @@
 void SoftStateService::SendDue(MonoTime now) {
   ChooseReaders(now);
   for (const DuePeer& it : peers_.DuePeers(now))
-    Send(now, it.peer, it.full_state);
+    Send(now, it.peer, it.full_state ? Content::kFull : Content::kFeeds);
   timers_.Add(peers_.next_due(), [this](MonoTime due) { SendDue(due); });
 }
 
@@ -132,14 +133,17 @@
     Send(Now(), it->second);
 }
 
-void SoftStateService::SendToAllSoon() {
-  if (std::exchange(send_all_pending_, true))
+void SoftStateService::SendChangesSoon() {
+  if (std::exchange(send_changes_pending_, true))
     return;
-  timers_.Add(Now() + kBatchingDelay, [this](MonoTime now) {
-    send_all_pending_ = false;
+  const MonoTime due = std::max(Now() + kBatchingDelay,
+                                changes_sent_at_ + peers_.BroadcastInterval());
+  timers_.Add(due, [this](MonoTime now) {
+    send_changes_pending_ = false;
+    changes_sent_at_ = now;
     for (const auto& [host, peer] : peers_.peers()) {
       if (!peer.leaving)
-        Send(now, peer);
+        Send(now, peer, Content::kChanges);
     }
   });
 }
@@ -150,7 +154,7 @@
   timers_.Add(Now() + kBatchingDelay, [this](MonoTime now) {
     send_feeds_pending_ = false;
     for (const PeerHost& it : peers_.ZonePeers())
-      Send(now, it, /*full_state=*/false);
+      Send(now, it, Content::kFeeds);
   });
 }
 
@@ -162,7 +166,7 @@
 
 void SoftStateService::Send(MonoTime now,
                             const PeerHost& peer,
-                            bool full_state) {
+                            Content content) {
   Endpoint endpoint;
   if (!ParseEndpoint(peer.address, endpoint))
     return;
@@ -179,8 +183,11 @@
           .count()));
   message.set_echo_us(peer.clock_us);
   message.set_echo_incarnation(peer.incarnation);
+  const bool full_state = content == Content::kFull;
   message.set_feeds_only(!full_state);
   hooks_.fill_feeds(now, peer, message);
+  if (content != Content::kFeeds)
+    hooks_.fill_changes(now, peer, message);
   if (full_state)
     hooks_.fill(now, peer, message);
   const std::string bytes = message.SerializeAsString();
--- a/lib/gossip/soft_state.cc
+++ b/lib/gossip/soft_state.cc
@@ -68,6 +68,12 @@
                   std::chrono::duration_cast<Duration>(by_rate));
 }
 
+Duration PeerTable::BroadcastInterval() const {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(static_cast<double>(peers_.size()) /
+                                    settings_.broadcast_datagrams_per_second));
+}
+
 void PeerTable::SetReaders(const std::set<HostId>& readers) {
   readers_ = readers;
 }
--- a/lib/placement/engine_order_tracker.cc
+++ b/lib/placement/engine_order_tracker.cc
@@ -174,6 +174,7 @@
   std::erase_if(changes_, [now](const Change& it) {
     return now - it.at > kChangeReportTime;
   });
+  ++change_count_;
   changes_.push_back(
       {.residency = {.engine = engine.order.engine,
                      .item = ItemOf(engine.order),
--- a/unittests/gossip/soft_state_test.cc
+++ b/unittests/gossip/soft_state_test.cc
@@ -41,6 +41,18 @@
   return n;
 }
 
+// With each order and each report of an engine, up to 100 times a second, the
+// host that orders engines sent all peers a datagram: more than a small machine
+// can send.
+Test(peer_table, announcements_to_a_large_fleet_are_spaced) {
+  const PeerTable large = LargeFleet();
+  const std::chrono::duration<double> interval = large.BroadcastInterval();
+  cr_assert_leq(kFleetSize / interval.count(), 2001);
+  PeerTable small(HostId("self"), ZoneId("z0"), SoftStateSettings{});
+  small.OnMessage(kStart, StateOf(0, 1));
+  cr_assert_leq(small.BroadcastInterval(), milliseconds(10));
+}
+
 // In a large fleet, a round takes longer than the interval at which readers
 // must exchange updates with their zone.
 Test(peer_table, readers_of_the_same_zone_are_sent_updates_out_of_turn) {
--- a/unittests/placement/copy_planner_test.cc
+++ b/unittests/placement/copy_planner_test.cc
@@ -521,6 +521,20 @@
   cr_assert_eq(again[0].model.value(), first.model.value());
 }
 
+// Each report of an engine made the holder send its state to all hosts.
+Test(engine_order_tracker, report_without_a_change_is_not_announced) {
+  TrackerFixture it;
+  it.Begin(kStart);
+  it.Answer(kStart, CallStatus::kOk, EngineOrderAnswer::kAccepted);
+  const std::uint64_t before = it.tracker_.change_count();
+  it.Report(kStart + seconds(1), 5);
+  cr_assert_eq(it.tracker_.change_count(), before);
+  it.engine_.models.push_back(
+      {.model = ModelId("m1"), .weights_version = 1, .adapters = {}});
+  it.Report(kStart + seconds(2), 5);
+  cr_assert_eq(it.tracker_.change_count(), before + 1);
+}
+
 Test(engine_order_tracker, late_execution_is_detected_by_order_count) {
   TrackerFixture it;
   it.Begin(kStart);
