--- a/lib/forward/backend_table.cc
+++ b/lib/forward/backend_table.cc
@@ -33,6 +33,13 @@
   return asio::ip::tcp::endpoint(address, port);
 }
 
+/// Returns true if the router needs to know of no change but that of the models
+/// and adapters.
+bool DiffersOnlyInCopies(const ServerEntry& a, const ServerEntry& b) {
+  return a.service == b.service && a.zone == b.zone &&
+         a.batch_size == b.batch_size && a.draining == b.draining;
+}
+
 }  // namespace
 
 std::vector<ModelId> BackendTable::ModelsOf(MonoTime now,
@@ -91,6 +98,7 @@
                               const std::map<ServerId, ServerEntry>& servers) {
   std::set<ServiceId> touched;
   std::vector<ModelId> appeared;
+  std::vector<ServerId> changed_copies;
   for (const auto& [id, entry] : servers_) {
     if (!servers.contains(id))
       touched.insert(entry.service);
@@ -102,11 +110,15 @@
     const auto address = ParseAddress(entry.address);
     if (!address)
       continue;
-    touched.insert(entry.service);
     const auto [it, added] = backends_.try_emplace(id);
     Backend& backend = it->second;
     if (added)
       backend.last_activity = now;
+    if (added || old == servers_.end() ||
+        !DiffersOnlyInCopies(old->second, entry))
+      touched.insert(entry.service);
+    else
+      changed_copies.push_back(id);
     backend.service = entry.service;
     backend.address = *address;
     if (old != servers_.end() &&
@@ -122,6 +134,8 @@
   });
   for (const ServiceId& it : touched)
     Rebuild(now, it);
+  for (const ServerId& it : changed_copies)
+    RefreshModels(now, servers_.at(it));
   if (!on_resident_)
     return;
   for (const ModelId& it : appeared)
