edge: planning leaves most of a host's time to its callers

On a fleet of 295 small hosts the one that orders engines answered its own callers and the engines' reports late.

Cause: it planned up to 50 times a second whenever requests waited, however long a plan took; over 204 engines and 248 models with several models under load a plan takes 6.6 to 7.4 ms of processor time (a trial program on this machine), of which a small host has 0.12 cores. Two plans are now at least five times as far apart as a plan takes, and no more than the regular 250 ms.

With the old rule in place the test fails: [FAIL] plan_pace::long_plans_leave_most_of_the_time_to_callers

--- a/include/mangoport/edge/order_service.h
+++ b/include/mangoport/edge/order_service.h
@@ -69,7 +69,7 @@
                         std::uint64_t term,
                         Duration last_order_age);
 
-  /// Plans as soon as the minimum time since the last plan has passed.
+  /// Plans as soon as `NextPlanAt` allows.
   void PlanSoon();
 
   /// Sets the time without an update from the holder after which this host
@@ -117,6 +117,8 @@
   std::function<void()> on_changes_;
   std::function<void(bool holds)> on_role_;
   MonoTime planned_at_;
+  /// Time that the last plan took.
+  Duration plan_time_{};
   MonoTime demand_logged_at_;
   std::uint64_t notified_changes_ = 0;
   bool held_before_ = false;
--- a/lib/edge/order_service.cc
+++ b/lib/edge/order_service.cc
@@ -3,14 +3,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "mangoport/edge/plan_pace.h"
+
 namespace mangoport {
 namespace {
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(250);
 
-/// Minimum time between two plans.
-constexpr Duration kLeastPlanInterval = std::chrono::milliseconds(20);
-
 /// Interval at which the holder logs the demand for each model.
 constexpr Duration kDemandLogInterval = std::chrono::seconds(3);
 
@@ -163,7 +162,7 @@
   if (std::exchange(plan_soon_, true))
     return;
   const MonoTime now = Now();
-  parts_.timers.Add(std::max(now, planned_at_ + kLeastPlanInterval),
+  parts_.timers.Add(std::max(now, NextPlanAt(planned_at_, plan_time_)),
                     [this](MonoTime due) {
                       plan_soon_ = false;
                       if (!stopped_)
@@ -195,7 +194,7 @@
 void OrderService::Plan(MonoTime now) {
   if (!config_ || !lease_.MayOrder(BootClock::now()))
     return;
-  planned_at_ = now;
+  planned_at_ = Now();
   if (own_uses_)
     demand_.Set(now, self_, own_uses_());
   for (const ServiceSpec& it : config_->config().services) {
@@ -206,6 +205,7 @@
     SendOrder(now, it);
   for (const ServerId& it : tracker_.DueReports(now))
     RequestReport(it);
+  plan_time_ = Now() - planned_at_;
 }
 
 void OrderService::PlanService(MonoTime now, const ServiceSpec& service) {
