--- a/include/mangoport/edge/edge_host.h
+++ b/include/mangoport/edge/edge_host.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "mangoport/edge/feed_service.h"
+#include "mangoport/edge/holder_notice.h"
 #include "mangoport/edge/order_service.h"
 #include "mangoport/edge/soft_state_service.h"
 #include "mangoport/forward/backend_table.h"
@@ -90,7 +91,13 @@
   void NotePeerLeavingServers(MonoTime now, const wire::HostState& message);
   /// Adapts timeouts for silent peers to the size of the fleet.
   void AdaptToFleetSize();
+  /// Reports demand for missing copies to the holder as soon as possible.
   void SendToHolder();
+  void SendNoticeIfDue(MonoTime now);
+  void FillChanges(MonoTime now, wire::HostState& message);
+  /// Processes a peer's report of a request that was lost with its server.
+  void OnSuspicion(MonoTime now, const wire::CrashSuspicionNote& note);
+  void OnHolderState(MonoTime now, const wire::HostState& message);
   void SendChanges();
   /// Tells all hosts what was lost together with servers.
   void SendLosses();
@@ -128,8 +135,9 @@
   std::optional<HostId> holder_;
   MonoTime holder_heard_at_;
   Duration holder_lifetime_{};
-  MonoTime sent_to_holder_at_;
   MonoTime losses_sent_at_;
+  HolderNotice holder_notice_;
+  bool notice_timer_set_ = false;
   MonoTime stop_began_;
   bool stopping_ = false;
   bool released_ = false;
--- a/include/mangoport/edge/order_service.h
+++ b/include/mangoport/edge/order_service.h
@@ -9,6 +9,7 @@
 
 #include "mangoport/core/ids.h"
 #include "mangoport/core/time.h"
+#include "mangoport/edge/demand_table.h"
 #include "mangoport/fleet/fleet_config.h"
 #include "mangoport/forward/backend_table.h"
 #include "mangoport/forward/forward_metrics.h"
@@ -21,30 +22,6 @@
 
 namespace mangoport {
 
-/// The demand for models and adapters from the callers of all hosts.
-class DemandTable {
- public:
-  /// Processes a report of `host`, whose counters run since its start.
-  void Set(MonoTime now, const HostId& host, const std::vector<ModelUse>& uses);
-
-  /// Returns the sum over all hosts that reported recently.
-  std::map<ModelId, CopyDemand> Sum(MonoTime now);
-
- private:
-  struct Use {
-    ModelUse use;
-    double arrivals_per_second = 0;
-    /// Engine time for prompts, per second.
-    double work = 0;
-  };
-  struct Host {
-    MonoTime heard_at;
-    std::map<ModelId, Use> uses;
-  };
-
-  std::map<HostId, Host> hosts_;
-};
-
 /// Competes for the order lease and, while this host holds it, orders engines
 /// to load and unload models and adapters according to demand.
 class OrderService {
@@ -92,7 +69,7 @@
                         std::uint64_t term,
                         Duration last_order_age);
 
-  /// Plans as soon as the minimum time since the last plan has passed.
+  /// Plans as soon as `NextPlanAt` allows.
   void PlanSoon();
 
   /// Sets the time without an update from the holder after which this host
@@ -125,6 +102,8 @@
   void SendOrder(MonoTime now, EngineOrder order);
   void RequestReport(const ServerId& engine);
   void UpdateRole();
+  /// Calls `on_changes_` if the tracker has recorded any since the last call.
+  void NotifyChanges();
 
   Parts parts_;
   HostId self_;
@@ -138,7 +117,10 @@
   std::function<void()> on_changes_;
   std::function<void(bool holds)> on_role_;
   MonoTime planned_at_;
+  /// Time that the last plan took.
+  Duration plan_time_{};
   MonoTime demand_logged_at_;
+  std::uint64_t notified_changes_ = 0;
   bool held_before_ = false;
   bool plan_soon_ = false;
   bool stopped_ = false;
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -102,6 +102,10 @@
                       wire::HostState& message) {
                  FillFeeds(now, peer, message);
                },
+           .fill_changes =
+               [this](MonoTime now,
+                      const PeerHost& /*peer*/,
+                      wire::HostState& message) { FillChanges(now, message); },
            .fill =
                [this](MonoTime now,
                       const PeerHost& peer,
@@ -143,8 +147,12 @@
   forwarder_.set_on_missing([this] { SendToHolder(); });
   orders_.set_own_uses([this] { return forwarder_.ModelUses(); });
   orders_.set_on_changes([this] { SendChanges(); });
-  orders_.set_on_role(
-      [this](bool holds) { soft_state_.SetHoldsOrders(holds); });
+  orders_.set_on_role([this](bool holds) {
+    soft_state_.SetHoldsOrders(holds);
+    // Hosts report demand to a holder that they know.
+    if (holds)
+      soft_state_.SendChangesSoon();
+  });
 }
 
 EdgeHost::~EdgeHost() = default;
--- a/lib/edge/edge_peers.cc
+++ b/lib/edge/edge_peers.cc
@@ -2,6 +2,8 @@
 // it receives.
 #include <algorithm>
 #include <cmath>
+#include <optional>
+#include <utility>
 
 #include "lib/edge/feed_wire.h"
 #include "lib/edge/part_wire.h"
@@ -12,9 +14,6 @@
 
 constexpr double kPerMille = 1000;
 
-/// Waiting requests are reported to the holder at once, at most this often.
-constexpr Duration kSendToHolderInterval = std::chrono::milliseconds(15);
-
 /// Losses of servers are told at once, at most this often.
 constexpr Duration kSendLossesInterval = std::chrono::milliseconds(100);
 
@@ -89,43 +88,73 @@
     note.set_fingerprint(it.fingerprint);
     note.set_server(it.server.value());
   }
-  WriteParts(now, forwarder_.part_suspects(), message);
   for (const ServerId& it : backends_.SaidLeaving())
     message.add_leaving_servers(it.value());
-  const std::uint64_t term = orders_.held_term();
-  message.set_order_term(term);
-  if (orders_.resigned_term() != 0 && term == 0) {
+  if (orders_.resigned_term() != 0 && orders_.held_term() == 0) {
     message.set_resigned_term(orders_.resigned_term());
     message.set_last_order_age_ms(static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(
             orders_.last_order_age())
             .count()));
   }
-  if (term != 0) {
-    for (const EngineOrderTracker::ResidencyUpdate& it : orders_.Changes(now)) {
-      wire::ResidencyNote& note = *message.add_residencies();
-      note.set_server(it.engine.value());
-      note.set_model(it.item.value());
-      note.set_orders_accepted(it.orders_accepted);
-      note.set_gone(it.gone);
-    }
-  }
   if (holder_ && *holder_ == peer.host) {
     for (const ModelUse& it : forwarder_.ModelUses())
       ToWire(it, *message.add_demands());
   }
 }
 
+void EdgeHost::FillChanges(MonoTime now, wire::HostState& message) {
+  WriteParts(now, forwarder_.part_suspects(), message);
+  const std::uint64_t term = orders_.held_term();
+  if (term == 0)
+    return;
+  message.set_order_term(term);
+  for (const EngineOrderTracker::ResidencyUpdate& it : orders_.Changes(now)) {
+    wire::ResidencyNote& note = *message.add_residencies();
+    note.set_server(it.engine.value());
+    note.set_model(it.item.value());
+    note.set_orders_accepted(it.orders_accepted);
+    note.set_gone(it.gone);
+  }
+}
+
 void EdgeHost::OnPeerState(MonoTime now,
                            std::optional<BootTime> sent_after,
                            const wire::HostState& message) {
   if (!message.leaving())
     feeds_.OnPeerUpdates(now, HostId(message.host()),
                          ReadFeeds(sent_after, message));
+  if (message.order_term() != 0 && !message.leaving())
+    OnHolderState(now, message);
+  for (const wire::CrashSuspicionNote& it : message.suspicions())
+    OnSuspicion(now, it);
   if (!message.feeds_only())
     OnPeerFullState(now, message);
 }
 
+void EdgeHost::OnSuspicion(MonoTime now, const wire::CrashSuspicionNote& note) {
+  if (note.part() != 0) {
+    ReadPart(now, note, forwarder_.part_suspects());
+    return;
+  }
+  forwarder_.crash_suspects().OnPeerServerLost(
+      now,
+      {.fingerprint = note.fingerprint(), .server = ServerId(note.server())});
+}
+
+void EdgeHost::OnHolderState(MonoTime now, const wire::HostState& message) {
+  const HostId host(message.host());
+  holder_ = host;
+  holder_heard_at_ = now;
+  orders_.OnHolderUpdate(host, message.order_term());
+  SendNoticeIfDue(now);
+  for (const wire::ResidencyNote& it : message.residencies())
+    backends_.NoteResidency(now, {.server = ServerId(it.server()),
+                                  .item = ModelId(it.model()),
+                                  .orders_accepted = it.orders_accepted(),
+                                  .gone = it.gone()});
+}
+
 void EdgeHost::OnPeerFullState(MonoTime now, const wire::HostState& message) {
   const HostId host(message.host());
   PeerUsage spending{.host = host,
@@ -144,27 +173,9 @@
                      .silent = std::chrono::milliseconds(it.silent_ms()),
                      .work = it.work_per_mille() / kPerMille});
   backends_.SetPeerLoads(now, host, loads);
-  for (const wire::CrashSuspicionNote& it : message.suspicions()) {
-    if (it.part() != 0)
-      ReadPart(now, it, forwarder_.part_suspects());
-    else
-      forwarder_.crash_suspects().OnPeerServerLost(
-          now,
-          {.fingerprint = it.fingerprint(), .server = ServerId(it.server())});
-  }
   NotePeerLeavingServers(now, message);
   if (message.leaving())
     return;
-  if (message.order_term() != 0) {
-    holder_ = host;
-    holder_heard_at_ = now;
-    orders_.OnHolderUpdate(host, message.order_term());
-    for (const wire::ResidencyNote& it : message.residencies())
-      backends_.NoteResidency(now, {.server = ServerId(it.server()),
-                                    .item = ModelId(it.model()),
-                                    .orders_accepted = it.orders_accepted(),
-                                    .gone = it.gone()});
-  }
   if (message.resigned_term() != 0)
     orders_.OnHolderResigned(
         host, message.resigned_term(),
@@ -201,16 +212,30 @@
 }
 
 void EdgeHost::SendToHolder() {
-  if (orders_.held_term() != 0) {
-    orders_.PlanSoon();
-    return;
-  }
-  const MonoTime now = Now();
+  holder_notice_.OnDemand();
+  SendNoticeIfDue(Now());
+}
+
+void EdgeHost::SendNoticeIfDue(MonoTime now) {
+  const bool holds = orders_.held_term() != 0;
   const bool known = holder_ && now - holder_heard_at_ < holder_lifetime_;
-  if (!known || now - sent_to_holder_at_ < kSendToHolderInterval)
+  const std::optional<MonoTime> due = holder_notice_.DueAt(holds || known);
+  if (!due)
+    return;
+  if (now < *due) {
+    if (std::exchange(notice_timer_set_, true))
+      return;
+    timers_.Add(*due, [this](MonoTime time) {
+      notice_timer_set_ = false;
+      SendNoticeIfDue(time);
+    });
     return;
-  sent_to_holder_at_ = now;
-  soft_state_.SendTo(*holder_);
+  }
+  holder_notice_.OnSent(now);
+  if (holds)
+    orders_.PlanSoon();
+  else
+    soft_state_.SendTo(*holder_);
 }
 
 void EdgeHost::SendLosses() {
@@ -218,7 +243,7 @@
   if (now - losses_sent_at_ < kSendLossesInterval)
     return;
   losses_sent_at_ = now;
-  soft_state_.SendToAllSoon();
+  soft_state_.SendChangesSoon();
 }
 
 HostTurn EdgeHost::ProbeTurn() const {
@@ -236,7 +261,7 @@
                                   .item = it.item,
                                   .orders_accepted = it.orders_accepted,
                                   .gone = it.gone});
-  soft_state_.SendToAllSoon();
+  soft_state_.SendChangesSoon();
 }
 
 }  // namespace mangoport
--- a/lib/edge/order_service.cc
+++ b/lib/edge/order_service.cc
@@ -1,26 +1,18 @@
 #include "mangoport/edge/order_service.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
+#include "mangoport/edge/plan_pace.h"
+
 namespace mangoport {
 namespace {
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(250);
 
-/// Minimum time between two plans.
-constexpr Duration kLeastPlanInterval = std::chrono::milliseconds(20);
-
-/// The demand of a host counts for this time after its last report.
-constexpr Duration kDemandLifetime = std::chrono::seconds(5);
-
 /// Interval at which the holder logs the demand for each model.
 constexpr Duration kDemandLogInterval = std::chrono::seconds(3);
 
-/// Time over which rates of arrivals are averaged.
-constexpr Duration kArrivalSpan = std::chrono::seconds(1);
-
 MonoTime Now() {
   return std::chrono::steady_clock::now();
 }
@@ -76,56 +68,6 @@
 
 }  // namespace
 
-void DemandTable::Set(MonoTime now,
-                      const HostId& host,
-                      const std::vector<ModelUse>& uses) {
-  Host& entry = hosts_[host];
-  const double seconds =
-      std::chrono::duration<double>(now - entry.heard_at).count();
-  const bool first = entry.heard_at == MonoTime();
-  entry.heard_at = now;
-  for (const ModelUse& it : uses) {
-    Use& use = entry.uses[it.model];
-    const bool counts =
-        !first && it.arrivals >= use.use.arrivals && seconds > 0.01;
-    if (counts) {
-      const double rate =
-          static_cast<double>(it.arrivals - use.use.arrivals) / seconds;
-      const double gain =
-          1 - std::exp(-seconds /
-                       std::chrono::duration<double>(kArrivalSpan).count());
-      use.arrivals_per_second += (rate - use.arrivals_per_second) * gain;
-      const std::chrono::duration<double> work = it.work - use.use.work;
-      use.work += (work.count() / seconds - use.work) * gain;
-    }
-    use.use = it;
-  }
-}
-
-std::map<ModelId, CopyDemand> DemandTable::Sum(MonoTime now) {
-  std::erase_if(hosts_, [now](const auto& it) {
-    return now - it.second.heard_at > kDemandLifetime;
-  });
-  std::map<ModelId, CopyDemand> out;
-  const auto add = [&out](const ModelId& model, const Use& use) {
-    CopyDemand& sum = out[model];
-    sum.running += use.use.running;
-    sum.waiting += use.use.waiting;
-    sum.arrivals_per_second += use.arrivals_per_second;
-    sum.work += use.work;
-  };
-  for (const auto& [host, entry] : hosts_) {
-    for (const auto& [model, use] : entry.uses) {
-      add(model, use);
-      // Demand for an adapter is also demand for its model.
-      const std::size_t slash = model.value().find('/');
-      if (slash != std::string::npos)
-        add(ModelId(model.value().substr(0, slash)), use);
-    }
-  }
-  return out;
-}
-
 OrderService::OrderService(Parts parts,
                            const HostId& self,
                            std::uint64_t incarnation,
@@ -220,7 +162,7 @@
   if (std::exchange(plan_soon_, true))
     return;
   const MonoTime now = Now();
-  parts_.timers.Add(std::max(now, planned_at_ + kLeastPlanInterval),
+  parts_.timers.Add(std::max(now, NextPlanAt(planned_at_, plan_time_)),
                     [this](MonoTime due) {
                       plan_soon_ = false;
                       if (!stopped_)
@@ -252,7 +194,7 @@
 void OrderService::Plan(MonoTime now) {
   if (!config_ || !lease_.MayOrder(BootClock::now()))
     return;
-  planned_at_ = now;
+  planned_at_ = Now();
   if (own_uses_)
     demand_.Set(now, self_, own_uses_());
   for (const ServiceSpec& it : config_->config().services) {
@@ -263,11 +205,12 @@
     SendOrder(now, it);
   for (const ServerId& it : tracker_.DueReports(now))
     RequestReport(it);
+  plan_time_ = Now() - planned_at_;
 }
 
 void OrderService::PlanService(MonoTime now, const ServiceSpec& service) {
   const std::vector<PlannedEngine> engines = tracker_.Engines(now, service.id);
-  const std::map<ModelId, CopyDemand> demand = demand_.Sum(now);
+  const std::map<ModelId, CopyDemand>& demand = demand_.Sum(now);
   CopyPlanner& planner = planners_[service.id];
   const std::vector<CopyOrder> orders =
       planner.Plan(now, *service.engine, engines, demand);
@@ -340,8 +283,7 @@
                        .Add("adapter", order.adapter.value())
                        .Add("expected_orders", order.expected_orders)
                        .Add("term", order.fence));
-  if (IsUnload(order.kind) && on_changes_)
-    on_changes_();
+  NotifyChanges();
   parts_.platform.SendOrder(
       entry->second.address, order,
       [this, order, sent = now](const CallReply<EngineOrderAnswer>& reply) {
@@ -358,12 +300,17 @@
                              .Add("answer", answer)
                              .Add("after_ms", answered - sent));
         tracker_.OnAnswer(answered, order.engine, reply);
-        if (on_changes_)
-          on_changes_();
+        NotifyChanges();
         PlanSoon();
       });
 }
 
+void OrderService::NotifyChanges() {
+  const std::uint64_t count = tracker_.change_count();
+  if (std::exchange(notified_changes_, count) != count && on_changes_)
+    on_changes_();
+}
+
 void OrderService::RequestReport(const ServerId& engine) {
   const auto entry = servers_.find(engine);
   if (entry == servers_.end())
@@ -372,8 +319,7 @@
       entry->second.address, engine,
       [this, engine](const CallReply<EngineReport>& reply) {
         tracker_.OnReport(Now(), engine, reply);
-        if (on_changes_)
-          on_changes_();
+        NotifyChanges();
         PlanSoon();
       });
 }
