--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -194,7 +194,7 @@
   if (use_)
     ++use_->running;
   host_.parts_.backends.OnDispatched(now, server, prompt_tokens_);
-  const HttpConnection::Ptr connection =
+  HttpConnection::Ptr connection =
       host_.parts_.pool.Acquire(now, server.value(), address,
                                 /*fresh=*/runs_ > 0 || connection_);
   connection->Exchange(BuildRequest(now, server),
