Open connections follow the limits of a newer configuration

Beside a change of the configuration that lets connections be idle for longer, callers found the connections that they kept closed under their next request. Hosts that had no configuration yet gave connections the built-in limits for good. The same held for the sizes of heads and bodies.

Cause: a connection's limits were copied when it was accepted.

Fix: a configuration's limits are handed to all open connections; the idle time starts again if it changes.

Evidence, stop_test without the hand-over: config_change::a_longer_idle_time_holds_for_open_connections: the connection was closed After: stop_test 3 of 3, client_session_close_test 10 of 10.

--- a/include/mangoport/fleet/fleet_config.h
+++ b/include/mangoport/fleet/fleet_config.h
@@ -118,6 +118,8 @@
   std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
   Duration head_timeout = std::chrono::seconds(3);
   Duration idle_timeout = std::chrono::seconds(15);
+
+  bool operator==(const IngressLimits&) const = default;
 };
 
 /// A complete published configuration, as parsed.
--- a/include/mangoport/forward/client_session.h
+++ b/include/mangoport/forward/client_session.h
@@ -97,6 +97,9 @@
   /// that the caller can't take it for a complete one.
   void Break();
 
+  /// The limits of a newer configuration hold from now on.
+  void SetLimits(MonoTime now, const IngressLimits& limits);
+
   /// From now on each answer asks the caller to close the connection.
   void Drain() { draining_ = true; }
 
--- a/include/mangoport/http/message_parser.h
+++ b/include/mangoport/http/message_parser.h
@@ -52,6 +52,9 @@
   /// the response arrives.
   void set_bodyless(bool bodyless);
 
+  /// Holds for heads that are not complete yet.
+  void set_max_head_bytes(std::size_t bytes);
+
   /// Makes ready for the connection's next message.
   void Reset();
 
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -160,7 +160,10 @@
 FeedHooks EdgeHost::MakeFeedHooks() {
   return {.on_config =
               [this](FleetConfigPtr config) {
-                forwarder_.SetConfig(Now(), config);
+                const MonoTime now = Now();
+                forwarder_.SetConfig(now, config);
+                for (const auto& it : caller_sessions_)
+                  it->SetLimits(now, config->config().limits);
                 orders_.SetConfig(std::move(config));
               },
           .on_servers =
--- a/lib/forward/client_session.cc
+++ b/lib/forward/client_session.cc
@@ -47,6 +47,15 @@
                       }});
 }
 
+void ClientSession::SetLimits(MonoTime now, const IngressLimits& limits) {
+  if (limits == limits_)
+    return;
+  limits_ = limits;
+  parser_.set_max_head_bytes(limits.max_head_bytes);
+  if (!busy_ && !ending_)
+    ArmTimer(now);
+}
+
 void ClientSession::ArmTimer(MonoTime now) {
   timers_.Cancel(timer_);
   Duration wait = limits_.idle_timeout + kIdleSlack;
--- a/lib/http/message_parser.cc
+++ b/lib/http/message_parser.cc
@@ -202,6 +202,10 @@
 
 MessageParser::~MessageParser() = default;
 
+void MessageParser::set_max_head_bytes(std::size_t bytes) {
+  state_->max_head_bytes = bytes;
+}
+
 std::size_t MessageParser::Feed(std::string_view data, std::string& body) {
   State& state = *state_;
   if (data.empty() || state.message_complete ||
--- a/unittests/forward/client_session_close_test.cc
+++ b/unittests/forward/client_session_close_test.cc
@@ -212,6 +212,16 @@
   cr_assert(call.RunUntilRequest(1), "the connection was closed as idle");
 }
 
+// Callers keep connections for as long as the newest configuration allows.
+Test(client_session_close, a_kept_connection_follows_a_longer_idle_time) {
+  Call call(ShortIdle());
+  call.Run(milliseconds(300));
+  call.session_->SetLimits(std::chrono::steady_clock::now(), IngressLimits());
+  call.Run(milliseconds(1000));
+  call.Send(kRequest);
+  cr_assert(call.RunUntilRequest(1), "the connection was closed as idle");
+}
+
 // Without a line no log tells a request that was read and dropped from one that
 // never came.
 Test(client_session_close, what_is_lost_with_a_connection_is_reported) {
--- a/unittests/process/stop_test.cc
+++ b/unittests/process/stop_test.cc
@@ -57,6 +57,16 @@
   int fd_;
 };
 
+/// The fixture's configuration with another time for idle connections.
+std::string ConfigWithIdle(int version, milliseconds idle) {
+  std::string out = Config(version, R"("k1")");
+  out.insert(out.rfind('}'),
+             R"(,"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,)"
+             R"("HeaderTimeoutMs":3000,"IdleTimeoutMs":)" +
+                 std::to_string(idle.count()) + "}");
+  return out;
+}
+
 // NOLINTBEGIN: Criterion's macros
 Test(stop,
      ends_early_beside_connections_that_their_callers_keep,
@@ -79,6 +89,24 @@
   cr_assert_eq(it.process_->Wait(seconds(4)), 0);
 }
 
+// Callers keep connections for as long as the newest configuration allows,
+// those too that were accepted under an older one.
+Test(config_change,
+     a_longer_idle_time_holds_for_open_connections,
+     .timeout = 60) {
+  EdgeFixture it;
+  it.store_.Put("keyed.op", "config", ConfigWithIdle(2, milliseconds(900)));
+  cr_assert(EdgeFixture::Within(seconds(5), [&it] {
+    return it.Log().find("config_applied version=2") != std::string::npos;
+  }));
+  const Connection kept(it.callers_);
+  it.store_.Put("keyed.op", "config", ConfigWithIdle(3, milliseconds(9000)));
+  std::this_thread::sleep_for(milliseconds(2500));
+  kept.Send(kRequest);
+  const std::string text = kept.Receive();
+  cr_assert(text.starts_with("HTTP/1.1 200"), "the connection was closed");
+}
+
 // Callers go on with their kept connections until they are told to leave them.
 Test(stop, each_request_on_a_kept_connection_gets_an_answer, .timeout = 60) {
   EdgeFixture it;
