--- a/unittests/forward/backend_table_test.cc
+++ b/unittests/forward/backend_table_test.cc
@@ -5,6 +5,7 @@
 #include <ctime>
 #include <map>
 #include <string>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -120,5 +121,53 @@
   cr_assert_lt(many, 10 * few, "%ld and %ld us", few, many);
 }
 
+// A copy at an engine that leaves is none: requests must not wait for it, and
+// the plan of copies must see that it goes.
+Test(backend_table, an_engine_that_says_it_leaves_counts_as_draining) {
+  BackendTable table(ZoneId("a"));
+  int told = 0;
+  table.set_on_leaving([&told](const ServerId&) { ++told; });
+  table.SetServers(kStart, List(1, {kModel}));
+  table.NoteSignals(kStart, table.StartOf(kEngine), {.leaving = true});
+  table.NoteSignals(kStart, table.StartOf(kEngine), {.leaving = true});
+  cr_assert_eq(told, 1);
+  for (const std::vector<ModelId>& models :
+       {std::vector<ModelId>{kModel}, std::vector<ModelId>{}}) {
+    cr_assert(table.AllLeaving(kService));
+    cr_assert(table.servers().at(kEngine).draining);
+    cr_assert_not(table.HasModel(kStart, kService, kModel));
+    table.SetServers(kStart + seconds(1), List(1, models));
+  }
+  cr_assert_eq(table.SaidLeaving().size(), 1);
+  table.SetServers(kStart + seconds(2), List(2, {kModel}));
+  cr_assert_not(table.AllLeaving(kService));
+  cr_assert(table.HasModel(kStart + seconds(2), kService, kModel));
+  cr_assert(table.SaidLeaving().empty());
+}
+
+// A newer list and a lapsed entry leave a hold as it is; a new start ends it.
+Test(backend_table, a_held_engine_is_chosen_again_at_the_end_of_the_hold) {
+  BackendTable table(ZoneId("a"));
+  RouteRequest request;
+  request.model = kModel;
+  const auto chosen = [&](Duration after) {
+    return table.Choose(kStart + after, kService, request).server.has_value();
+  };
+  table.SetServers(kStart, List(1, {kModel}));
+  cr_assert(
+      table.NoteSignals(kStart, table.StartOf(kEngine), {.hold = seconds(5)}));
+  table.SetServers(kStart + seconds(1), List(1, {kModel, ModelId("m2")}));
+  cr_assert_not(chosen(seconds(1)));
+  table.SetServers(kStart + seconds(2), {});
+  table.SetServers(kStart + seconds(3), List(1, {kModel}));
+  cr_assert_not(chosen(seconds(4)));
+  cr_assert(chosen(seconds(5)));
+  table.NoteSignals(kStart + seconds(5), table.StartOf(kEngine),
+                    {.hold = seconds(9)});
+  cr_assert_not(chosen(seconds(6)));
+  table.SetServers(kStart + seconds(7), List(2, {kModel}));
+  cr_assert(chosen(seconds(7)));
+}
+
 }  // namespace
 }  // namespace mangoport
--- a/unittests/process/server_signals_test.cc
+++ b/unittests/process/server_signals_test.cc
@@ -156,6 +156,22 @@
   RequireSparedOf(it, c, "/read/x");
 }
 
+// And the answer to a question of the host's own.
+Test(server_signals, a_report_tells_that_a_server_leaves, .timeout = 60) {
+  EdgeFixture it;
+  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int) {
+    const bool own = request.Field("X-Attempt-Id").empty();
+    return ScriptedAnswer{
+        .pieces = {Whole(c, request, 200, own ? kLeaving : "")}};
+  });
+  it.List(c, "ready");
+  it.Unlist("i-a");
+  cr_assert(EdgeFixture::Within(
+      seconds(10), [&c] { return c.seen().size() > Arrivals(c); }));
+  std::this_thread::sleep_for(milliseconds(300));
+  RequireSparedOf(it, c, "/read/x");
+}
+
 // A newer list entry of the same start does not bring the server back, nor
 // does an entry that lapses and returns; a new start under its id does.
 Test(server_signals,
