http: events whose lines end in CRLF are events

A stream whose server ends its lines with CRLF, as the standard allows, was held back until its end, and since streams that end inside an event are broken off it would have been taken for broken.

Cause: an event's end was looked for as two line feeds in a row.

Evidence, before the change, of lines_may_end_in_crlf: http_test.cc:232: The expression (n) == (2) is false.

--- a/lib/http/event_splitter.cc
+++ b/lib/http/event_splitter.cc
@@ -55,6 +55,8 @@
     const std::string_view rest = text.substr(from);
     if (rest.starts_with('\n'))
       return from + 1;
+    if (rest.starts_with("\r\n"))
+      return from + 2;
   }
 }
 
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -171,7 +171,7 @@
 Test(event_splitter, a_run_that_does_not_continue_the_last_one_is_refused) {
   for (const char* next :
        {"id: 5\ndata: c\n\n", "id: 2\ndata: c\n\n", "data: c\n\n",
-        "HTTP/1.1 500 Failed\n\n", "id: 3x\ndata: c\n\n"}) {
+        "HTTP/1.1 500 Failed\r\n\r\n", "id: 3x\ndata: c\n\n"}) {
     EventSplitter splitter;
     std::string whole;
     splitter.Feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\n", whole);
@@ -221,5 +221,19 @@
   cr_expect(splitter.resumable());
 }
 
+// Events whose lines end in CRLF were held back until the stream's end.
+Test(event_splitter, lines_may_end_in_crlf) {
+  const std::string text = "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n";
+  EventSplitter splitter;
+  std::string whole;
+  std::size_t n = 0;
+  for (const char c : text)
+    n += splitter.Feed(std::string_view(&c, 1), whole);
+  cr_expect_eq(n, 2);
+  cr_expect_eq(whole, text);
+  cr_expect_eq(splitter.last_id(), 2);
+  cr_expect_not(splitter.inside_event());
+}
+
 }  // namespace
 }  // namespace mangoport
