forward: a stream whose events have no ids is not resumed

Callers got the events of a stream twice when its server was lost and its events had no ids: the next server began from the start.

Cause: a resumable route was taken for a resumable stream. Without an id there is nothing to go on from, and the second run was a whole one.

Evidence, before the change, of a_stream_without_ids_is_not_resumed: the caller got 'data: a data: b data: a data: b' resumed_streams_test.cc:227: Sends("/stream/x").size() == 1 is false

Such a stream, once begun, counts as one that may not run again: it is broken off, and the caller decides.

--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -420,7 +420,9 @@
 }
 
 RequestProgress RequestExchange::Progress(MonoTime now) const {
-  return {.idempotent = route_->idempotent(),
+  // A second run would repeat events that have no ids.
+  const bool may_repeat = !answer_begun_ || events_.resumable();
+  return {.idempotent = route_->idempotent() && may_repeat,
           .max_attempts = route_->max_attempts,
           .runs = runs_,
           .sends = sends_,
--- a/unittests/process/resumed_streams_test.cc
+++ b/unittests/process/resumed_streams_test.cc
@@ -209,6 +209,24 @@
   cr_expect_eq(rest.body, Events(1, 3) + ": ping\n\n" + Events(4, 6));
 }
 
+// Events without ids can't be continued: a second run would repeat them.
+Test(resumed_streams, a_stream_without_ids_is_not_resumed, .timeout = 60) {
+  ScriptedFleet fleet(
+      [](const SeenRequest&, int) {
+        return ScriptedAnswer{
+            .pieces = {Head(200, std::string(kEvents) +
+                                     "Transfer-Encoding: chunked\r\n") +
+                       Chunk("data: a\n\ndata: b\n\n")},
+            .end = End::kClose};
+      },
+      kManyRepeats);
+  const Stream seen = ReadChunks(fleet.RawAnswer("/stream/x"));
+  cr_expect_not(seen.whole);
+  cr_expect_eq(seen.body, "data: a\n\ndata: b\n\n", "the caller got '%s'",
+               seen.body.c_str());
+  cr_expect_eq(fleet.Sends("/stream/x").size(), 1);
+}
+
 // A run that repeats an event is given up there; what came before stands, and
 // another server goes on.
 Test(resumed_streams, a_repeated_event_is_not_passed_on, .timeout = 60) {
