forward: only an answer that goes on with a stream takes it over

Callers' live streams were cut: their server was silent for a while, another one was asked to go on, and a success of that one which is no stream (plain text, a 204) was taken for its consent. The silent server was given up for an answer that could not be passed on.

Cause: the judgement of a resumed run's head was in one of the two places that take heads.

Evidence, before the change: successor_answers::text_takes_no_stream_over FAIL successor_answers::an_empty_success_takes_no_stream_over FAIL (an_answer_without_an_id_takes_no_stream_over passed)

--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -248,16 +248,15 @@
   }
   answer_.status = head.status;
   answer_.reason = head.reason;
-  const AnswerForm form = FormOf(head, route_->kind, answer_begun_);
-  if (owner == AnswerOwner::kUnknown || form == AnswerForm::kUnusable ||
-      !MayPassOn(head)) {
+  if (owner == AnswerOwner::kUnknown || !MayPassOn(head)) {
     EndAttempt(now, AttemptEnd::kBroken);
     return true;
   }
   if (head.status / 100 == 2)
     DropSuccessor(now, "overtaken", AttemptOutcome::kCancelled);
   answer_.fields = EndToEndFields(head);
-  answer_.streaming = form == AnswerForm::kEvents;
+  answer_.streaming =
+      FormOf(head, route_->kind, answer_begun_) == AnswerForm::kEvents;
   answer_.framed = head.chunked || head.content_length || head.status == 204 ||
                    request_.head.method == "HEAD";
   return true;
@@ -266,7 +265,8 @@
 bool RequestExchange::MayPassOn(const HttpHead& head) const {
   if (head.status / 100 != 2)
     return true;
-  return FindField(head.fields, host_.dialect_.request_id) &&
+  return FormOf(head, route_->kind, answer_begun_) != AnswerForm::kUnusable &&
+         FindField(head.fields, host_.dialect_.request_id) &&
          FindField(head.fields, host_.dialect_.answer_seal) &&
          !FindField(head.fields, "content-encoding");
 }
--- a/lib/forward/request_handover.cc
+++ b/lib/forward/request_handover.cc
@@ -128,8 +128,7 @@
   }
   const bool own = owner == AnswerOwner::kThisRequest;
   const bool success = head.status / 100 == 2;
-  if (own && success && MayPassOn(head) &&
-      FormOf(head, route_->kind, answer_begun_) != AnswerForm::kUnusable) {
+  if (own && success && MayPassOn(head)) {
     TakeOver(now);
     return OnHead(head);
   }
