forward: an answer to a caller's request is none to an order or report

An order could be taken for refused, and be sent to the engine once more, because the engine wrote an earlier refusal of a caller's request again on the connection that requests, orders and reports share.

Cause: the same as for callers' requests: HttpCaller took whatever answer came next. Its calls have no id, so an answer that bears one belongs to a request.

Such an answer is now skipped; if no other follows, the call may have been done. An answer cut at any place ends the call without one, as before (an_answer_cut_anywhere_is_none).

--- a/include/mangoport/forward/http_caller.h
+++ b/include/mangoport/forward/http_caller.h
@@ -27,6 +27,9 @@
   std::string content_type = {};
   std::string body = {};
   Duration timeout = std::chrono::seconds(1);
+  /// A field that names another request: an answer which bears it is not this
+  /// call's, and is skipped. Empty if answers have no such field.
+  std::string foreign_field = {};
 };
 
 /// How a call ended: `status` is zero if there was no answer.
--- a/lib/forward/http_caller.cc
+++ b/lib/forward/http_caller.cc
@@ -64,9 +64,12 @@
   connection->Exchange(
       Serialize(call), /*bodyless=*/false,
       {.on_head =
-           [this, pending, peer = call.peer](const HttpHead& head) {
+           [this, pending, peer = call.peer,
+            foreign = call.foreign_field](const HttpHead& head) {
              if (on_head_)
                on_head_(peer, head);
+             if (!foreign.empty() && !FieldText(head.fields, foreign).empty())
+               return false;
              pending->result.status = head.status;
              pending->result.fields = head.fields;
              return true;
--- /dev/null
+++ b/unittests/forward/http_caller_test.cc
@@ -0,0 +1,105 @@
+#include "mangoport/forward/http_caller.h"
+
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include <criterion/criterion.h>
+
+namespace mangoport {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kStale[] =
+    "HTTP/1.1 503 Full\r\nRequest: earlier\r\nContent-Length: 4\r\n\r\nfull";
+constexpr char kAnswer[] = "HTTP/1.1 202 Taken\r\nContent-Length: 2\r\n\r\nok";
+
+/// One call to a server that answers with exact bytes.
+class OneCall {
+ public:
+  OneCall()
+      : timers_(io_),
+        pool_(io_, timers_),
+        caller_(pool_, timers_),
+        acceptor_(server_io_, {asio::ip::make_address("127.0.0.1"), 0}),
+        peer_(server_io_) {
+    caller_.Call(
+        std::chrono::steady_clock::now(),
+        {.peer = "s",
+         .endpoint = acceptor_.local_endpoint(),
+         .method = "POST",
+         .target = "/",
+         .timeout = milliseconds(300),
+         .foreign_field = "Request"},
+        [this](HttpCallResult result) { result_ = std::move(result); });
+    // The connection is made and the call is sent.
+    io_.run_for(kTurn);
+    peer_ = acceptor_.accept();
+  }
+
+  void Answer(const std::string& bytes) {
+    asio::write(peer_, asio::buffer(bytes));
+  }
+
+  void Close() { peer_.close(); }
+
+  /// How the call ended; throws if it has not.
+  const HttpCallResult& Result() {
+    for (int i = 0; i < kMaxTurns && !result_; ++i) {
+      io_.restart();
+      io_.run_for(kTurn);
+    }
+    return result_.value();
+  }
+
+ private:
+  static constexpr milliseconds kTurn{10};
+  static constexpr int kMaxTurns = 50;
+
+  asio::io_context io_;
+  TimerQueue timers_;
+  ConnectionPool pool_;
+  HttpCaller caller_;
+  asio::io_context server_io_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::ip::tcp::socket peer_;
+  std::optional<HttpCallResult> result_;
+};
+
+// A refusal of a caller's request, written once more on the connection that it
+// shares with orders, was taken for that of an order, which was then repeated.
+Test(http_caller, an_answer_to_another_request_is_skipped) {
+  OneCall call;
+  call.Answer(std::string(kStale) + kAnswer);
+  cr_assert_eq(call.Result().status, 202, "status %d", call.Result().status);
+  cr_assert_eq(call.Result().body, "ok");
+}
+
+Test(http_caller, an_answer_to_another_request_proves_nothing) {
+  OneCall call;
+  call.Answer(kStale);
+  call.Close();
+  cr_assert_eq(call.Result().status, 0, "status %d", call.Result().status);
+  cr_assert(call.Result().sent);
+}
+
+// A call must not end with a part of an answer.
+Test(http_caller, an_answer_cut_anywhere_is_none) {
+  const std::string whole = kAnswer;
+  for (std::size_t n = 0; n < whole.size(); ++n) {
+    OneCall call;
+    call.Answer(whole.substr(0, n));
+    call.Close();
+    cr_expect_eq(call.Result().status, 0, "%zu bytes", n);
+    cr_expect_eq(call.Result().body, "", "%zu bytes", n);
+    cr_expect(call.Result().sent);
+  }
+}
+
+}  // namespace
+}  // namespace mangoport
