forward: short functions in the client connection and the caller

No change of behaviour, but for the name under which a connection that is lost in the middle of a stale answer is logged (no_answer, as it was for an orderly end).

--- a/include/mangoport/forward/http_connection.h
+++ b/include/mangoport/forward/http_connection.h
@@ -93,9 +93,16 @@
   void OnConnected(const asio::error_code& ec);
   void OnData(std::string_view data);
   void OnEnd();
-  /// False if the exchange has ended.
+  /// Makes ready for the next message of the peer.
+  void ExpectMessage();
+  /// Hands over what has arrived of a message. False if that ended the
+  /// exchange.
   bool TakeMessage();
-  void Complete();
+  /// True if the connection can be kept after the answer that has arrived.
+  bool IsReusable() const;
+  void Complete(bool keep);
+  /// How an exchange fails if its connection is lost now.
+  HttpFailure::Kind KindOfLoss() const;
   void Fail(HttpFailure::Kind kind, bool by_peer = false);
   void NoteKeepAlive(const HttpHead& head);
 
--- a/include/mangoport/forward/tcp_stream.h
+++ b/include/mangoport/forward/tcp_stream.h
@@ -83,7 +83,8 @@
   bool has_written() const { return has_written_; }
 
  private:
-  /// Looks for a byte to read: none, the end of the connection, or an error.
+  /// Success if a byte has arrived that has not been read, else the reason why
+  /// there is none: an end, a reset, or that nothing has come.
   asio::error_code Peek();
   void WaitReadable();
   void OnReadable(const asio::error_code& ec);
--- a/lib/forward/http_caller.cc
+++ b/lib/forward/http_caller.cc
@@ -6,7 +6,7 @@
 namespace mangoport {
 namespace {
 
-/// A call that is under way.
+/// A call that has not ended yet.
 struct PendingCall {
   HttpCallDone done;
   HttpCallResult result;
@@ -22,6 +22,13 @@
     const HttpCallDone hook = std::move(done);
     hook(std::move(result));
   }
+
+  /// Ends the call without an answer; a part of one does not count.
+  void Fail(TimerQueue& timers, bool sent) {
+    result = HttpCallResult();
+    result.sent = sent;
+    End(timers);
+  }
 };
 
 std::string Serialize(const HttpCall& call) {
@@ -43,6 +50,12 @@
   return out;
 }
 
+/// True if the answer is to another request, not to this call.
+bool IsForeign(const HttpHead& head, const std::string& foreign_field) {
+  return !foreign_field.empty() &&
+         !FieldText(head.fields, foreign_field).empty();
+}
+
 }  // namespace
 
 void HttpCaller::Call(MonoTime now, const HttpCall& call, HttpCallDone done) {
@@ -54,21 +67,19 @@
     pending->timer = TimerQueue::kNoTicket;
     if (pending->over)
       return;
-    pending->result = HttpCallResult();
-    pending->result.sent = true;
-    const HttpConnection::Ptr connection = pending->connection;
-    connection->Cancel();
-    pending->End(timers_);
+    pending->connection->Cancel();
+    pending->Fail(timers_, /*sent=*/true);
   });
+  // The call may end, and let go of the connection, before `Exchange` returns.
   const HttpConnection::Ptr connection = pending->connection;
   connection->Exchange(
       Serialize(call), /*bodyless=*/false,
       {.on_head =
            [this, pending, peer = call.peer,
-            foreign = call.foreign_field](const HttpHead& head) {
+            foreign_field = call.foreign_field](const HttpHead& head) {
              if (on_head_)
                on_head_(peer, head);
-             if (!foreign.empty() && !FieldText(head.fields, foreign).empty())
+             if (IsForeign(head, foreign_field))
                return false;
              pending->result.status = head.status;
              pending->result.fields = head.fields;
@@ -81,9 +92,7 @@
        .on_complete = [this, pending] { pending->End(timers_); },
        .on_failed =
            [this, pending](const HttpFailure& failure) {
-             pending->result = HttpCallResult();
-             pending->result.sent = failure.request_sent;
-             pending->End(timers_);
+             pending->Fail(timers_, failure.request_sent);
            }});
 }
 
--- a/lib/forward/http_connection.cc
+++ b/lib/forward/http_connection.cc
@@ -62,12 +62,8 @@
          "a connection carries one exchange at a time");
   hooks_ = std::make_shared<HttpExchangeHooks>(std::move(hooks));
   bodyless_ = bodyless;
-  parser_.Reset();
-  parser_.set_bodyless(bodyless);
-  body_.clear();
-  head_taken_ = false;
-  skipping_ = false;
   sent_ = false;
+  ExpectMessage();
   ++exchanges_;
   if (state_ == State::kIdle) {
     state_ = State::kBusy;
@@ -88,6 +84,14 @@
   });
 }
 
+void HttpConnection::ExpectMessage() {
+  parser_.Reset();
+  parser_.set_bodyless(bodyless_);
+  body_.clear();
+  head_taken_ = false;
+  skipping_ = false;
+}
+
 void HttpConnection::OnConnected(const asio::error_code& ec) {
   if (state_ != State::kConnecting)
     return;
@@ -111,10 +115,7 @@
                   .on_error =
                       [weak](const asio::error_code& error) {
                         if (const Ptr self = weak.lock())
-                          self->Fail(self->head_taken_
-                                         ? HttpFailure::Kind::kBrokenAnswer
-                                         : HttpFailure::Kind::kNoAnswer,
-                                     WasEndedByPeer(error));
+                          self->Fail(self->KindOfLoss(), WasEndedByPeer(error));
                       },
                   .on_drained = {}});
   stream_->SetUserTimeout(kUserTimeout);
@@ -131,37 +132,30 @@
     return;
   }
   while (!data.empty()) {
-    const std::size_t used = parser_.Feed(data, body_);
-    data.remove_prefix(used);
+    data.remove_prefix(parser_.Feed(data, body_));
     if (parser_.error() != HttpParseError::kNone) {
       Fail(HttpFailure::Kind::kBrokenAnswer);
       return;
     }
     const bool complete = parser_.message_complete();
-    if (!TakeMessage())
+    if (!TakeMessage() || !complete)
       return;
-    if (!complete)
+    const bool interim = parser_.head().status < 200;
+    if (!skipping_ && !interim) {
+      Complete(/*keep=*/data.empty() && IsReusable());
       return;
-    if (skipping_ || parser_.head().status < 200) {
-      parser_.Reset();
-      parser_.set_bodyless(bodyless_);
-      skipping_ = false;
-      head_taken_ = false;
-      body_.clear();
-      continue;
     }
-    const HttpHead& head = parser_.head();
-    const bool framed = head.chunked || head.content_length || bodyless_ ||
-                        head.status == 204 || head.status == 304;
-    const bool reusable =
-        head.keep_alive && framed && data.empty() && stream_->unsent() == 0;
-    if (!reusable)
-      state_ = State::kClosed;
-    Complete();
-    return;
+    ExpectMessage();
   }
 }
 
+bool HttpConnection::IsReusable() const {
+  const HttpHead& head = parser_.head();
+  const bool framed = head.chunked || head.content_length || bodyless_ ||
+                      head.status == 204 || head.status == 304;
+  return head.keep_alive && framed && stream_->unsent() == 0;
+}
+
 bool HttpConnection::TakeMessage() {
   if (!parser_.head_complete() || parser_.head().status < 200)
     return true;
@@ -188,17 +182,17 @@
     idle_limit_ = ParseKeepAlive(*value);
 }
 
-void HttpConnection::Complete() {
-  const bool reusable = state_ == State::kBusy;
+void HttpConnection::Complete(bool keep) {
   const std::shared_ptr<HttpExchangeHooks> hooks = std::move(hooks_);
-  if (reusable) {
+  if (keep) {
     state_ = State::kIdle;
     idle_since_ = Now();
     stream_->SetReading(true);
   } else {
+    state_ = State::kClosed;
     stream_->Close();
   }
-  on_state_(shared_from_this(), reusable);
+  on_state_(shared_from_this(), keep);
   hooks->on_complete();
 }
 
@@ -210,13 +204,15 @@
   }
   parser_.FeedEnd();
   if (!parser_.message_complete() || skipping_ || !head_taken_) {
-    Fail(head_taken_ && !skipping_ ? HttpFailure::Kind::kBrokenAnswer
-                                   : HttpFailure::Kind::kNoAnswer,
-         /*by_peer=*/true);
+    Fail(KindOfLoss(), /*by_peer=*/true);
     return;
   }
-  state_ = State::kClosed;
-  Complete();
+  Complete(/*keep=*/false);
+}
+
+HttpFailure::Kind HttpConnection::KindOfLoss() const {
+  return head_taken_ && !skipping_ ? HttpFailure::Kind::kBrokenAnswer
+                                   : HttpFailure::Kind::kNoAnswer;
 }
 
 void HttpConnection::Fail(HttpFailure::Kind kind, bool by_peer) {
