forward: a wait for a copy ends when all servers of the service leave

What callers saw: requests that waited for a model's copy were refused only shortly before their deadline, although by then the last server that could have loaded it was leaving.

Cause: new requests are refused at once in that state, but those that wait already were woken only by a copy or by the end of their wait.

Evidence, server_signals_test on the code before: a_wait_for_a_copy_ends_when_all_servers_leave: refused after 4.705445 s (the servers leave after 0.5 s; asked for: less than 3 s)

Why the fix works: when the last server of a service that was not leaving leaves, by the list or by its own word, the requests that wait choose again and are refused by the same rule as new ones.

--- a/include/mangoport/forward/backend_table.h
+++ b/include/mangoport/forward/backend_table.h
@@ -79,6 +79,11 @@
     on_leaving_ = std::move(hook);
   }
 
+  /// Called when the last server of a service that was not leaving leaves.
+  void set_on_all_leaving(std::function<void()> hook) {
+    on_all_leaving_ = std::move(hook);
+  }
+
   /// Sets how long what a silent host reported counts.
   void set_peer_load_lifetime(Duration lifetime) {
     peer_loads_.set_lifetime(lifetime);
@@ -174,6 +179,7 @@
   void Rebuild(MonoTime now, const ServiceId& service);
   /// Updates the router after a change of what one server holds.
   void RefreshModels(MonoTime now, const ServerEntry& entry);
+  void TellIfAllLeave(const ServiceId& service) const;
   void ReportLoad(MonoTime now, const ServerId& server);
 
   ZoneId own_zone_;
@@ -185,6 +191,7 @@
   ServerSignalTable signals_;
   std::function<void(const ModelId&)> on_resident_;
   std::function<void(const ServerId&)> on_leaving_;
+  std::function<void()> on_all_leaving_;
 };
 
 }  // namespace mangoport
--- a/include/mangoport/forward/forwarder.h
+++ b/include/mangoport/forward/forwarder.h
@@ -122,6 +122,8 @@
   void OnPartDecision(const PartDecision& decision);
   /// Lets requests that wait for `model` choose again.
   void WakeWaiting(const ModelId& model);
+  /// The same for all requests that wait for a model.
+  void WakeAllWaiting();
 
   Parts parts_;
   ForwardDialect dialect_;
--- a/lib/forward/backend_table.cc
+++ b/lib/forward/backend_table.cc
@@ -155,10 +155,12 @@
     Rebuild(now, it);
   for (const ServerId& it : changed_copies)
     RefreshModels(now, servers_.at(it));
-  if (!on_resident_)
-    return;
-  for (const ModelId& it : appeared)
-    on_resident_(it);
+  if (on_resident_) {
+    for (const ModelId& it : appeared)
+      on_resident_(it);
+  }
+  for (const ServiceId& it : touched)
+    TellIfAllLeave(it);
 }
 
 void BackendTable::RefreshModels(MonoTime now, const ServerEntry& entry) {
@@ -204,10 +206,18 @@
   const auto it = servers_.find(start.server);
   if (it == servers_.end() || it->second.started_at_ms != start.started_at_ms)
     return;
-  if (!std::exchange(it->second.draining, true))
+  const bool changed = !std::exchange(it->second.draining, true);
+  if (changed)
     Rebuild(now, it->second.service);
   if (on_leaving_)
     on_leaving_(start.server);
+  if (changed)
+    TellIfAllLeave(it->second.service);
+}
+
+void BackendTable::TellIfAllLeave(const ServiceId& service) const {
+  if (on_all_leaving_ && AllLeaving(service))
+    on_all_leaving_();
 }
 
 bool BackendTable::NoteHold(MonoTime now,
--- a/lib/forward/forwarder.cc
+++ b/lib/forward/forwarder.cc
@@ -24,6 +24,7 @@
       [this](const ModelId& model) { WakeWaiting(model); });
   part_suspects_.set_on_decision(
       [this](const PartDecision& it) { OnPartDecision(it); });
+  parts_.backends.set_on_all_leaving([this] { WakeAllWaiting(); });
 }
 
 Forwarder::~Forwarder() = default;
@@ -123,6 +124,14 @@
   }
 }
 
+void Forwarder::WakeAllWaiting() {
+  std::vector<ModelId> models;
+  for (const auto& [model, requests] : waiting_)
+    models.push_back(model);
+  for (const ModelId& it : models)
+    WakeWaiting(it);
+}
+
 std::vector<ModelUse> Forwarder::ModelUses() const {
   std::vector<ModelUse> out;
   for (const auto& [model, use] : uses_)
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -27,7 +27,7 @@
 
   void Start();
 
-  /// A server may hold the model now.
+  /// A server may hold the model now, or none will.
   void OnModelAppeared();
 
   /// Requests with this part are kept from the servers from now on: one that a
--- a/unittests/process/server_signals_test.cc
+++ b/unittests/process/server_signals_test.cc
@@ -220,6 +220,31 @@
   cr_assert_eq(Arrivals(c), before);
 }
 
+// A request that waited for a copy waited on when no server was left for one.
+Test(server_signals,
+     a_wait_for_a_copy_ends_when_all_servers_leave,
+     .timeout = 60) {
+  EdgeFixture it;
+  it.store_.Put("keyed.op", "config", ConfigWithModel(2, /*load_s=*/4));
+  cr_assert(EdgeFixture::Within(seconds(5), [&it] {
+    const auto reply = it.Ask("/stream/x", {{"X-Model", "unknown"}});
+    return reply && reply->body.find("unknown_model") != std::string::npos;
+  }));
+  std::thread leave([&it] {
+    std::this_thread::sleep_for(milliseconds(500));
+    it.List(it.a_, "draining");
+    it.List(it.b_, "draining");
+  });
+  const auto from = std::chrono::steady_clock::now();
+  const auto reply = it.Ask("/stream/x", {{"X-Model", "m1"}});
+  const auto waited = std::chrono::steady_clock::now() - from;
+  leave.join();
+  cr_assert(reply && reply->status == 503);
+  cr_assert(reply->has_header("Retry-After"));
+  cr_assert(waited > milliseconds(400) && waited < seconds(3), "%f s",
+            std::chrono::duration<double>(waited).count());
+}
+
 // A server that asked to be spared for some seconds was sent requests at once.
 Test(server_signals, a_server_that_asks_for_rest_gets_it, .timeout = 60) {
   EdgeFixture it;
