engine_orders_soak: each third seed has more models than the engines hold

Each third seed now has 16 models; there a model in demand must get a copy within 30 s without faults, and the bounds of memory and adapter slots hold as before. That no last copy is unloaded is checked where all models fit, as it is promised there; the seeds that are not a multiple of three run as before apart from their rates of arrival.

--- a/unittests/placement/engine_orders_soak.cc
+++ b/unittests/placement/engine_orders_soak.cc
@@ -2,7 +2,8 @@
 // Orders are lost, delayed and rejected, engines restart empty and report their
 // models late, and the lease holder changes. Checks that no order exceeds an
 // engine's memory or adapter slots, and that no order unloads the last copy of
-// a model.
+// a model while all models fit. With each third seed they do not fit; then a
+// model whose requests wait must not stay without a copy.
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
@@ -28,9 +29,16 @@
 constexpr Duration kStep = milliseconds(250);
 constexpr int kEngines = 5;
 constexpr int kModels = 8;
+/// More than the engines can hold.
+constexpr int kManyModels = 16;
 constexpr std::uint64_t kMemoryMb = 200;
 constexpr std::uint32_t kAdapterSlots = 3;
 constexpr Duration kLoadTime = milliseconds(1500);
+/// Longest time until a model in demand has a copy, without faults: two turns
+/// of five seconds until as many requests have come for it as for another in
+/// one turn, one more until that has had its own, the orders, and as long again
+/// as other models may come first.
+constexpr Duration kMaxTurnDelay = seconds(30);
 /// Longest time until the holder detects a lost copy.
 constexpr Duration kMaxDetectionDelay = milliseconds(4500);
 
@@ -53,12 +61,14 @@
 class EngineSimulation {
  public:
   EngineSimulation(const SoakOptions& options, SoakProgress& progress)
-      : random_(options.seed), progress_(progress) {
+      : random_(options.seed),
+        progress_(progress),
+        models_(options.seed % 3 == 0 ? kManyModels : kModels) {
     capacity_.batch_size = 10;
     capacity_.weights_mb = kMemoryMb;
     capacity_.adapter_slots = kAdapterSlots;
     capacity_.store_loads_per_second = 100;
-    for (int i = 0; i < kModels; ++i) {
+    for (int i = 0; i < models_; ++i) {
       ModelSpec model;
       model.model = Model(i);
       model.weights_mb = i % 3 == 0 ? 60 : 90;
@@ -89,6 +99,7 @@
     UpdateEntries();
     RandomizeDemand();
     RunHolder(inject_faults);
+    CheckTurns(inject_faults);
   }
 
  private:
@@ -194,7 +205,8 @@
       const bool may_be_unknown =
           executing_late_order_ ||
           (lost != lost_at_.end() && now_ - lost->second < kMaxDetectionDelay);
-      CheckInvariant(may_be_unknown || Copies(order.model) > 1,
+      const bool all_fit = models_ == kModels;
+      CheckInvariant(!all_fit || may_be_unknown || Copies(order.model) > 1,
                      "no order unloads the last copy of a model",
                      [&order] { return order.model.value(); });
       return;
@@ -258,13 +270,33 @@
     tracker_->SetServers(now_, entries);
   }
 
+  /// Demand changes every five seconds on average, so a model waits for its
+  /// turn through many changes.
+  void CheckTurns(bool inject_faults) {
+    for (const auto& it : demand_) {
+      const ModelId& model = it.first;
+      if (model.value().find('/') != std::string::npos)
+        continue;
+      Duration& waited = unserved_for_[model];
+      if (inject_faults || Copies(model) > 0)
+        waited = Duration::zero();
+      else if (it.second.arrivals_per_second > 0)
+        waited += kStep;
+      CheckInvariant(waited < kMaxTurnDelay,
+                     "a model in demand gets a copy in turn",
+                     [&it] { return it.first.value(); });
+    }
+  }
+
   void RandomizeDemand() {
     if (!Chance(20))
       return;
-    for (int i = 0; i < kModels; ++i) {
+    for (int i = 0; i < models_; ++i) {
       CopyDemand& demand = demand_[Model(i)];
       demand.running = static_cast<double>(random_() % 12);
       demand.waiting = Chance(4) ? 2 : 0;
+      // All rates are within a factor of two.
+      demand.arrivals_per_second = 1 + demand.running / 12;
       CopyDemand& adapter = demand_[ModelId("m" + std::to_string(i) + "/a1")];
       adapter.waiting = Chance(3) ? 1 : 0;
     }
@@ -311,7 +343,11 @@
 
   std::mt19937_64 random_;
   SoakProgress& progress_;
+  int models_;
   MonoTime now_{seconds(1000)};
+  /// How long the requests for a model have waited without a copy, while no
+  /// faults were injected.
+  std::map<ModelId, Duration> unserved_for_;
   EngineCapacity capacity_;
   std::map<ServerId, Engine> engines_;
   std::unique_ptr<CopyPlanner> planner_;
