--- a/unittests/routing/part_suspects_test.cc
+++ b/unittests/routing/part_suspects_test.cc
@@ -36,9 +36,11 @@
                  const std::vector<PartHash>& parts,
                  int first = 0) {
   for (int i = 0; i < n; ++i)
-    suspects.OnLost(at + milliseconds(400) * i,
-                    Loss(static_cast<std::uint64_t>(first + i), first + i),
-                    parts);
+    suspects.OnLost(
+        at + milliseconds(400) * i,
+        Loss(static_cast<std::uint64_t>(first) + static_cast<std::uint64_t>(i),
+             first + i),
+        parts);
 }
 
 Test(part_suspects, the_last_part_is_the_requests_own) {
