unittests: a test host's port is not taken by an outgoing connection

The edge fixture failed now and then with 'the host is not ready' (3 of 132 runs of edge_process_test, six at a time): the host's log ends with 'bind: Address already in use'. The port had been chosen by the system from the range of outgoing connections, given back, and taken by another connection before the host bound it. Ports now come from below that range.

--- a/unittests/support/edge_fixture.cc
+++ b/unittests/support/edge_fixture.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <fstream>
+#include <random>
 #include <stdexcept>
 #include <thread>
 #include <vector>
@@ -16,23 +17,41 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-void Require(bool holds, const std::string& what) {
-  if (!holds)
-    throw std::runtime_error(what);
-}
+namespace {
 
-std::uint16_t FreePort() {
+/// True if a socket can be bound to `port` of loopback now.
+bool IsFree(std::uint16_t port) {
   const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
+  address.sin_port = htons(port);
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  Require(
-      ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0,
-      "no free port");
-  socklen_t length = sizeof(address);
-  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
+  const bool bound =
+      ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
   ::close(fd);
-  return ntohs(address.sin_port);
+  return bound;
+}
+
+}  // namespace
+
+void Require(bool holds, const std::string& what) {
+  if (!holds)
+    throw std::runtime_error(what);
+}
+
+std::uint16_t FreePort() {
+  // Below the range from which the system takes ports for outgoing connections.
+  constexpr std::uint16_t kFirst = 12000;
+  constexpr std::uint16_t kLast = 31999;
+  constexpr int kAttempts = 100;
+  std::random_device random;
+  std::uniform_int_distribution<std::uint16_t> any(kFirst, kLast);
+  for (int i = 0; i < kAttempts; ++i) {
+    const std::uint16_t port = any(random);
+    if (IsFree(port))
+      return port;
+  }
+  throw std::runtime_error("no free port");
 }
 
 std::string Config(int version, const std::string& keys) {
