unittests: a test host's port is free for datagrams, too

With ports from a range of their own, 3 of 48 runs of edge_process_test, six at a time, still ended with 'the host is not ready', and the host's log with 'bind: Address already in use': only stream sockets had been tried, and a host hears its peers on a datagram socket. With both tried: 60 runs, six at a time, none failed.

--- a/unittests/support/edge_fixture.cc
+++ b/unittests/support/edge_fixture.cc
@@ -19,9 +19,9 @@
 
 namespace {
 
-/// True if a socket can be bound to `port` of loopback now.
-bool IsFree(std::uint16_t port) {
-  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+/// True if a socket of `type` can be bound to `port` of loopback now.
+bool IsFree(int type, std::uint16_t port) {
+  const int fd = ::socket(AF_INET, type, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(port);
@@ -48,7 +48,8 @@
   std::uniform_int_distribution<std::uint16_t> any(kFirst, kLast);
   for (int i = 0; i < kAttempts; ++i) {
     const std::uint16_t port = any(random);
-    if (IsFree(port))
+    // Peers are heard on a datagram socket.
+    if (IsFree(SOCK_STREAM, port) && IsFree(SOCK_DGRAM, port))
       return port;
   }
   throw std::runtime_error("no free port");
