server_signals_test: a report asked for first does not use up the server's word

Reports are now answered with nothing, and requests numbered without them; the test of reports stays as it was.

--- a/unittests/process/server_signals_test.cc
+++ b/unittests/process/server_signals_test.cc
@@ -1,8 +1,11 @@
 // What backend servers say of themselves in their answers, and where the entry
 // host sends requests from then on.
+#include <atomic>
 #include <chrono>
+#include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include <criterion/criterion.h>
 
@@ -26,6 +29,19 @@
   return server.Head(request, status, more + "Content-Length: 2\r\n") + "ok";
 }
 
+/// Answers callers' requests by `script`, numbered from 0, and the requests for
+/// reports, which a host may send before, with nothing.
+ScriptedBackend::Script ForCallers(ScriptedBackend::Script script) {
+  auto callers = std::make_shared<std::atomic<int>>(0);
+  return
+      [callers, script = std::move(script)](const SeenRequest& request, int) {
+        if (request.Field("X-Attempt-Id").empty())
+          return ScriptedAnswer{
+              .pieces = {"HTTP/1.1 404 None\r\nContent-Length: 0\r\n\r\n"}};
+        return script(request, (*callers)++);
+      };
+}
+
 /// The callers' requests that have reached `server`.
 std::size_t Arrivals(const ScriptedBackend& server) {
   std::size_t n = 0;
@@ -87,9 +103,10 @@
      a_server_that_says_it_leaves_gets_no_more_requests,
      .timeout = 60) {
   EdgeFixture it;
-  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int) {
-    return ScriptedAnswer{.pieces = {Whole(c, request, 200, kLeaving)}};
-  });
+  ScriptedBackend c(
+      "i-c", ForCallers([&c](const SeenRequest& request, int) {
+        return ScriptedAnswer{.pieces = {Whole(c, request, 200, kLeaving)}};
+      }));
   AskUntilSeen(it, c, "/read/x");
   RequireSparedOf(it, c, "/read/x");
 }
@@ -97,9 +114,10 @@
 // It counts in a failure too.
 Test(server_signals, a_failure_tells_that_a_server_leaves, .timeout = 60) {
   EdgeFixture it;
-  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int) {
-    return ScriptedAnswer{.pieces = {Whole(c, request, 404, kLeaving)}};
-  });
+  ScriptedBackend c(
+      "i-c", ForCallers([&c](const SeenRequest& request, int) {
+        return ScriptedAnswer{.pieces = {Whole(c, request, 404, kLeaving)}};
+      }));
   AskUntilSeen(it, c, "/once/x");
   RequireSparedOf(it, c, "/once/x");
 }
@@ -109,14 +127,15 @@
      a_stream_under_way_tells_that_a_server_leaves,
      .timeout = 60) {
   EdgeFixture it;
-  ScriptedBackend d("i-d", [&d](const SeenRequest& request, int) {
-    return ScriptedAnswer{
-        .pieces = {d.Head(request, 200,
-                          std::string(kLeaving) + "Content-Length: 40\r\n") +
-                       Events(1, 1),
-                   Events(2, 2)},
-        .pause = seconds(2)};
-  });
+  ScriptedBackend d("i-d", ForCallers([&d](const SeenRequest& request, int) {
+                      return ScriptedAnswer{
+                          .pieces = {d.Head(request, 200,
+                                            std::string(kLeaving) +
+                                                "Content-Length: 40\r\n") +
+                                         Events(1, 1),
+                                     Events(2, 2)},
+                          .pause = seconds(2)};
+                    }));
   it.List(d, "ready");
   it.Unlist("i-a");
   std::thread caller([&] {
@@ -134,10 +153,11 @@
 // So does a refusal, after which the request itself goes to another server.
 Test(server_signals, a_refusal_tells_that_a_server_leaves, .timeout = 60) {
   EdgeFixture it;
-  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int) {
-    return ScriptedAnswer{
-        .pieces = {Whole(c, request, 503, std::string(kLeaving) + kNotRun)}};
-  });
+  ScriptedBackend c("i-c", ForCallers([&c](const SeenRequest& request, int) {
+                      return ScriptedAnswer{
+                          .pieces = {Whole(c, request, 503,
+                                           std::string(kLeaving) + kNotRun)}};
+                    }));
   AskUntilSeen(it, c, "/read/x");
   RequireSparedOf(it, c, "/read/x");
 }
@@ -145,13 +165,14 @@
 // And an answer that belongs to an earlier request on the connection.
 Test(server_signals, a_late_answer_tells_that_a_server_leaves, .timeout = 60) {
   EdgeFixture it;
-  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int) {
-    SeenRequest earlier = request;
-    earlier.fields.clear();
-    earlier.fields.emplace("X-Attempt-Id", "earlier");
-    return ScriptedAnswer{.pieces = {Whole(c, earlier, 200, kLeaving) +
-                                     Whole(c, request, 200, "")}};
-  });
+  ScriptedBackend c(
+      "i-c", ForCallers([&c](const SeenRequest& request, int) {
+        SeenRequest earlier = request;
+        earlier.fields.clear();
+        earlier.fields.emplace("X-Attempt-Id", "earlier");
+        return ScriptedAnswer{.pieces = {Whole(c, earlier, 200, kLeaving) +
+                                         Whole(c, request, 200, "")}};
+      }));
   AskUntilSeen(it, c, "/read/x");
   RequireSparedOf(it, c, "/read/x");
 }
@@ -178,10 +199,11 @@
      only_a_new_start_brings_a_leaving_server_back,
      .timeout = 60) {
   EdgeFixture it;
-  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int number) {
-    return ScriptedAnswer{
-        .pieces = {Whole(c, request, 200, number == 0 ? kLeaving : "")}};
-  });
+  ScriptedBackend c(
+      "i-c", ForCallers([&c](const SeenRequest& request, int number) {
+        return ScriptedAnswer{
+            .pieces = {Whole(c, request, 200, number == 0 ? kLeaving : "")}};
+      }));
   AskUntilSeen(it, c, "/read/x");
   it.store_.Put("keyed.servers", c.id(),
                 EntryWith(c, "\"Slots\":8", "\"Slots\":9"));
@@ -206,9 +228,10 @@
      .timeout = 60) {
   EdgeFixture it;
   it.Unlist("i-b");
-  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int) {
-    return ScriptedAnswer{.pieces = {Whole(c, request, 200, kLeaving)}};
-  });
+  ScriptedBackend c(
+      "i-c", ForCallers([&c](const SeenRequest& request, int) {
+        return ScriptedAnswer{.pieces = {Whole(c, request, 200, kLeaving)}};
+      }));
   AskUntilSeen(it, c, "/read/x");
   std::this_thread::sleep_for(milliseconds(1500));
   const std::size_t before = Arrivals(c);
@@ -248,10 +271,12 @@
 // A server that asked to be spared for some seconds was sent requests at once.
 Test(server_signals, a_server_that_asks_for_rest_gets_it, .timeout = 60) {
   EdgeFixture it;
-  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int number) {
-    return ScriptedAnswer{.pieces = {number == 0 ? Refusal(c, request, "4")
-                                                 : Whole(c, request, 200, "")}};
-  });
+  ScriptedBackend c(
+      "i-c", ForCallers([&c](const SeenRequest& request, int number) {
+        return ScriptedAnswer{.pieces = {number == 0
+                                             ? Refusal(c, request, "4")
+                                             : Whole(c, request, 200, "")}};
+      }));
   AskUntilSeen(it, c, "/read/x");
   const auto until = std::chrono::steady_clock::now() + milliseconds(3500);
   RequireSparedOf(it, c, "/read/x");
@@ -272,9 +297,10 @@
      .timeout = 60) {
   EdgeFixture it;
   it.Unlist("i-b");
-  ScriptedBackend c("i-c", [&c](const SeenRequest& request, int) {
-    return ScriptedAnswer{.pieces = {Refusal(c, request, "20")}};
-  });
+  ScriptedBackend c(
+      "i-c", ForCallers([&c](const SeenRequest& request, int) {
+        return ScriptedAnswer{.pieces = {Refusal(c, request, "20")}};
+      }));
   AskUntilSeen(it, c, "/read/x");
   std::this_thread::sleep_for(milliseconds(1500));
   const std::size_t before = Arrivals(c);
