client_session: requests sent ahead no longer nest in one another

A caller may send requests ahead while one is served. Those that the host answers at once (a refusal, mostly) were each taken up inside the call that answered the one before: FinishAnswer -> Parse -> on_request -> Answer -> FinishAnswer. The depth grew with the number of short requests sent ahead, and so could end the stack, and with it the host and all requests on it.

Parse now goes on in a loop, and a call of it from within itself leaves the work to the outer one. A request is taken up only after the call for the one before it has returned.

In the test the frames are small and 4500 levels fit the stack; a whole host that dies of it was not tried.

--- a/include/mangoport/forward/client_session.h
+++ b/include/mangoport/forward/client_session.h
@@ -114,7 +114,12 @@
   void OnData(std::string_view data);
   void OnEnd();
   void OnError();
+  /// Takes up what has arrived, until a request is under way. A call from
+  /// within itself leaves the work to the outer one.
   void Parse();
+  bool MayParse() const;
+  /// Takes up what has arrived of one request.
+  void ParseNext();
   void Refuse(int status, std::string_view reason);
   void FinishAnswer();
   void ArmTimer(MonoTime now);
@@ -144,6 +149,9 @@
   /// Bytes that had not left when the timer was looked at last.
   std::size_t unsent_before_ = 0;
   bool busy_ = false;
+  bool parsing_ = false;
+  /// An answer has been finished, and the connection stays.
+  bool answered_ = false;
   bool keep_alive_ = true;
   bool bodyless_ = false;
   bool draining_ = false;
--- a/lib/forward/client_session.cc
+++ b/lib/forward/client_session.cc
@@ -105,6 +105,23 @@
 }
 
 void ClientSession::Parse() {
+  // A request that is answered at once has its answer finished, and the next
+  // one asked for, inside its own call.
+  if (std::exchange(parsing_, true))
+    return;
+  const auto self = shared_from_this();
+  do {
+    answered_ = false;
+    ParseNext();
+  } while (answered_ && MayParse());
+  parsing_ = false;
+}
+
+bool ClientSession::MayParse() const {
+  return !busy_ && !ending_ && !closed_ && !ahead_.empty();
+}
+
+void ClientSession::ParseNext() {
   const bool had_started = parser_.started();
   const bool had_head = parser_.head_complete();
   const std::size_t used = parser_.Feed(ahead_, body_);
@@ -258,8 +275,9 @@
     return;
   }
   ArmTimer(Now());
+  answered_ = true;
   stream_->SetReading(true);
-  if (!ahead_.empty())
+  if (MayParse())
     Parse();
 }
 
--- a/unittests/forward/client_session_test.cc
+++ b/unittests/forward/client_session_test.cc
@@ -1,12 +1,16 @@
 #include "mangoport/forward/client_session.h"
 
+#include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include <criterion/criterion.h>
 
@@ -71,5 +75,106 @@
   cr_assert_eq(caller.TakeUp(), 0);
 }
 
+/// A caller that sends and reads as it likes, and the session that serves it.
+class Conversation {
+ public:
+  using OnRequest =
+      std::function<void(const std::shared_ptr<ClientSession>&, HttpRequest)>;
+
+  explicit Conversation(OnRequest on_request)
+      : acceptor_(io_, {asio::ip::make_address("127.0.0.1"), 0}),
+        socket_(io_),
+        timers_(io_) {
+    socket_.connect(acceptor_.local_endpoint());
+    socket_.non_blocking(true);
+    session_ = std::make_shared<ClientSession>(
+        std::make_shared<TcpStream>(acceptor_.accept()), timers_,
+        IngressLimits(),
+        ClientSessionHooks{.on_request = std::move(on_request),
+                           .on_refused = {},
+                           .on_closed = {}});
+    session_->Start(std::chrono::steady_clock::now());
+  }
+
+  /// Sends the bytes and lets both sides go on until nothing happens any more.
+  void Send(std::string_view bytes) {
+    unsent_.append(bytes);
+    Settle();
+  }
+
+  void Settle() {
+    while (Write() + Read() + io_.run_one_for(kQuiet) > 0) {
+    }
+  }
+
+  ClientSession& session() { return *session_; }
+
+  /// All that the caller has read so far.
+  const std::string& received() const { return received_; }
+
+  int CountReceived(std::string_view text) const {
+    int n = 0;
+    for (std::size_t at = received_.find(text); at != std::string::npos;
+         at = received_.find(text, at + text.size()))
+      ++n;
+    return n;
+  }
+
+ private:
+  static constexpr Duration kQuiet = milliseconds(100);
+
+  std::size_t Write() {
+    asio::error_code error;
+    const std::size_t n = socket_.write_some(asio::buffer(unsent_), error);
+    unsent_.erase(0, n);
+    return n;
+  }
+
+  std::size_t Read() {
+    asio::error_code error;
+    std::string piece(std::size_t{64} * 1024, '\0');
+    const std::size_t n = socket_.read_some(asio::buffer(piece), error);
+    received_.append(piece, 0, n);
+    return n;
+  }
+
+  asio::io_context io_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::ip::tcp::socket socket_;
+  TimerQueue timers_;
+  std::shared_ptr<ClientSession> session_;
+  std::string unsent_;
+  std::string received_;
+};
+
+// While the first request is served, its caller sends thousands ahead that are
+// all refused at once. None may be answered inside the call of another one, or
+// the stack ends before the requests do.
+Test(client_session, requests_sent_ahead_are_refused_one_after_another) {
+  constexpr int kAhead = 4500;
+  constexpr std::string_view kShort = "GET / HTTP/1.1\r\nHost:\r\n\r\n";
+  int requests = 0;
+  int depth = 0;
+  int deepest = 0;
+  Conversation caller(
+      [&](const std::shared_ptr<ClientSession>& session, const HttpRequest&) {
+        deepest = std::max(deepest, ++depth);
+        if (++requests > 1)
+          session->Answer({.status = 503});
+        --depth;
+      });
+  std::string all(kRequest);
+  for (int i = 0; i < kAhead; ++i)
+    all.append(kShort);
+  caller.Send(all);
+  cr_assert_eq(requests, 1);
+
+  caller.session().Answer({.status = 200});
+  caller.Settle();
+  cr_expect_eq(deepest, 1, "%d requests deep", deepest);
+  cr_expect_eq(caller.CountReceived("HTTP/1.1 200 "), 1);
+  cr_expect_eq(caller.CountReceived("HTTP/1.1 503 "), kAhead);
+}
+
 }  // namespace
 }  // namespace mangoport
