client_session: an answer to HEAD has no body in pieces either

What callers saw: HEAD on a route of streams was answered with chunks and "0\r\n\r\n" on a connection that stays, so that the next answer began with them. A malformed request behind a HEAD was refused with a Content-Length and without the body it names. HEAD and 304 were told "Content-Length: 0", which says that a GET would have no body; 204 had a Content-Length, which it may not have, and the body of a 204 was passed on.

Cause: only AnswerWhole looked at whether the request was a HEAD; Refuse used what the request before had left; the status was not looked at.

Now whether the answer has a body is decided with its head, by the request's method and the status, and holds for its pieces and its end. Refuse goes by the request that it refuses. A length is named for HEAD only if the body is known here, and never with 1xx, 204 or 304.

--- a/include/mangoport/forward/client_session.h
+++ b/include/mangoport/forward/client_session.h
@@ -153,6 +153,7 @@
   /// An answer has been finished, and the connection stays.
   bool answered_ = false;
   bool keep_alive_ = true;
+  /// The answer has no body, since a HEAD asked for it or by its status.
   bool bodyless_ = false;
   bool draining_ = false;
   /// The answer's head tells the caller that the connection ends with it.
--- a/lib/forward/client_session.cc
+++ b/lib/forward/client_session.cc
@@ -17,6 +17,11 @@
 
 constexpr std::string_view kContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
+/// An answer with this status has no body, whatever was asked.
+bool HasNoBody(int status) {
+  return status / 100 == 1 || status == 204 || status == 304;
+}
+
 MonoTime Now() {
   return std::chrono::steady_clock::now();
 }
@@ -177,6 +182,7 @@
     hooks_.on_refused(status, reason);
   keep_alive_ = false;
   busy_ = true;
+  bodyless_ = parser_.head_complete() && parser_.head().method == "HEAD";
   Answer({.status = status,
           .body = "{\"error\":{\"message\":\"" + std::string(reason) +
                   "\",\"not_run\":true}}"});
@@ -220,7 +226,10 @@
   std::string out;
   out.reserve(512 + body.size());
   AppendHead(out, status, reason, fields);
-  AppendField(out, "Content-Length", std::to_string(body.size()));
+  bodyless_ |= HasNoBody(status);
+  // The length of a body that isn't there is known only to its server.
+  if (!bodyless_ || (!body.empty() && !HasNoBody(status)))
+    AppendField(out, "Content-Length", std::to_string(body.size()));
   out.append("\r\n");
   if (!bodyless_)
     out.append(body);
@@ -238,15 +247,17 @@
   std::string out;
   out.reserve(512 + first_piece.size());
   AppendHead(out, status, reason, fields);
-  AppendField(out, "Transfer-Encoding", "chunked");
+  bodyless_ |= HasNoBody(status);
+  if (!HasNoBody(status))
+    AppendField(out, "Transfer-Encoding", "chunked");
   out.append("\r\n");
-  if (!first_piece.empty())
+  if (!bodyless_ && !first_piece.empty())
     AppendChunk(out, first_piece);
   stream_->Send(out);
 }
 
 void ClientSession::SendPiece(std::string_view piece) {
-  if (closed_ || piece.empty())
+  if (closed_ || bodyless_ || piece.empty())
     return;
   std::string out;
   out.reserve(piece.size() + 16);
@@ -257,7 +268,8 @@
 void ClientSession::EndAnswer() {
   if (closed_)
     return;
-  stream_->Send(kLastChunk);
+  if (!bodyless_)
+    stream_->Send(kLastChunk);
   FinishAnswer();
 }
 
--- a/unittests/forward/client_session_test.cc
+++ b/unittests/forward/client_session_test.cc
@@ -176,5 +176,71 @@
   cr_expect_eq(caller.CountReceived("HTTP/1.1 503 "), kAhead);
 }
 
+/// Answers a request in one of the ways that have a body.
+void AnswerInPieces(const std::shared_ptr<ClientSession>& session) {
+  session->BeginAnswer(200, {}, {}, "first");
+  session->SendPiece("second");
+  session->EndAnswer();
+}
+
+// The caller took the body of a HEAD for the start of its next answer.
+Test(client_session, an_answer_in_pieces_to_head_has_no_body) {
+  Conversation caller([](const std::shared_ptr<ClientSession>& session,
+                         const HttpRequest&) { AnswerInPieces(session); });
+  caller.Send("HEAD /a/ HTTP/1.1\r\nHost: a.example\r\n\r\n");
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  cr_expect_str_eq(caller.received().c_str(), head.c_str());
+  caller.Send(kRequest);
+  const std::string both =
+      head + head + "5\r\nfirst\r\n6\r\nsecond\r\n0\r\n\r\n";
+  cr_expect_str_eq(caller.received().c_str(), both.c_str());
+}
+
+// The refusal of a request behind a HEAD named a length and had no body.
+Test(client_session, a_refusal_behind_head_has_its_body) {
+  Conversation caller(
+      [](const std::shared_ptr<ClientSession>& session, const HttpRequest&) {
+        session->Answer({.status = 200});
+      });
+  caller.Send("HEAD /a/ HTTP/1.1\r\nHost: a.example\r\n\r\n");
+  caller.Send("GET /a/ HTTP/1.1\r\nno field\r\n\r\n");
+  cr_expect_eq(caller.CountReceived("HTTP/1.1 400 "), 1);
+  cr_expect_eq(caller.CountReceived("the request is malformed"), 1);
+}
+
+// A length of 0 says that a GET would have no body, which nobody knows here;
+// with 204 no length may be named at all.
+Test(client_session, a_length_is_named_only_where_it_is_known) {
+  int status = 0;
+  std::string body;
+  Conversation caller(
+      [&](const std::shared_ptr<ClientSession>& session, const HttpRequest&) {
+        session->AnswerWhole(status, "Any", {}, body);
+      });
+  const auto answer = [&](std::string_view method, int to_status,
+                          std::string with_body) {
+    status = to_status;
+    body = std::move(with_body);
+    const std::size_t before = caller.received().size();
+    caller.Send(std::string(method) +
+                " /a/ HTTP/1.1\r\nHost: a.example\r\n\r\n");
+    return caller.received().substr(before);
+  };
+  const auto expect = [&](const std::string& got, const char* wanted) {
+    cr_expect_str_eq(got.c_str(), wanted);
+  };
+  expect(answer("HEAD", 200, ""), "HTTP/1.1 200 Any\r\n\r\n");
+  expect(answer("HEAD", 200, "abc"),
+         "HTTP/1.1 200 Any\r\nContent-Length: 3\r\n\r\n");
+  expect(answer("GET", 204, ""), "HTTP/1.1 204 Any\r\n\r\n");
+  expect(answer("GET", 204, "abc"), "HTTP/1.1 204 Any\r\n\r\n");
+  expect(answer("GET", 304, ""), "HTTP/1.1 304 Any\r\n\r\n");
+  expect(answer("GET", 200, ""),
+         "HTTP/1.1 200 Any\r\nContent-Length: 0\r\n\r\n");
+  expect(answer("GET", 200, "abc"),
+         "HTTP/1.1 200 Any\r\nContent-Length: 3\r\n\r\nabc");
+}
+
 }  // namespace
 }  // namespace mangoport
