event_splitter: a wide step is taken where two servers agree on it

What callers saw: a sound stream with uneven ids that broke off was never continued. With 1, 2, 5, 6 broken behind 2, the rest of each server begins at 5, a step wider than all before; each server was refused as broken and charged an invalid answer until the attempts ran out. The protocol promises increasing ids, not even ones. On the other side a stream that begins at 100 had shown a "step" of 100, so that real gaps in it were joined.

A step that is wider than all before at a join is now refused at first, and taken when the run of another server begins with the same id: the servers know what follows, and two of them are unlikely to leave out the same events. The second word of the same server does not count. Where three steps or more were all equal, the ids rise evenly, and a wider step stays a gap whoever makes it. A first id counts as a step only if the caller named its last event or the stream counts from one; if no step was seen, any rise is taken.

What stays open: the first server of a sound uneven stream is still charged one invalid answer, and a gap which two servers make alike behind fewer than three steps is joined.

New tests; with the old rule (Restart's new argument ignored):

[FAIL] event_splitter::a_gap_in_even_steps_is_refused_from_every_server [FAIL] event_splitter::a_wide_step_that_two_servers_agree_on_is_taken [FAIL] event_splitter::the_first_id_alone_is_no_step

No existing test changed.

--- a/include/mangoport/http/event_splitter.h
+++ b/include/mangoport/http/event_splitter.h
@@ -15,7 +15,9 @@
 ///
 /// Event ids rise within a stream. A run that continues one must begin with the
 /// event that follows the last one: an event without an id, a repeat or a gap
-/// shows that it does something else.
+/// shows that it does something else. A step wider than all before is a gap in
+/// a stream whose ids rise evenly; in any other it is refused until the run of
+/// another server begins with the same id.
 class EventSplitter {
  public:
   /// Says that the caller has the events up to `id` from an earlier request.
@@ -43,19 +45,34 @@
   /// been passed on since the last one with an id.
   bool resumable() const { return !unnumbered_; }
 
-  /// Another run continues the stream. Drops the incomplete event.
-  void Restart();
+  /// Another run continues the stream, from the server `source`. Drops the
+  /// incomplete event.
+  void Restart(std::string_view source = {});
 
  private:
   /// False if the event does not go on with the stream.
   bool Accept(std::string_view event);
-  bool Continues(std::uint64_t id) const;
+  bool Continues(std::uint64_t id);
+  /// True if the run of another server began at this id before.
+  bool IsConfirmed(std::uint64_t id);
+  void NoteStep(std::uint64_t id);
+
+  /// The first event of a run that was refused for its wide step.
+  struct WideJoin {
+    std::uint64_t id = 0;
+    std::string source;
+  };
 
   std::string partial_;
-  std::uint64_t origin_ = 0;
+  std::optional<std::uint64_t> origin_;
   std::optional<std::uint64_t> last_id_;
   /// The largest rise from one id to the next so far; zero if there was none.
   std::uint64_t widest_step_ = 0;
+  std::uint64_t narrowest_step_ = 0;
+  std::size_t steps_ = 0;
+  std::optional<WideJoin> wide_join_;
+  /// The server of the run that is being read.
+  std::string source_;
   /// The next event is the first of a run that continues the stream.
   bool joining_ = false;
   bool unnumbered_ = false;
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -179,7 +179,7 @@
   last_byte_at_ = now;
   answer_ = Answer();
   reading_paused_ = false;
-  events_.Restart();
+  events_.Restart(server_.value());
   connection_ = OpenAttempt(now, server, *address);
   if (route_->idempotent())
     ArmSilenceCheck(now);
--- a/lib/forward/request_handover.cc
+++ b/lib/forward/request_handover.cc
@@ -196,7 +196,7 @@
   last_byte_at_ = now;
   answer_ = Answer();
   reading_paused_ = false;
-  events_.Restart();
+  events_.Restart(server_.value());
   ArmSilenceCheck(now);
 }
 
--- a/lib/http/event_splitter.cc
+++ b/lib/http/event_splitter.cc
@@ -8,6 +8,9 @@
 
 constexpr std::string_view kIdField = "id:";
 
+/// So many equal steps, and no others, show that a stream's ids rise evenly.
+constexpr std::size_t kEvenSteps = 3;
+
 /// Takes the first line off `text`, without its end.
 std::string_view TakeLine(std::string_view& text) {
   const std::size_t end = text.find('\n');
@@ -62,14 +65,38 @@
 
 }  // namespace
 
-bool EventSplitter::Continues(std::uint64_t id) const {
+bool EventSplitter::Continues(std::uint64_t id) {
   if (!last_id_)
     return true;
   if (id <= *last_id_)
     return false;
   // Ids need not be consecutive. Where two runs meet, a step that is wider than
-  // all others means that events are missing.
-  return !joining_ || widest_step_ == 0 || id - *last_id_ <= widest_step_;
+  // all others may mean that events are missing.
+  if (!joining_ || widest_step_ == 0 || id - *last_id_ <= widest_step_)
+    return true;
+  const bool even = steps_ >= kEvenSteps && narrowest_step_ == widest_step_;
+  return !even && IsConfirmed(id);
+}
+
+bool EventSplitter::IsConfirmed(std::uint64_t id) {
+  if (wide_join_ && wide_join_->id == id && wide_join_->source != source_)
+    return true;
+  wide_join_ = WideJoin{.id = id, .source = source_};
+  return false;
+}
+
+void EventSplitter::NoteStep(std::uint64_t id) {
+  // A first id says nothing of steps, unless the caller named the one before or
+  // the stream counts from one.
+  if (!last_id_ && !origin_ && id != 1)
+    return;
+  const std::uint64_t before = last_id_.value_or(origin_.value_or(0));
+  if (id <= before)
+    return;
+  const std::uint64_t step = id - before;
+  widest_step_ = std::max(widest_step_, step);
+  narrowest_step_ = steps_ == 0 ? step : std::min(narrowest_step_, step);
+  ++steps_;
 }
 
 bool EventSplitter::Accept(std::string_view event) {
@@ -82,9 +109,7 @@
   }
   if (!Continues(*id))
     return false;
-  const std::uint64_t before = last_id_.value_or(origin_);
-  if (*id > before)
-    widest_step_ = std::max(widest_step_, *id - before);
+  NoteStep(*id);
   joining_ = false;
   unnumbered_ = false;
   last_id_ = id;
@@ -121,7 +146,8 @@
   return n;
 }
 
-void EventSplitter::Restart() {
+void EventSplitter::Restart(std::string_view source) {
+  source_ = source;
   partial_.clear();
   out_of_order_ = false;
   joining_ = last_id_.has_value();
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -199,6 +199,73 @@
   cr_expect(splitter.out_of_order());
 }
 
+/// Where a stream broke off, and how far its rest begins behind that.
+struct Join {
+  const char* before;
+  const char* rest;
+};
+
+// The ids 1, 2, 5, 6 broke behind 2, and every sound server's rest was refused.
+Test(event_splitter, a_wide_step_that_two_servers_agree_on_is_taken) {
+  for (const Join& it :
+       {Join{"id: 1\n\nid: 2\n\n", "id: 5\n\nid: 6\n\n"},
+        Join{"id: 1\n\nid: 2\n\nid: 5\n\nid: 6\n\n", "id: 19\n\nid: 20\n\n"}}) {
+    EventSplitter splitter;
+    std::string whole;
+    splitter.Feed(it.before, whole);
+    splitter.Restart("a");
+    cr_expect_eq(splitter.Feed(it.rest, whole), 0);
+    // The same server's word again is no second one.
+    splitter.Restart("a");
+    cr_expect_eq(splitter.Feed(it.rest, whole), 0);
+    splitter.Restart("b");
+    cr_expect_eq(splitter.Feed(it.rest, whole), 2);
+    cr_expect_not(splitter.out_of_order());
+    cr_expect_eq(whole, std::string(it.before) + it.rest);
+  }
+}
+
+Test(event_splitter, servers_that_begin_at_different_ids_do_not_agree) {
+  EventSplitter splitter;
+  std::string whole;
+  splitter.Feed("id: 1\n\nid: 2\n\n", whole);
+  for (int source = 1; source < 6; ++source) {
+    splitter.Restart(std::to_string(source));
+    const std::string rest = "id: " + std::to_string(10 - source) + "\n\n";
+    cr_expect_eq(splitter.Feed(rest, whole), 0, "%s", rest.c_str());
+  }
+}
+
+// Where all steps were the same, a wider one is a gap, whoever makes it.
+Test(event_splitter, a_gap_in_even_steps_is_refused_from_every_server) {
+  for (const Join& it :
+       {Join{"id: 1\n\nid: 2\n\nid: 3\n\n", "id: 5\n\n"},
+        Join{"id: 10\n\nid: 20\n\nid: 30\n\nid: 40\n\n", "id: 60\n\n"},
+        Join{"id: 100\n\nid: 101\n\nid: 102\n\nid: 103\n\n", "id: 105\n\n"}}) {
+    EventSplitter splitter;
+    std::string whole;
+    splitter.Feed(it.before, whole);
+    for (int source = 1; source < 5; ++source) {
+      splitter.Restart(std::to_string(source));
+      cr_expect_eq(splitter.Feed(it.rest, whole), 0, "%s", it.rest);
+      cr_expect(splitter.out_of_order());
+    }
+  }
+}
+
+// A first id of 100 says nothing of steps, unless the caller named its last.
+Test(event_splitter, the_first_id_alone_is_no_step) {
+  EventSplitter splitter;
+  std::string whole;
+  splitter.Feed("id: 100\n\n", whole);
+  splitter.Restart("a");
+  cr_expect_eq(splitter.Feed("id: 250\n\n", whole), 1);
+  EventSplitter two;
+  two.Feed("id: 100\n\nid: 101\n\n", whole);
+  two.Restart("a");
+  cr_expect_eq(two.Feed("id: 103\n\n", whole), 0);
+}
+
 // A repeat took the good events before it along, and the place to go on from.
 Test(event_splitter, events_before_a_repeat_stand) {
   EventSplitter splitter;
