event_splitter, request_exchange: comments are no events

What callers saw: a server that sent the head of a stream without a length and ": ping\n\n", and was then lost, gave a whole stream without events. The comment counted as an event, and behind an event the end of the connection is the end of the stream. A comment also counted as the first token, in the metrics and for the server's speed, and as the begin of the answer, which clears a part of the prompt that is suspected of crashing servers.

Feed no longer counts comments, and only counted events note that the answer has begun. Comments are passed on as before, since they keep connections.

New tests, before the change:

[FAIL] event_splitter::comments_are_passed_on_and_not_counted [FAIL] unframed_answer::a_close_behind_a_comment_is_no_whole_stream

No test covers a deadly part behind a comment.

--- a/include/mangoport/http/event_splitter.h
+++ b/include/mangoport/http/event_splitter.h
@@ -24,8 +24,9 @@
   void StartAfter(std::uint64_t id) { origin_ = id; }
 
   /// Takes in body bytes and appends to `whole` the events that are complete by
-  /// now and go on with the stream. Returns how many those are. After the first
-  /// event that does not, nothing more is taken in until `Restart`.
+  /// now and go on with the stream. Returns how many those are; comments are
+  /// passed on and not counted. After the first event that does not go on,
+  /// nothing more is taken in until `Restart`.
   std::size_t Feed(std::string_view data, std::string& whole);
 
   /// The id of the newest event that was passed on, if any had one.
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -298,20 +298,25 @@
     answer_.events += n;
     events_passed_ += n;
     host_.parts_.metrics.OnEvents(n);
-    OnEvents(now, whole);
+    OnEvents(now);
   }
+  if (!whole.empty())
+    PassOnPiece(whole);
   if (events_.out_of_order() && !done_)
     EndAttempt(now, AttemptEnd::kBroken);
 }
 
-void RequestExchange::OnEvents(MonoTime now, std::string_view whole) {
+void RequestExchange::OnEvents(MonoTime now) {
   NoteAnswerBegun(now);
-  if (!first_event_at_) {
-    first_event_at_ = now;
-    host_.parts_.backends.OnFirstToken(now, server_, prompt_tokens_,
-                                       now - sent_at_, routing_.urgency);
-    host_.parts_.metrics.OnFirstEvent(now - request_.arrived);
-  }
+  if (first_event_at_)
+    return;
+  first_event_at_ = now;
+  host_.parts_.backends.OnFirstToken(now, server_, prompt_tokens_,
+                                     now - sent_at_, routing_.urgency);
+  host_.parts_.metrics.OnFirstEvent(now - request_.arrived);
+}
+
+void RequestExchange::PassOnPiece(std::string_view whole) {
   if (!answer_begun_) {
     answer_begun_ = true;
     session_->BeginAnswer(answer_.status, answer_.reason, answer_.fields,
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -142,7 +142,9 @@
                 const HttpFailure& failure);
 
   // Answers.
-  void OnEvents(MonoTime now, std::string_view whole);
+  void OnEvents(MonoTime now);
+  /// Passes on whole events and comments of a stream.
+  void PassOnPiece(std::string_view whole);
   /// The caller has taken all that was passed on.
   void OnDrained();
   void PassOnWhole(MonoTime now);
--- a/lib/http/event_splitter.cc
+++ b/lib/http/event_splitter.cc
@@ -134,12 +134,13 @@
     const std::size_t end = FindEventEnd(text, searched);
     if (end == std::string_view::npos)
       break;
-    out_of_order_ = !Accept(text.substr(begin, end - begin));
+    const std::string_view event = text.substr(begin, end - begin);
+    out_of_order_ = !Accept(event);
     if (out_of_order_)
       break;
     begin = end;
     searched = end;
-    ++n;
+    n += IsComment(event) ? 0 : 1;
   }
   whole.append(partial_, 0, begin);
   partial_.erase(0, begin);
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -288,6 +288,15 @@
   cr_expect(splitter.resumable());
 }
 
+Test(event_splitter, comments_are_passed_on_and_not_counted) {
+  EventSplitter splitter;
+  std::string whole;
+  cr_expect_eq(splitter.Feed(": ping\n\n", whole), 0);
+  cr_expect_eq(whole, ": ping\n\n");
+  cr_expect_eq(splitter.Feed("id: 1\n\n: ping\n\ndata: a\n\n", whole), 2);
+  cr_expect_eq(whole, ": ping\n\nid: 1\n\n: ping\n\ndata: a\n\n");
+}
+
 // Events whose lines end in CRLF were held back until the stream's end.
 Test(event_splitter, lines_may_end_in_crlf) {
   const std::string text = "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n";
--- a/unittests/process/unframed_answer_test.cc
+++ b/unittests/process/unframed_answer_test.cc
@@ -171,6 +171,21 @@
                answer.c_str());
 }
 
+// A comment keeps a connection; it is no event that a stream could end behind.
+Test(unframed_answer,
+     a_close_behind_a_comment_is_no_whole_stream,
+     .timeout = 60) {
+  constexpr const char* kPing = ": ping\n\n";
+  const ScriptedEdge resumed(Framing::kConnection, kPing, Events(1, 6));
+  const auto reply = resumed.edge_.Ask("/stream/x");
+  cr_assert(reply && reply->status == 200);
+  cr_assert_eq(reply->body, kPing + Events(1, 6), "%s", reply->body.c_str());
+  const ScriptedEdge never(Framing::kConnection, kPing, kPing);
+  const std::string answer = never.edge_.Raw(kStreamRequest);
+  cr_assert_eq(answer.find(kLastChunk), std::string::npos, "%s",
+               answer.c_str());
+}
+
 Test(unframed_answer,
      stream_cut_inside_an_event_never_looks_complete,
      .timeout = 60) {
