forward: a crash behind an unframed head counts as a loss

Callers saw a part of a prompt crash server after server, with no quarantine, if the servers sent the head of a stream before they ended.

Such a head has neither a length nor chunks, so the end of the connection is in order for the HTTP parser, and the exchange gets on_complete. The stream isn't whole without an event, so the attempt ended as broken, but neither the suspects of parts nor those of requests were told.

A stream that ends with its connection and isn't whole is now handled as any other connection that the server closed: OnFailed with kBrokenAnswer, by the peer. What becomes of the attempt is the same as before. A framed stream that ends inside an event is a wrong answer of a server that lives, and stays out of the evidence.

Test: deadly_part, a_crash_behind_an_unframed_head_counts.

--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -348,12 +348,12 @@
 void RequestExchange::OnComplete() {
   const auto self = shared_from_this();
   const MonoTime now = Now();
-  connection_.reset();
-  const int status = answer_.status;
   if (answer_.streaming && !StreamIsWhole()) {
-    EndAttempt(now, AttemptEnd::kBroken);
+    OnBrokenStream(now);
     return;
   }
+  connection_.reset();
+  const int status = answer_.status;
   if (status / 100 == 2) {
     NoteAnswerBegun(now);
     FinishAttempt(now, AttemptOutcome::kCompleted);
@@ -380,6 +380,18 @@
   PassOnWhole(now);
 }
 
+void RequestExchange::OnBrokenStream(MonoTime now) {
+  if (!answer_.framed) {
+    // The server closed the connection, as its process does when it ends.
+    OnFailed({.kind = HttpFailure::Kind::kBrokenAnswer,
+              .request_sent = true,
+              .by_peer = true});
+    return;
+  }
+  connection_.reset();
+  EndAttempt(now, AttemptEnd::kBroken);
+}
+
 void RequestExchange::PassOnWhole(MonoTime now) {
   session_->AnswerWhole(answer_.status, answer_.reason, answer_.fields,
                         answer_.body);
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -91,6 +91,8 @@
   void OnComplete();
   /// True if a stream that has ended in order has all that its server sent.
   bool StreamIsWhole() const;
+  /// A stream has ended without all that its server sent.
+  void OnBrokenStream(MonoTime now);
   void OnFailed(const HttpFailure& failure);
   static AttemptEnd EndOf(const HttpFailure& failure);
   /// What an answer that is no success says of this request.
--- a/unittests/process/deadly_part_test.cc
+++ b/unittests/process/deadly_part_test.cc
@@ -21,12 +21,17 @@
 /// does, instead of answering to a prompt with the deadly part.
 class DeadlyEdge {
  public:
-  DeadlyEdge() {
+  /// How a server ends while it has a deadly request.
+  enum class Crash { kNoHead, kBehindHead };
+
+  explicit DeadlyEdge(Crash crash = Crash::kNoHead) {
     for (const char* id : {"i-c", "i-d", "i-e", "i-f"}) {
       ScriptedBackend*& self = selves_.emplace_back();
       edge_.List(
-          servers_.emplace_back(id, [&self](const SeenRequest& it,
-                                            int) { return Answer(*self, it); }),
+          servers_.emplace_back(id,
+                                [&self, crash](const SeenRequest& it, int) {
+                                  return Answer(crash, *self, it);
+                                }),
           "ready");
       self = &servers_.back();
     }
@@ -38,10 +43,11 @@
 
   /// A request like no other, on the prompt "aaaa", `part` and a part of its
   /// own.
-  httplib::Result Ask(const std::string& part) {
+  httplib::Result Ask(const std::string& part,
+                      const std::string& route = "/once/") {
     const std::string n = std::to_string(asked_++);
-    return edge_.Ask("/once/" + n, {{"X-Prompt-Prefix",
-                                     "aaaa:90," + part + ":50,f" + n + ":10"}});
+    return edge_.Ask(route + n, {{"X-Prompt-Prefix",
+                                  "aaaa:90," + part + ":50,f" + n + ":10"}});
   }
 
   int DeadlySeen() const {
@@ -61,8 +67,13 @@
            std::string::npos;
   }
 
-  static ScriptedAnswer Answer(const ScriptedBackend& server,
+  static ScriptedAnswer Answer(Crash crash,
+                               const ScriptedBackend& server,
                                const SeenRequest& request) {
+    if (IsDeadly(request) && crash == Crash::kBehindHead)
+      return {.pieces = {server.Head(request, 200,
+                                     "Content-Type: text/event-stream\r\n")},
+              .end = ScriptedAnswer::End::kClose};
     if (IsDeadly(request))
       return {.pieces = {}, .end = ScriptedAnswer::End::kReset};
     return {
@@ -108,6 +119,24 @@
   cr_assert_neq(log.find("lost_with_server"), std::string::npos);
   cr_assert_neq(log.find("part_quarantined"), std::string::npos);
 }
+
+// A server that ended behind a head without a length left no evidence.
+Test(deadly_part, a_crash_behind_an_unframed_head_counts, .timeout = 60) {
+  DeadlyEdge it(DeadlyEdge::Crash::kBehindHead);
+  for (int i = 0; i < 10; ++i) {
+    it.Ask(kDeadlyPart, "/stream/");
+    const auto sound = it.Ask("bbbb");
+    cr_assert(sound && sound->status == 200);
+    std::this_thread::sleep_for(milliseconds(400));
+  }
+  const int seen = it.DeadlySeen();
+  const auto last = it.Ask(kDeadlyPart, "/stream/");
+  cr_assert(last);
+  cr_assert_eq(last->status, 503, "%d", last->status);
+  cr_assert_neq(last->body.find("quarantined_part"), std::string::npos, "%s",
+                last->body.c_str());
+  cr_assert_eq(it.DeadlySeen(), seen);
+}
 // NOLINTEND
 
 }  // namespace
