edge, routing: losses of parts are told, none dropped, for three rounds

Hosts of a large fleet convicted a deadly part late, or not at all, since they had not heard of the crashes that other hosts saw.

SendLosses returned without a trace if the last broadcast of losses was less than 100 ms ago, so what was lost then waited for the next round. Rounds take 3.7 s with 295 hosts, and losses were told for 3 s. Also, a host that held 256 losses dropped new ones until the old ones were out of date.

Losses are told for 12 s, three rounds of 300 hosts, and of too many the oldest are dropped. The caps on what one datagram tells (128 losses, 128 states) are as before.

Tests: part_suspects, losses_are_told_for_three_rounds_of_a_large_fleet and the_newest_losses_are_told_first.

--- a/include/mangoport/edge/edge_host.h
+++ b/include/mangoport/edge/edge_host.h
@@ -99,8 +99,6 @@
   void OnSuspicion(MonoTime now, const wire::CrashSuspicionNote& note);
   void OnHolderState(MonoTime now, const wire::HostState& message);
   void SendChanges();
-  /// Tells all hosts what was lost together with servers.
-  void SendLosses();
   /// This host's place among the hosts in touch.
   HostTurn ProbeTurn() const;
 
@@ -135,7 +133,6 @@
   std::optional<HostId> holder_;
   MonoTime holder_heard_at_;
   Duration holder_lifetime_{};
-  MonoTime losses_sent_at_;
   HolderNotice holder_notice_;
   bool notice_timer_set_ = false;
   MonoTime stop_began_;
--- a/include/mangoport/routing/part_suspects.h
+++ b/include/mangoport/routing/part_suspects.h
@@ -90,8 +90,9 @@
     Duration settle_time = std::chrono::milliseconds(300);
     /// Crashes count against a part for so long.
     Duration evidence_lifetime = std::chrono::minutes(10);
-    /// Losses are told to other hosts for so long.
-    Duration report_duration = std::chrono::seconds(3);
+    /// Losses are told to other hosts for so long: three rounds of 300 hosts,
+    /// since datagrams get lost.
+    Duration report_duration = std::chrono::seconds(12);
   };
 
   explicit PartSuspects(const Settings& settings) : settings_(settings) {}
@@ -195,7 +196,7 @@
 
   Settings settings_;
   std::deque<Crash> crashes_;
-  std::vector<OwnLoss> own_losses_;
+  std::deque<OwnLoss> own_losses_;
   std::unordered_map<PartHash, MonoTime> begun_;
   std::map<PartHash, Quarantine> quarantined_;
   std::set<PartHash> suspects_;
--- a/lib/edge/edge_peers.cc
+++ b/lib/edge/edge_peers.cc
@@ -14,9 +14,6 @@
 
 constexpr double kPerMille = 1000;
 
-/// Losses of servers are told at once, at most this often.
-constexpr Duration kSendLossesInterval = std::chrono::milliseconds(100);
-
 constexpr Duration kHolderLifetime = std::chrono::seconds(2);
 
 /// The holder is suspected after this time without a datagram from it. Readers
@@ -238,14 +235,6 @@
     soft_state_.SendTo(*holder_);
 }
 
-void EdgeHost::SendLosses() {
-  const MonoTime now = Now();
-  if (now - losses_sent_at_ < kSendLossesInterval)
-    return;
-  losses_sent_at_ = now;
-  soft_state_.SendChangesSoon();
-}
-
 HostTurn EdgeHost::ProbeTurn() const {
   const std::vector<PeerHost> peers = soft_state_.peers().ReachablePeers(Now());
   const auto before = std::count_if(
--- a/lib/routing/part_suspects.cc
+++ b/lib/routing/part_suspects.cc
@@ -79,8 +79,9 @@
   for (const PartHash it : parts) {
     out.part = it;
     AddLoss(now, out);
-    if (own_losses_.size() < kMaxOwnLosses)
-      own_losses_.push_back({.loss = out, .at = Before(now, loss.age)});
+    if (own_losses_.size() >= kMaxOwnLosses)
+      own_losses_.pop_front();
+    own_losses_.push_back({.loss = out, .at = Before(now, loss.age)});
   }
 }
 
--- a/unittests/routing/part_suspects_test.cc
+++ b/unittests/routing/part_suspects_test.cc
@@ -158,6 +158,25 @@
     cr_assert(fresh.Refusal(probe + seconds(s), {kDeadly}, false), "%d s", s);
 }
 
+// With 295 hosts a round takes 3.7 s, and a report may miss two.
+Test(part_suspects, losses_are_told_for_three_rounds_of_a_large_fleet) {
+  PartSuspects suspects;
+  suspects.OnLost(kStart, Loss(1, 1), {kDeadly});
+  cr_assert_eq(suspects.RecentLosses(kStart + milliseconds(11'100)).size(), 1);
+  cr_assert(suspects.RecentLosses(kStart + seconds(13)).empty());
+}
+
+// After a burst of losses, later ones were not told until the burst was old.
+Test(part_suspects, the_newest_losses_are_told_first) {
+  PartSuspects suspects;
+  for (std::uint64_t i = 0; i < 300; ++i)
+    suspects.OnLost(kStart, Loss(i, 1), {1000 + i});
+  suspects.OnLost(kStart + seconds(2), Loss(400, 2), {kDeadly});
+  const auto told = suspects.RecentLosses(kStart + seconds(2));
+  cr_assert_not(told.empty());
+  cr_assert_eq(told.front().part, kDeadly);
+}
+
 // A part that few requests carry crashed servers for a whole day.
 Test(part_suspects, a_seldom_part_is_quarantined_too) {
   PartSuspects suspects;
