routing: crashes that are pushed out don't release a deadly part

A quarantined part was released after a burst of other crashes, and requests with it crashed servers again.

A young quarantine is convicted again at each update, on the crashes that are kept. At most 128 are, so 128 newer ones pushed its own out, and it seemed to be explained by something else.

If a crash is forgotten to make room, the quarantines of its parts become final, as they do once their evidence grows old: an answer that begins still ends them, and so does a probe that is answered.

Test: part_suspects, a_quarantine_outlives_the_crashes_that_are_pushed_out. Before (line as of that run):

part_suspects_test.cc:169: Assertion Failed after 125 [FAIL] part_suspects::a_quarantine_outlives_the_crashes_that_are_pushed_out

After it, part_suspects_test passes (21 tests).

--- a/include/mangoport/routing/part_suspects.h
+++ b/include/mangoport/routing/part_suspects.h
@@ -156,7 +156,8 @@
   struct Quarantine {
     std::uint32_t crashes = 0;
     MonoTime since;
-    /// None if another host told of it.
+    /// None if another host told of it, or if one of its crashes had to make
+    /// room for newer ones.
     std::optional<MonoTime> first_crash;
     MonoTime last_crash;
     /// Requests with the part that crashed servers after it was quarantined
@@ -168,6 +169,9 @@
 
   void AddLoss(MonoTime now, const PartLoss& loss);
   Crash& FindOrAddCrash(MonoTime now, const PartLoss& loss);
+  /// Makes room for a crash. Quarantines that rest on the oldest one become
+  /// final, since they could not be convicted again.
+  void ForgetOldestCrash();
   void NoteBegun(MonoTime at, PartHash part);
   std::optional<MonoTime> BegunAt(PartHash part) const;
   bool BegunRecently(MonoTime now, PartHash part) const;
--- a/lib/routing/part_suspects.cc
+++ b/lib/routing/part_suspects.cc
@@ -117,7 +117,7 @@
   if (known != crashes_.rend())
     return *known;
   if (crashes_.size() >= kMaxCrashes)
-    crashes_.pop_front();
+    ForgetOldestCrash();
   Crash& crash = crashes_.emplace_back();
   crash.server = loss.server;
   crash.server_started_at_ms = loss.server_started_at_ms;
@@ -126,6 +126,15 @@
   return crash;
 }
 
+void PartSuspects::ForgetOldestCrash() {
+  for (const auto& [part, requests] : crashes_.front().parts) {
+    const auto held = quarantined_.find(part);
+    if (held != quarantined_.end())
+      held->second.first_crash.reset();
+  }
+  crashes_.pop_front();
+}
+
 void PartSuspects::OnPeerState(MonoTime now, const PartState& state) {
   if (state.begun_age)
     NoteBegun(Before(now, *state.begun_age), state.part);
--- a/unittests/routing/part_suspects_test.cc
+++ b/unittests/routing/part_suspects_test.cc
@@ -177,6 +177,19 @@
   cr_assert_eq(told.front().part, kDeadly);
 }
 
+// Many other crashes pushed a deadly part's own out, and it was released.
+Test(part_suspects, a_quarantine_outlives_the_crashes_that_are_pushed_out) {
+  PartSuspects suspects;
+  LoseServers(suspects, kStart, 5, {kDeadly});
+  cr_assert(suspects.IsQuarantined(kStart + seconds(3), kDeadly));
+  for (int i = 0; i < 130; ++i) {
+    const MonoTime at = kStart + seconds(4) + milliseconds(400) * i;
+    LoseServers(suspects, at, 1, {1000 + static_cast<PartHash>(i)}, 100 + i);
+    cr_assert(suspects.IsQuarantined(at, kDeadly), "after %d", i);
+  }
+  cr_assert(suspects.IsQuarantined(kStart + minutes(1), kDeadly));
+}
+
 // A part that few requests carry crashed servers for a whole day.
 Test(part_suspects, a_seldom_part_is_quarantined_too) {
   PartSuspects suspects;
