routing: a late report of an answer acquits a quarantined part

A sound part that was beside the deadly one at each crash stayed quarantined, although another host had begun an answer with it between the crashes.

The report came after the quarantine. An answer that began later than the last crash releases a part at once, but an earlier one only takes crashes off its tally, and the evidence was weighed again for suspects alone; a quarantined part is no suspect any more.

A known answer now has the evidence weighed for quarantined parts too.

Test: part_suspects, a_late_report_of_an_answer_between_crashes_acquits.

part_suspects_test.cc:201: Assertion Failed !(suspects.IsQuarantined(now + milliseconds(100), kSound)) is false. [FAIL] part_suspects::a_late_report_of_an_answer_between_crashes_acquits

After it, part_suspects_test passes (22 tests).

--- a/lib/routing/part_suspects.cc
+++ b/lib/routing/part_suspects.cc
@@ -175,9 +175,10 @@
       begun_.erase(begun_.begin());
     begun_.emplace(part, at);
   }
-  if (suspects_.contains(part))
-    UpdateBy(at);
   const auto held = quarantined_.find(part);
+  // An answer between the crashes may leave too few to convict the part.
+  if (suspects_.contains(part) || held != quarantined_.end())
+    UpdateBy(at);
   if (held != quarantined_.end() && at > held->second.last_crash)
     Release(at, part);
 }
--- a/unittests/routing/part_suspects_test.cc
+++ b/unittests/routing/part_suspects_test.cc
@@ -190,6 +190,18 @@
   cr_assert(suspects.IsQuarantined(kStart + minutes(1), kDeadly));
 }
 
+// The report of an answer that began between the crashes came after the
+// quarantine, and was not weighed.
+Test(part_suspects, a_late_report_of_an_answer_between_crashes_acquits) {
+  PartSuspects suspects;
+  LoseServers(suspects, kStart, 3, {kSound, kDeadly});
+  const MonoTime now = kStart + seconds(2);
+  cr_assert(suspects.IsQuarantined(now, kSound));
+  suspects.OnPeerState(now, {.part = kSound, .begun_age = milliseconds(1500)});
+  cr_assert_not(suspects.IsQuarantined(now + milliseconds(100), kSound));
+  cr_assert(suspects.IsQuarantined(now + milliseconds(100), kDeadly));
+}
+
 // A part that few requests carry crashed servers for a whole day.
 Test(part_suspects, a_seldom_part_is_quarantined_too) {
   PartSuspects suspects;
