routing: crashes of one server alone need to be more to convict a part

A bad server that crashed again and again had sound parts quarantined: affinity sends the same parts there, so they were in each of its crashes.

Three crashes convicted a part that no answer had begun with, even if all were of one server. Now it takes crashes of two servers, or five of one: a service may have one server only, and after the fifth crash no more than three requests with a deadly part may reach servers. A server that crashes five times on a part before any answer with it begins elsewhere still convicts it; the evidence can't tell these cases apart.

Test: part_suspects, crashes_of_one_server_alone_need_to_be_more.

part_suspects_test.cc:214: Assertion Failed after crash 3 [FAIL] part_suspects::crashes_of_one_server_alone_need_to_be_more

After it, part_suspects_test (23 tests) and deadly_part_test pass.

--- a/include/mangoport/routing/part_suspects.h
+++ b/include/mangoport/routing/part_suspects.h
@@ -81,6 +81,9 @@
     /// it has begun within `evidence_lifetime`, and if one has, but not since.
     std::uint32_t min_crashes = 3;
     std::uint32_t min_crashes_once_sound = 5;
+    /// Crashes after which a part is quarantined if all are of one server. A
+    /// service may have no other.
+    std::uint32_t min_crashes_of_one_server = 5;
     /// Requests that must have carried the part to those crashes.
     std::uint32_t min_requests = 2;
     /// Time that must lie between the first and the last of them, since a
@@ -152,6 +155,7 @@
     MonoTime first;
     MonoTime last;
     std::set<std::uint64_t> requests = {};
+    std::set<ServerId> servers = {};
   };
   struct Quarantine {
     std::uint32_t crashes = 0;
--- a/lib/routing/part_suspects.cc
+++ b/lib/routing/part_suspects.cc
@@ -245,6 +245,7 @@
           tally.crashes == 0 ? crash.at : std::min(tally.first, crash.at);
       tally.last = std::max(tally.last, crash.at);
       ++tally.crashes;
+      tally.servers.insert(crash.server);
       tally.requests.insert(requests.begin(), requests.end());
     }
   }
@@ -254,9 +255,12 @@
 bool PartSuspects::Convicts(MonoTime now,
                             PartHash part,
                             const Tally& tally) const {
-  const std::uint32_t least = BegunRecently(now, part)
-                                  ? settings_.min_crashes_once_sound
-                                  : settings_.min_crashes;
+  std::uint32_t least = BegunRecently(now, part)
+                            ? settings_.min_crashes_once_sound
+                            : settings_.min_crashes;
+  // One server that crashes again and again may itself be at fault.
+  if (tally.servers.size() < 2)
+    least = std::max(least, settings_.min_crashes_of_one_server);
   return tally.crashes >= least &&
          tally.requests.size() >= settings_.min_requests &&
          tally.last - tally.first >= settings_.min_span;
--- a/unittests/routing/part_suspects_test.cc
+++ b/unittests/routing/part_suspects_test.cc
@@ -202,6 +202,20 @@
   cr_assert(suspects.IsQuarantined(now + milliseconds(100), kDeadly));
 }
 
+// A bad server that crashed again and again convicted the sound parts that
+// affinity sends there. Where there is one server only, it must do.
+Test(part_suspects, crashes_of_one_server_alone_need_to_be_more) {
+  PartSuspects suspects;
+  for (std::uint64_t start = 1; start <= 5; ++start) {
+    const MonoTime at = kStart + seconds(4) * start;
+    PartLoss loss = Loss(start, 1);
+    loss.server_started_at_ms = start;
+    suspects.OnLost(at, loss, {kSound});
+    cr_assert_eq(suspects.IsQuarantined(at + seconds(1), kSound), start == 5,
+                 "after crash %d", static_cast<int>(start));
+  }
+}
+
 // A part that few requests carry crashed servers for a whole day.
 Test(part_suspects, a_seldom_part_is_quarantined_too) {
   PartSuspects suspects;
