edge: arrivals of reports read at one time are counted

Two reports of a host that were read from the socket in one go hid requests from the planner: the arrivals that the second one added were never part of a rate, so a model looked less asked for than it was.

Cause: reports read together have the same time, so no rate can be formed between them. The counters were taken over as the new baseline nevertheless.

Baseline and time now move only with a report that is counted. The next one then counts the arrivals over the whole time. The rest of a report (running, waiting) counts at once as before.

Failed before: demand_table_test.cc:58: The expression (table.Sum(at + seconds(1)).at(kModel).arrivals_per_second) > (6) is false. arrivals_of_reports_read_at_one_time_count_later

--- a/include/mangoport/edge/demand_table.h
+++ b/include/mangoport/edge/demand_table.h
@@ -33,10 +33,15 @@
     double work = 0;
   };
   struct Host {
+    /// Time of the latest report whose arrivals were counted, within a few
+    /// milliseconds of the latest one.
     MonoTime heard_at;
     std::map<ModelId, Use> uses;
   };
 
+  /// Counts what `report` adds to the counters of `use` in `time` seconds.
+  static void CountArrivals(Use& use, const ModelUse& report, double time);
+
   /// Adds the use to the totals of its model and, if that is an adapter, of the
   /// model that the adapter belongs to.
   void Add(const Use& use);
--- a/lib/edge/demand_table.cc
+++ b/lib/edge/demand_table.cc
@@ -13,6 +13,9 @@
 /// Time over which rates of arrivals are averaged.
 constexpr Duration kArrivalSpan = std::chrono::seconds(1);
 
+/// Reports that are closer together than this are too close for a rate.
+constexpr Duration kMinRateTime = std::chrono::milliseconds(10);
+
 /// Returns the model that the adapter belongs to, or none for a model.
 std::optional<ModelId> BaseModel(const ModelId& model) {
   const std::size_t slash = model.value().find('/');
@@ -62,32 +65,40 @@
     Remove(use);
 }
 
+void DemandTable::CountArrivals(Use& use, const ModelUse& report, double time) {
+  const double gain =
+      1 - std::exp(-time / std::chrono::duration<double>(kArrivalSpan).count());
+  const double rate =
+      static_cast<double>(report.arrivals - use.use.arrivals) / time;
+  use.arrivals_per_second += (rate - use.arrivals_per_second) * gain;
+  const std::chrono::duration<double> work = report.work - use.use.work;
+  use.work += (work.count() / time - use.work) * gain;
+}
+
 void DemandTable::Set(MonoTime now,
                       const HostId& host,
                       const std::vector<ModelUse>& uses) {
   Host& entry = hosts_[host];
-  const double seconds =
-      std::chrono::duration<double>(now - entry.heard_at).count();
+  const Duration time = now - entry.heard_at;
   const bool first = entry.heard_at == MonoTime();
-  entry.heard_at = now;
-  const double gain =
-      1 -
-      std::exp(-seconds / std::chrono::duration<double>(kArrivalSpan).count());
+  const bool counts = !first && time > kMinRateTime;
+  if (first || counts)
+    entry.heard_at = now;
   for (const ModelUse& it : uses) {
     const auto [known, added] = entry.uses.try_emplace(it.model);
     Use& use = known->second;
     if (!added)
       Remove(use);
-    const bool counts =
-        !first && it.arrivals >= use.use.arrivals && seconds > 0.01;
-    if (counts) {
-      const double rate =
-          static_cast<double>(it.arrivals - use.use.arrivals) / seconds;
-      use.arrivals_per_second += (rate - use.arrivals_per_second) * gain;
-      const std::chrono::duration<double> work = it.work - use.use.work;
-      use.work += (work.count() / seconds - use.work) * gain;
-    }
+    const ModelUse before = use.use;
+    const bool restarted = it.arrivals < before.arrivals;
+    if (counts && !restarted)
+      CountArrivals(use, it, std::chrono::duration<double>(time).count());
     use.use = it;
+    // Arrivals that have not been counted yet count with the next report.
+    if (!first && !counts && !restarted) {
+      use.use.arrivals = before.arrivals;
+      use.use.work = before.work;
+    }
     Add(use);
   }
 }
--- a/unittests/edge/demand_table_test.cc
+++ b/unittests/edge/demand_table_test.cc
@@ -45,6 +45,19 @@
                0.5);
 }
 
+// Two reports that wait in the socket are read at one time. No rate can be
+// formed between them, so their arrivals count with the next report.
+Test(demand_table, arrivals_of_reports_read_at_one_time_count_later) {
+  DemandTable table;
+  const MonoTime at = kStart + milliseconds(200);
+  table.Set(kStart, kHost, {Use(0, 0)});
+  table.Set(at, kHost, {Use(0, 0)});
+  table.Set(at, kHost, {Use(10, 3)});
+  cr_assert_eq(table.Sum(at).at(kModel).waiting, 3);
+  table.Set(at + seconds(1), kHost, {Use(10, 0)});
+  cr_assert_gt(table.Sum(at + seconds(1)).at(kModel).arrivals_per_second, 6);
+}
+
 // A host that restarts counts from zero; its arrivals must not look like a
 // burst, nor count below zero.
 Test(demand_table, a_restarted_host_counts_anew) {
