edge: demand outlasts a lost report in large fleets, and ends with a restart

If one datagram to the host that orders engines was lost, all demand of its sender was dropped, and its rates started at zero again, so that models which callers asked for looked idle. The other way round, requests that a host had before it restarted stayed in the demand as long as the host went on reporting other models.

Cause: demand counted for 5 s whatever the size of the fleet, unlike the lifetimes of loads and of the holder. Uses that a report does not name were kept, even if the report came from another start of the host.

Demand now counts for three rounds where these take longer than 5 s. A report from another start, even one without demand, drops the earlier demand of the host. The counters of the new start then count from zero since the host was last heard; before, they were compared with the old ones where they had passed them already.

The call that passes the length of a round has no test of its own.

--- a/include/mangoport/edge/demand_table.h
+++ b/include/mangoport/edge/demand_table.h
@@ -2,6 +2,7 @@
 #define MANGOPORT_EDGE_DEMAND_TABLE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <vector>
 
@@ -18,8 +19,18 @@
 /// cost of reading the totals does not grow with the number of hosts.
 class DemandTable {
  public:
-  /// Processes a report of `host`, whose counters run since its start.
-  void Set(MonoTime now, const HostId& host, const std::vector<ModelUse>& uses);
+  /// Processes a report of `host`, whose counters run since its start, which
+  /// `incarnation` identifies.
+  void Set(MonoTime now,
+           const HostId& host,
+           std::uint64_t incarnation,
+           const std::vector<ModelUse>& uses);
+
+  /// Drops the demand of `host` from before the start `incarnation`.
+  void DropOtherStarts(const HostId& host, std::uint64_t incarnation);
+
+  /// Sets the time in which a host reports once, which grows with the fleet.
+  void set_round(Duration round) { round_ = round; }
 
   /// Returns the sum over all hosts that reported recently. Valid until the
   /// next call of a method.
@@ -36,6 +47,7 @@
     /// Time of the latest report whose arrivals were counted, within a few
     /// milliseconds of the latest one.
     MonoTime heard_at;
+    std::uint64_t incarnation = 0;
     std::map<ModelId, Use> uses;
   };
 
@@ -48,6 +60,7 @@
   void Remove(const Use& use);
   void Remove(const Host& host);
 
+  Duration round_{};
   std::map<HostId, Host> hosts_;
   std::map<ModelId, CopyDemand> totals_;
   /// The number of uses in each total.
--- a/include/mangoport/edge/order_service.h
+++ b/include/mangoport/edge/order_service.h
@@ -60,9 +60,11 @@
     on_changes_ = std::move(hook);
   }
 
-  /// Processes a peer's demand. Plans at once if requests wait for a copy.
+  /// Processes a peer's demand. Plans at once if requests wait for a copy. A
+  /// peer that takes another host for the holder reports no uses.
   void OnPeerDemand(MonoTime now,
                     const HostId& host,
+                    std::uint64_t incarnation,
                     const std::vector<ModelUse>& uses);
   void OnHolderUpdate(const HostId& host, std::uint64_t term);
   void OnHolderResigned(const HostId& host,
@@ -78,6 +80,9 @@
     lease_.set_suspicion_timeout(time);
   }
 
+  /// Sets the time in which each peer reports its demand once.
+  void SetUpdateRound(Duration round) { demand_.set_round(round); }
+
   /// Returns the term of the lease that this host holds, or zero.
   std::uint64_t held_term() const;
   std::uint64_t resigned_term() const { return lease_.resigned_term(); }
@@ -107,6 +112,7 @@
 
   Parts parts_;
   HostId self_;
+  std::uint64_t incarnation_;
   OrderLease lease_;
   EngineOrderTracker tracker_;
   std::map<ServiceId, CopyPlanner> planners_;
--- a/lib/edge/demand_table.cc
+++ b/lib/edge/demand_table.cc
@@ -1,5 +1,6 @@
 #include "mangoport/edge/demand_table.h"
 
+#include <algorithm>
 #include <cmath>
 #include <optional>
 #include <string>
@@ -7,8 +8,10 @@
 namespace mangoport {
 namespace {
 
-/// The demand of a host counts for this time after its last report.
+/// The demand of a host counts for this time after its last report, or for
+/// `kSilentRounds` rounds if that is longer.
 constexpr Duration kDemandLifetime = std::chrono::seconds(5);
+constexpr int kSilentRounds = 3;
 
 /// Time over which rates of arrivals are averaged.
 constexpr Duration kArrivalSpan = std::chrono::seconds(1);
@@ -65,6 +68,15 @@
     Remove(use);
 }
 
+void DemandTable::DropOtherStarts(const HostId& host,
+                                  std::uint64_t incarnation) {
+  const auto it = hosts_.find(host);
+  if (it == hosts_.end() || it->second.incarnation == incarnation)
+    return;
+  Remove(it->second);
+  it->second.uses.clear();
+}
+
 void DemandTable::CountArrivals(Use& use, const ModelUse& report, double time) {
   const double gain =
       1 - std::exp(-time / std::chrono::duration<double>(kArrivalSpan).count());
@@ -77,8 +89,11 @@
 
 void DemandTable::Set(MonoTime now,
                       const HostId& host,
+                      std::uint64_t incarnation,
                       const std::vector<ModelUse>& uses) {
+  DropOtherStarts(host, incarnation);
   Host& entry = hosts_[host];
+  entry.incarnation = incarnation;
   const Duration time = now - entry.heard_at;
   const bool first = entry.heard_at == MonoTime();
   const bool counts = !first && time > kMinRateTime;
@@ -104,8 +119,9 @@
 }
 
 const std::map<ModelId, CopyDemand>& DemandTable::Sum(MonoTime now) {
+  const Duration lifetime = std::max(kDemandLifetime, round_ * kSilentRounds);
   for (auto it = hosts_.begin(); it != hosts_.end();) {
-    if (now - it->second.heard_at <= kDemandLifetime) {
+    if (now - it->second.heard_at <= lifetime) {
       ++it;
       continue;
     }
--- a/lib/edge/edge_peers.cc
+++ b/lib/edge/edge_peers.cc
@@ -180,12 +180,10 @@
     orders_.OnHolderResigned(
         host, message.resigned_term(),
         std::chrono::milliseconds(message.last_order_age_ms()));
-  if (message.demands_size() == 0)
-    return;
   std::vector<ModelUse> uses;
   for (const wire::ModelDemandNote& it : message.demands())
     uses.push_back(FromWire(it));
-  orders_.OnPeerDemand(now, host, uses);
+  orders_.OnPeerDemand(now, host, message.incarnation(), uses);
 }
 
 void EdgeHost::NotePeerLeavingServers(MonoTime now,
@@ -202,6 +200,7 @@
 void EdgeHost::AdaptToFleetSize() {
   const Duration round = soft_state_.peers().RoundDuration();
   quota_.set_update_round(round);
+  orders_.SetUpdateRound(round);
   backends_.set_peer_load_lifetime(
       std::max(kPeerLoadLifetime, round * kSilentRounds));
   orders_.SetSuspicionTimeout(
--- a/lib/edge/order_service.cc
+++ b/lib/edge/order_service.cc
@@ -75,6 +75,7 @@
                            Duration claim_delay)
     : parts_(parts),
       self_(self),
+      incarnation_(incarnation),
       lease_(self, incarnation, lease, claim_delay) {}
 
 void OrderService::Start() {
@@ -149,8 +150,13 @@
 
 void OrderService::OnPeerDemand(MonoTime now,
                                 const HostId& host,
+                                std::uint64_t incarnation,
                                 const std::vector<ModelUse>& uses) {
-  demand_.Set(now, host, uses);
+  if (uses.empty()) {
+    demand_.DropOtherStarts(host, incarnation);
+    return;
+  }
+  demand_.Set(now, host, incarnation, uses);
   const bool waits =
       std::any_of(uses.begin(), uses.end(),
                   [](const ModelUse& it) { return it.waiting > 0; });
@@ -196,7 +202,7 @@
     return;
   planned_at_ = Now();
   if (own_uses_)
-    demand_.Set(now, self_, own_uses_());
+    demand_.Set(now, self_, incarnation_, own_uses_());
   for (const ServiceSpec& it : config_->config().services) {
     if (it.engine)
       PlanService(now, it);
