placement: a report corrects a count of orders that is too high

An engine could refuse every order as outdated until it restarted or the order lease changed hands: no load, no unload, and callers got no copy from it.

Cause: the answer 'already done' to the unload of an adapter counts as an order since, which is wrong if the engine had not held the adapter. That change relied on the next report, but reports with a lower count were ignored, as they may be older than the last order.

A lower count is now believed in a report that was asked for more than 600 ms (the age up to which a report counts as current) after the count last went up. If a request is repeated, the time of the first one counts. A count that is believed wrongly makes the engine refuse the next order and nothing else.

--- a/include/mangoport/placement/engine_order_tracker.h
+++ b/include/mangoport/placement/engine_order_tracker.h
@@ -93,6 +93,8 @@
     ServerEntry entry;
     /// Orders accepted since the engine started; unset until a report arrives.
     std::optional<std::uint64_t> orders_accepted;
+    /// When `orders_accepted` last went up.
+    MonoTime counted_at;
     MonoTime changed_at;
     /// Time of the latest report, and whether it showed a busy engine although
     /// no accepted order is tracked here.
@@ -105,6 +107,8 @@
     /// When the next report is due; while one is pending, when it was
     /// requested.
     MonoTime next_report_at;
+    /// When the earliest request without a report so far was made.
+    MonoTime report_asked_at;
     MonoTime deadline;
     bool report_pending = false;
   };
--- a/lib/placement/engine_order_tracker.cc
+++ b/lib/placement/engine_order_tracker.cc
@@ -216,6 +216,7 @@
     case EngineOrderAnswer::kAccepted:
       engine.phase = Phase::kAccepted;
       engine.orders_accepted = engine.order.expected_orders + 1;
+      engine.counted_at = now;
       // Adapter orders take a few milliseconds and have no entry of their own,
       // so an accepted one counts as complete.
       if (IsAdapterOrder(engine.order))
@@ -224,9 +225,11 @@
     case EngineOrderAnswer::kAlreadyDone:
       CompleteOrder(now, engine);
       // The engine has unloaded the adapter, and counts that. If it had not
-      // held it, it refuses the next order for its count.
+      // held it, it refuses the next order for its count, and a report asked
+      // for later corrects the count.
       if (engine.order.kind == PlacementOrderKind::kUnloadAdapter) {
         engine.orders_accepted = engine.order.expected_orders + 1;
+        engine.counted_at = now;
         return;
       }
       // Only the next report shows whether the engine counted this order.
@@ -269,8 +272,14 @@
     engine.orders_accepted.reset();
     engine.phase = Phase::kNone;
   }
-  // A report may be several hundred milliseconds old; ignore a lower count.
-  if (report.orders_accepted >= engine.orders_accepted.value_or(0)) {
+  // A report may be several hundred milliseconds old; ignore a lower count,
+  // unless the report was asked for long enough after the count went up.
+  const bool current =
+      engine.report_asked_at - engine.counted_at > kReportFreshness;
+  const std::uint64_t known = engine.orders_accepted.value_or(0);
+  if (report.orders_accepted >= known || current) {
+    if (report.orders_accepted > known)
+      engine.counted_at = now;
     engine.orders_accepted = report.orders_accepted;
     engine.entry.models = report.models;
     engine.changed_at = now;
@@ -317,6 +326,9 @@
                              : engine.next_report_at;
     if (now < due)
       continue;
+    // A late answer to the earlier request may still arrive.
+    if (!engine.report_pending)
+      engine.report_asked_at = now;
     engine.report_pending = true;
     engine.next_report_at = now;
     out.push_back(id);
--- a/unittests/placement/copy_planner_test.cc
+++ b/unittests/placement/copy_planner_test.cc
@@ -488,6 +488,18 @@
     tracker_.OnAnswer(now, engine_.id, reply);
   }
 
+  EngineOrder BeginUnloadAdapter(MonoTime now) {
+    CopyOrder order;
+    order.engine = engine_.id;
+    order.kind = PlacementOrderKind::kUnloadAdapter;
+    order.model = ModelId("m0");
+    order.adapter = AdapterId("a1");
+    tracker_.Begin(now, order, Duration::zero());
+    const auto due = tracker_.DueOrders(now);
+    cr_assert_eq(due.size(), 1);
+    return due[0];
+  }
+
   bool busy(MonoTime now) const {
     return tracker_.Engines(now, ServiceId("s")).front().busy;
   }
@@ -600,6 +612,37 @@
   cr_assert_eq(due[0].expected_orders, 5);
 }
 
+// An engine that did not hold the adapter does not count its unload. Reports
+// with the true, lower count were ignored, so the engine refused every order
+// until it restarted.
+Test(engine_order_tracker, uncounted_unload_is_corrected_by_a_report) {
+  TrackerFixture it;
+  it.BeginUnloadAdapter(kStart);
+  it.Answer(kStart, CallStatus::kOk, EngineOrderAnswer::kAlreadyDone);
+  const MonoTime later = kStart + seconds(1);
+  cr_assert_eq(it.BeginUnloadAdapter(later).expected_orders, 5);
+  it.Answer(later, CallStatus::kOk, EngineOrderAnswer::kBusyOrOutdated);
+  const MonoTime asked = later + milliseconds(300);
+  cr_assert_eq(it.tracker_.DueReports(asked).size(), 1);
+  it.Report(asked, 4);
+  cr_assert_not(it.busy(asked));
+  cr_assert_eq(it.BeginUnloadAdapter(asked).expected_orders, 4);
+}
+
+// A report that was asked for just after an order may not show it yet, however
+// late it arrives.
+Test(engine_order_tracker, lower_count_in_an_old_report_is_ignored) {
+  TrackerFixture it;
+  it.BeginUnloadAdapter(kStart);
+  it.Answer(kStart, CallStatus::kOk, EngineOrderAnswer::kAlreadyDone);
+  it.BeginUnloadAdapter(kStart);
+  it.Answer(kStart, CallStatus::kOk, EngineOrderAnswer::kBusyOrOutdated);
+  const MonoTime asked = kStart + milliseconds(300);
+  cr_assert_eq(it.tracker_.DueReports(asked).size(), 1);
+  it.Report(kStart + seconds(1), 4);
+  cr_assert_eq(it.BeginUnloadAdapter(kStart + seconds(1)).expected_orders, 5);
+}
+
 Test(engine_order_tracker, completed_load_overrides_older_entry) {
   TrackerFixture it;
   it.Begin(kStart);
