placement: a model asked for now and then keeps its copy in its turn

Where engines cannot hold all models, one request for a model without a copy unloaded a model that callers asked for every three seconds, and the requests that were running or queued on the engine for it failed.

Cause: the requests counted for the one model since it has been without a copy were compared with the rate of the other one, averaged over the last second and taken for a whole turn. Just before the next of its requests, such a rate is almost nothing. Requests in progress were not looked at.

The rate of the model that holds the copy is now averaged over about one turn, the time that it is compared for. The requests in progress, running and waiting, are added: as many more have to come for the other model as would end with the copy. A hard refusal while requests run would leave models that never pause their copies for ever.

For the first turn after the order lease changed hands the average starts from the rate at that moment, and may be as low as before.

--- a/include/mangoport/placement/copy_planner.h
+++ b/include/mangoport/placement/copy_planner.h
@@ -1,6 +1,7 @@
 #ifndef MANGOPORT_PLACEMENT_COPY_PLANNER_H_
 #define MANGOPORT_PLACEMENT_COPY_PLANNER_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -131,6 +132,8 @@
     const ModelSpec* spec = nullptr;
     /// Smoothed number of running and waiting requests.
     double load = 0;
+    /// Running and waiting requests at present.
+    double in_progress = 0;
     double waiting = 0;
     double arrivals_per_second = 0;
     /// Smoothed engine time for prompts, per second.
@@ -243,8 +246,12 @@
   Duration TurnOf(const Model& model) const;
   /// Returns true if it is the turn of `model`, which has no copy, to take the
   /// place of the last copy of `held`: more requests have come for it than come
-  /// for `held` in one turn.
+  /// for `held` in one turn and are in progress there, which would end.
   bool IsTurnOf(MonoTime now, const ModelId& model, const ModelId& held) const;
+  /// Averages the rate of arrivals over about one turn.
+  void AverageOverTurn(const ModelId& id,
+                       const Model& model,
+                       std::chrono::duration<double> passed);
   /// Counts the requests for models without a copy.
   void CountUnserved(MonoTime now);
   /// Returns the copy with the lowest load that can be unloaded from `engine`
@@ -309,6 +316,10 @@
   std::map<ModelId, MonoTime> model_used_at_;
   /// Requests for each model since it has been without a copy.
   std::map<ModelId, double> unserved_;
+  /// Arrivals per second of each model, averaged over about one turn: that of
+  /// the demand covers one second, in which a model that is asked for every few
+  /// seconds looks idle.
+  std::map<ModelId, double> turn_rates_;
   std::optional<MonoTime> counted_at_;
   std::map<ModelId, MonoTime> adapter_used_at_;
   /// The engines cannot hold a copy of each model.
--- a/lib/placement/copy_planner.cc
+++ b/lib/placement/copy_planner.cc
@@ -43,6 +43,7 @@
   missing_since_.clear();
   model_used_at_.clear();
   unserved_.clear();
+  turn_rates_.clear();
   counted_at_.reset();
   reservations_.clear();
   store_budget_ = 0;
@@ -85,6 +86,7 @@
     if (current != demand.end()) {
       work = current->second.work;
       load = current->second.running + current->second.waiting;
+      model.in_progress = load;
       model.waiting = current->second.waiting;
       model.arrivals_per_second = current->second.arrivals_per_second;
     }
--- a/lib/placement/copy_planner_victims.cc
+++ b/lib/placement/copy_planner_victims.cc
@@ -1,6 +1,8 @@
 // The part of the planner that decides which copy of a model makes room for
 // another model.
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 #include <functional>
 #include <utility>
 #include <vector>
@@ -61,14 +63,25 @@
   if (!short_of_room_ || unserved == unserved_.end() ||
       IsWithin(now, loaded_at_, held, turn))
     return false;
-  return unserved->second > holder.arrivals_per_second *
-                                std::chrono::duration<double>(turn).count();
+  const double in_turn =
+      turn_rates_.at(held) * std::chrono::duration<double>(turn).count();
+  return unserved->second > in_turn + holder.in_progress;
+}
+
+void CopyPlanner::AverageOverTurn(const ModelId& id,
+                                  const Model& model,
+                                  std::chrono::duration<double> passed) {
+  const std::chrono::duration<double> turn = TurnOf(model);
+  double& rate =
+      turn_rates_.try_emplace(id, model.arrivals_per_second).first->second;
+  rate += (model.arrivals_per_second - rate) * (1 - std::exp(-passed / turn));
 }
 
 void CopyPlanner::CountUnserved(MonoTime now) {
   const std::chrono::duration<double> passed =
       now - std::exchange(counted_at_, now).value_or(now);
   for (const auto& [id, model] : models_) {
+    AverageOverTurn(id, model, passed);
     if (model.copies > 0)
       unserved_.erase(id);
     else
--- a/unittests/placement/scarce_room_test.cc
+++ b/unittests/placement/scarce_room_test.cc
@@ -1,6 +1,7 @@
 // The copy planner over minutes, with engines that cannot hold all models.
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstddef>
 #include <map>
 #include <string>
@@ -160,6 +161,47 @@
   cr_assert_leq(engines.loads(), 30 * 90 / 9);
 }
 
+/// The rate of arrivals `since` after a request, averaged over one second.
+double RateAfter(Duration since) {
+  return 0.885 * std::exp(-std::chrono::duration<double>(since).count());
+}
+
+// Both models of an engine are asked for every three seconds. Between two
+// requests their rates fall to almost nothing, so that one request for a third
+// model took the place of one of them.
+Test(scarce_room, one_request_does_not_unload_a_model_asked_for_regularly) {
+  Engines engines(1, 3);
+  for (Duration time{}; time < seconds(40); time += kStep) {
+    std::map<ModelId, CopyDemand> demand;
+    for (std::size_t i = 0; i < 2; ++i)
+      demand[Engines::Name(i)].arrivals_per_second =
+          RateAfter(time % seconds(3));
+    if (time >= seconds(20))
+      demand[Engines::Name(2)].arrivals_per_second =
+          RateAfter(time - seconds(20));
+    engines.Step(demand);
+    cr_assert(engines.Holds(Engines::Name(0)));
+    cr_assert(engines.Holds(Engines::Name(1)));
+  }
+}
+
+// Unloading a model ends its requests in progress.
+Test(scarce_room, requests_in_progress_weigh_against_those_without_a_copy) {
+  Engines engines(1, 3);
+  std::map<ModelId, CopyDemand> demand;
+  for (std::size_t i = 0; i < 2; ++i)
+    demand[Engines::Name(i)].running = 8;
+  demand[Engines::Name(2)].arrivals_per_second = 1;
+  for (Duration time{}; time < seconds(7); time += kStep) {
+    engines.Step(demand);
+    cr_assert(engines.Holds(Engines::Name(0)));
+    cr_assert(engines.Holds(Engines::Name(1)));
+  }
+  for (Duration time{}; time < seconds(7); time += kStep)
+    engines.Step(demand);
+  cr_assert(engines.Holds(Engines::Name(2)));
+}
+
 // The same at the size of a large fleet.
 Test(scarce_room, models_in_demand_take_turns_in_a_large_fleet) {
   Engines engines(100, 250);
