edge: long plans leave time to callers too

On the host that orders engines, plans that took 250 ms or longer followed each other without a pause, so that its callers got next to none of its time.

Cause: the interval from the begin of one plan to the next was limited to 250 ms, so it had passed when such a plan ended. Besides, the tick planned each 250 ms without asking for the interval at all.

The tick now plans by way of PlanSoon, and an interval is five times as long as its plan. The pause after a plan is limited to 2 s (plans longer than 500 ms), since a host that was held up for seconds must not leave engines without orders for five times as long.

--- a/include/mangoport/edge/plan_pace.h
+++ b/include/mangoport/edge/plan_pace.h
@@ -6,8 +6,8 @@
 namespace mangoport {
 
 /// Returns the earliest time of the next plan, if the last one began at
-/// `began` and took `took`. Most of a host's time stays for its callers,
-/// however long a plan takes.
+/// `began` and took `took`. Most of a host's time stays for its callers, unless
+/// a plan takes longer than half a second.
 MonoTime NextPlanAt(MonoTime began, Duration took);
 
 }  // namespace mangoport
--- a/lib/edge/order_service.cc
+++ b/lib/edge/order_service.cc
@@ -91,7 +91,7 @@
   if (stopped_)
     return;
   StepLease();
-  Plan(now);
+  PlanSoon();
   parts_.timers.Add(now + kTickInterval, [this](MonoTime due) { Tick(due); });
 }
 
