Never offer a silent server's request to that server again

Callers got a 504 at their deadline although a server had been free for seconds. Seen with an idempotent request whose server froze (its kernel still takes connections) while the others were excluded, held or full at the first silence check.

Cause: where no other server could be chosen, the list of excluded servers was emptied and the silent server itself became the successor, on a second connection. Such a successor has no handover timer, and the silence check ends while there is a successor, so nothing looked for another server again. The silent server could also be chosen although another was merely excluded.

Fix: without a server that has not failed yet the request is offered to one that has, but never to the silent one; the silence check goes on until another server can be chosen. A frozen server is not helped by a second connection, and a slow one had the same work twice.

Price: if only the connection is lost, without a sign, and there is one server, the request no longer gets a second connection while the first is open.

The choice among excluded servers alone has no test of its own.

--- a/lib/forward/request_handover.cc
+++ b/lib/forward/request_handover.cc
@@ -84,9 +84,6 @@
                 .server = *server,
                 .start = host_.parts_.backends.StartOf(*server),
                 .sent_at = now};
-  // The same server on another connection takes over only by an answer.
-  if (*server == server_)
-    return;
   handover_timer_ = host_.parts_.timers.Add(
       now + kHandoverTime, [weak = weak_from_this()](MonoTime due) {
         const auto self = weak.lock();
@@ -111,7 +108,9 @@
   BackendTable& backends = host_.parts_.backends;
   RouteChoice choice = backends.Choose(now, service_, routing);
   if (!choice.server) {
-    routing.excluded.clear();
+    // Better a server that has failed before than none, but never the silent
+    // one: it would get the same work twice, and no other the request.
+    routing.excluded = {server_};
     choice = backends.Choose(now, service_, routing);
   }
   return choice.server;
--- a/unittests/process/live_attempt_test.cc
+++ b/unittests/process/live_attempt_test.cc
@@ -256,6 +256,22 @@
   cr_assert_eq(Count(fast, "/stream/x"), 1);
   cr_assert(text.ends_with("0\r\n\r\n"), "%zu bytes", text.size());
 }
+
+// The server is frozen: its kernel takes connections and nobody answers there.
+Test(live_attempt,
+     a_frozen_servers_request_goes_to_a_server_that_is_free_later,
+     .timeout = 60) {
+  Host host;
+  const ScriptedBackend frozen(
+      "i-q", [](const SeenRequest&, int) { return ScriptedAnswer{}; });
+  const auto reply = host.AskBeside(frozen, "/read/x", [&] {
+    std::this_thread::sleep_for(seconds(1));
+    host.it_.List(host.it_.b_, "ready");
+  });
+  cr_assert(reply);
+  cr_assert_eq(reply->status, 200, "%d %s", reply->status, reply->body.c_str());
+  cr_assert_eq(Count(frozen, "/read/x"), 1);
+}
 // NOLINTEND
 
 }  // namespace
