A server that answers an offer is not silent

Requests at a busy, healthy server were offered to other servers as if it had died, and cost retries and double work: it had just refused offers of other requests, but the answers to offers did not count as a sign of life.

Cause: OnSuccessorHead never told the table of backend servers that the server was heard; OnHead does.

Fix: it does so too, first of all.

--- a/lib/forward/request_handover.cc
+++ b/lib/forward/request_handover.cc
@@ -123,6 +123,7 @@
 bool RequestExchange::OnSuccessorHead(const HttpHead& head) {
   const MonoTime now = Now();
   const auto self = shared_from_this();
+  host_.parts_.backends.OnActivity(now, successor_.server);
   host_.NoteServerSignals(now, successor_.start, head);
   const AnswerOwner owner = OwnerOf(head, host_.dialect_, request_id_);
   if (owner == AnswerOwner::kOtherRequest) {
--- a/unittests/process/live_attempt_test.cc
+++ b/unittests/process/live_attempt_test.cc
@@ -1,6 +1,7 @@
 // Backend servers that fall silent and then go on, beside others that don't
 // take the request over.
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -318,6 +319,53 @@
   cr_assert_geq(Count(full, "/stream/x"), 1);
   cr_assert_leq(Count(full, "/stream/x"), 2);
 }
+
+// A server that refuses offers at once is heard, whatever its other requests.
+Test(live_attempt, a_server_that_refuses_offers_is_not_silent, .timeout = 60) {
+  Host host;
+  // The first to get /read/frozen never answers it, the other refuses it.
+  std::atomic<int> frozen = 0;
+  const auto answer = [&frozen](const ScriptedBackend& self, int number,
+                                const SeenRequest& request) {
+    int none = 0;
+    if (request.target == "/read/frozen")
+      return frozen.compare_exchange_strong(none, number) || none == number
+                 ? ScriptedAnswer{}
+                 : ScriptedAnswer{
+                       .pieces = {self.Head(request, 503, kNotRunHead)}};
+    return ScriptedAnswer{
+        .pieces = {"",
+                   self.Head(request, 200, "Content-Length: 4\r\n") + "late"},
+        .pause = milliseconds(request.target == "/read/slow" ? 1100 : 0)};
+  };
+  ScriptedBackend* first = nullptr;
+  ScriptedBackend* second = nullptr;
+  ScriptedBackend one("i-q", [&](const SeenRequest& request, int) {
+    return answer(*first, 1, request);
+  });
+  ScriptedBackend two("i-f", [&](const SeenRequest& request, int) {
+    return answer(*second, 2, request);
+  });
+  first = &one;
+  second = &two;
+  host.it_.List(one, "ready");
+  host.it_.List(two, "ready");
+  cr_assert(EdgeFixture::Within(seconds(5), [&] {
+    host.it_.Ask("/read/known");
+    return !one.seen().empty() && !two.seen().empty();
+  }));
+  std::thread silent([&] { host.it_.Ask("/read/frozen"); });
+  std::this_thread::sleep_for(milliseconds(350));
+  const auto reply = host.it_.Ask("/read/slow");
+  silent.join();
+  const ScriptedBackend& dead = frozen == 1 ? one : two;
+  const ScriptedBackend& slow = frozen == 1 ? two : one;
+  cr_assert(reply);
+  cr_assert_eq(reply->body, "late", "%d", reply->status);
+  cr_assert_eq(Count(slow, "/read/slow"), 1);
+  cr_assert_geq(Count(slow, "/read/frozen"), 1);
+  cr_assert_eq(Count(dead, "/read/slow"), 0, "offered to another server");
+}
 // NOLINTEND
 
 }  // namespace
