A request given up while it connects has not run

Callers of a run-once request got 504 with "not_run":false at their deadline (and when the host ended) although no byte had left for any server, so they could not safely send it again.

Cause: GiveUp counted every open connection as a run. DropSuccessor asks the connection whether anything was sent.

Fix: GiveUp asks it as well. A connection that carried a request before still counts as sent, which errs on the safe side.

Evidence: live_attempt_test on the code before: a_request_given_up_while_it_connects_has_not_run: 504 {"error":{"code":"deadline","not_run":false}} After: that test alone 1 of 1; edge_process_test 12 of 12, stop_test 3 of 3. The whole live_attempt_test, 11 tests, was run twice: once all passed, once this test ended in its set-up ("the host is not ready"): flaky, cause not known.

--- a/lib/forward/request_ending.cc
+++ b/lib/forward/request_ending.cc
@@ -98,10 +98,12 @@
   if (done_)
     return;
   if (connection_) {
+    // A request that is still connecting has provably not run.
+    if (connection_->request_sent())
+      ++runs_;
     std::exchange(connection_, nullptr)->Cancel();
     FinishAttempt(now, AttemptOutcome::kCancelled);
     LogAttempt(now, reason);
-    ++runs_;
   }
   if (answer_begun_) {
     Break(now, reason);
--- a/unittests/process/live_attempt_test.cc
+++ b/unittests/process/live_attempt_test.cc
@@ -1,5 +1,8 @@
 // Backend servers that fall silent and then go on, beside others that don't
 // take the request over.
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -366,6 +369,46 @@
   cr_assert_geq(Count(slow, "/read/frozen"), 1);
   cr_assert_eq(Count(dead, "/read/slow"), 0, "offered to another server");
 }
+
+// Its accept queue is full: connections to it are neither made nor refused.
+Test(live_attempt,
+     a_request_given_up_while_it_connects_has_not_run,
+     .timeout = 60) {
+  Host host;
+  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof(address);
+  auto* const raw = reinterpret_cast<sockaddr*>(&address);
+  cr_assert_eq(::bind(listener, raw, length), 0);
+  cr_assert_eq(::listen(listener, 0), 0);
+  ::getsockname(listener, raw, &length);
+  for (int i = 0; i < 4; ++i)
+    ::connect(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0), raw, length);
+  host.it_.store_.Put(
+      "keyed.servers", "i-full",
+      BackendEntry("s", "127.0.0.1:" + std::to_string(ntohs(address.sin_port)),
+                   "ready"));
+  cr_assert(EdgeFixture::Within(seconds(5), [&host] {
+    return host.it_.Log().find("server=i-full") != std::string::npos;
+  }));
+  // Shorter than the time that a connection may take.
+  httplib::Client client("127.0.0.1", host.it_.callers_);
+  const auto reply = client.Post("/once/x",
+                                 {{"Host", "h"},
+                                  {"X-Attempt-Id", "id1"},
+                                  {"X-Deadline-Ms", "200"},
+                                  {"Authorization", "Bearer k1"}},
+                                 "body", "text/plain");
+  cr_assert(reply);
+  cr_assert_eq(reply->status, 503, "%d %s", reply->status, reply->body.c_str());
+  cr_assert_neq(reply->body.find("\"code\":\"deadline\""), std::string::npos,
+                "%s", reply->body.c_str());
+  cr_assert_neq(reply->body.find("\"not_run\":true"), std::string::npos);
+  cr_assert_neq(host.it_.Log().find("sends=1 runs=0 events=0"),
+                std::string::npos);
+}
 // NOLINTEND
 
 }  // namespace
