--- a/unittests/process/live_attempt_test.cc
+++ b/unittests/process/live_attempt_test.cc
@@ -1,6 +1,10 @@
 // Backend servers that fall silent and then go on, beside others that don't
 // take the request over.
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -318,6 +322,93 @@
   cr_assert_geq(Count(full, "/stream/x"), 1);
   cr_assert_leq(Count(full, "/stream/x"), 2);
 }
+
+// A server that refuses offers at once is heard, whatever its other requests.
+Test(live_attempt, a_server_that_refuses_offers_is_not_silent, .timeout = 60) {
+  Host host;
+  // The first to get /read/frozen never answers it, the other refuses it.
+  std::atomic<int> frozen = 0;
+  const auto answer = [&frozen](const ScriptedBackend& self, int number,
+                                const SeenRequest& request) {
+    int none = 0;
+    if (request.target == "/read/frozen")
+      return frozen.compare_exchange_strong(none, number) || none == number
+                 ? ScriptedAnswer{}
+                 : ScriptedAnswer{
+                       .pieces = {self.Head(request, 503, kNotRunHead)}};
+    return ScriptedAnswer{
+        .pieces = {"",
+                   self.Head(request, 200, "Content-Length: 4\r\n") + "late"},
+        .pause = milliseconds(request.target == "/read/slow" ? 1100 : 0)};
+  };
+  ScriptedBackend* first = nullptr;
+  ScriptedBackend* second = nullptr;
+  ScriptedBackend one("i-q", [&](const SeenRequest& request, int) {
+    return answer(*first, 1, request);
+  });
+  ScriptedBackend two("i-f", [&](const SeenRequest& request, int) {
+    return answer(*second, 2, request);
+  });
+  first = &one;
+  second = &two;
+  host.it_.List(one, "ready");
+  host.it_.List(two, "ready");
+  cr_assert(EdgeFixture::Within(seconds(5), [&] {
+    host.it_.Ask("/read/known");
+    return !one.seen().empty() && !two.seen().empty();
+  }));
+  std::thread silent([&] { host.it_.Ask("/read/frozen"); });
+  std::this_thread::sleep_for(milliseconds(350));
+  const auto reply = host.it_.Ask("/read/slow");
+  silent.join();
+  const ScriptedBackend& dead = frozen == 1 ? one : two;
+  const ScriptedBackend& slow = frozen == 1 ? two : one;
+  cr_assert(reply);
+  cr_assert_eq(reply->body, "late", "%d", reply->status);
+  cr_assert_eq(Count(slow, "/read/slow"), 1);
+  cr_assert_geq(Count(slow, "/read/frozen"), 1);
+  cr_assert_eq(Count(dead, "/read/slow"), 0, "offered to another server");
+}
+
+// Its accept queue is full: connections to it are neither made nor refused.
+Test(live_attempt,
+     a_request_given_up_while_it_connects_has_not_run,
+     .timeout = 60) {
+  Host host;
+  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof(address);
+  auto* const raw = reinterpret_cast<sockaddr*>(&address);
+  cr_assert_eq(::bind(listener, raw, length), 0);
+  cr_assert_eq(::listen(listener, 0), 0);
+  ::getsockname(listener, raw, &length);
+  for (int i = 0; i < 4; ++i)
+    ::connect(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0), raw, length);
+  host.it_.store_.Put(
+      "keyed.servers", "i-full",
+      BackendEntry("s", "127.0.0.1:" + std::to_string(ntohs(address.sin_port)),
+                   "ready"));
+  cr_assert(EdgeFixture::Within(seconds(5), [&host] {
+    return host.it_.Log().find("server=i-full") != std::string::npos;
+  }));
+  // Shorter than the time that a connection may take.
+  httplib::Client client("127.0.0.1", host.it_.callers_);
+  const auto reply = client.Post("/once/x",
+                                 {{"Host", "h"},
+                                  {"X-Attempt-Id", "id1"},
+                                  {"X-Deadline-Ms", "200"},
+                                  {"Authorization", "Bearer k1"}},
+                                 "body", "text/plain");
+  cr_assert(reply);
+  cr_assert_eq(reply->status, 503, "%d %s", reply->status, reply->body.c_str());
+  cr_assert_neq(reply->body.find("\"code\":\"deadline\""), std::string::npos,
+                "%s", reply->body.c_str());
+  cr_assert_neq(reply->body.find("\"not_run\":true"), std::string::npos);
+  cr_assert_neq(host.it_.Log().find("sends=1 runs=0 events=0"),
+                std::string::npos);
+}
 // NOLINTEND
 
 }  // namespace
