--- /dev/null
+++ b/lib/forward/request_answer.cc
@@ -0,0 +1,177 @@
+// How the answer of a backend server reaches the caller.
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "lib/forward/request_exchange.h"
+#include "mangoport/forward/answer_policy.h"
+
+namespace mangoport {
+namespace {
+
+/// Bytes that a caller has not taken, from which its server is read no more.
+constexpr std::size_t kMaxUnsentBytes = std::size_t{256} * 1024;
+
+MonoTime Now() {
+  return std::chrono::steady_clock::now();
+}
+
+}  // namespace
+
+bool RequestExchange::OnHead(const HttpHead& head) {
+  const MonoTime now = Now();
+  last_byte_at_ = now;
+  host_.parts_.backends.OnActivity(now, server_);
+  host_.NoteServerSignals(now, server_start_, head);
+  const AnswerOwner owner = OwnerOf(head, host_.dialect_, request_id_);
+  if (owner == AnswerOwner::kOtherRequest) {
+    LogStaleAnswer(head, server_);
+    return false;
+  }
+  answer_.status = head.status;
+  answer_.reason = head.reason;
+  if (owner == AnswerOwner::kUnknown || !MayPassOn(head)) {
+    EndAttempt(now, AttemptEnd::kBroken);
+    return true;
+  }
+  if (head.status / 100 == 2)
+    DropSuccessor(now, "overtaken", AttemptOutcome::kCancelled);
+  answer_.fields = EndToEndFields(head);
+  answer_.streaming =
+      FormOf(head, route_->kind, answer_begun_) == AnswerForm::kEvents;
+  answer_.framed = head.chunked || head.content_length || head.status == 204 ||
+                   request_.head.method == "HEAD";
+  return true;
+}
+
+bool RequestExchange::MayPassOn(const HttpHead& head) const {
+  if (head.status / 100 != 2)
+    return true;
+  return FormOf(head, route_->kind, answer_begun_) != AnswerForm::kUnusable &&
+         FindField(head.fields, host_.dialect_.request_id) &&
+         FindField(head.fields, host_.dialect_.answer_seal) &&
+         !FindField(head.fields, "content-encoding");
+}
+
+HttpFields RequestExchange::EndToEndFields(const HttpHead& head) const {
+  const std::string_view hops = FieldText(head.fields, "connection");
+  HttpFields out;
+  for (const HttpField& it : head.fields) {
+    if (!IsHopByHop(it.name, hops) &&
+        !EqualsIgnoringCase(it.name, "content-length"))
+      out.push_back(it);
+  }
+  return out;
+}
+
+void RequestExchange::OnBody(std::string_view piece) {
+  const MonoTime now = Now();
+  last_byte_at_ = now;
+  host_.parts_.backends.OnActivity(now, server_);
+  if (answer_.status / 100 == 2)
+    DropSuccessor(now, "overtaken", AttemptOutcome::kCancelled);
+  if (!answer_.streaming) {
+    answer_.body.append(piece);
+    return;
+  }
+  std::string whole;
+  const std::size_t n = events_.Feed(piece, whole);
+  if (n > 0) {
+    answer_.events += n;
+    events_passed_ += n;
+    host_.parts_.metrics.OnEvents(n);
+    OnEvents(now);
+  }
+  if (!whole.empty())
+    PassOnPiece(whole);
+  if (events_.out_of_order() && !done_)
+    EndAttempt(now, AttemptEnd::kBroken);
+}
+
+void RequestExchange::OnEvents(MonoTime now) {
+  NoteAnswerBegun(now);
+  if (first_event_at_)
+    return;
+  first_event_at_ = now;
+  host_.parts_.backends.OnFirstToken(now, server_, prompt_tokens_,
+                                     now - sent_at_, routing_.urgency);
+  host_.parts_.metrics.OnFirstEvent(now - request_.arrived);
+}
+
+void RequestExchange::PassOnPiece(std::string_view whole) {
+  if (!answer_begun_) {
+    answer_begun_ = true;
+    session_->BeginAnswer(answer_.status, answer_.reason, answer_.fields,
+                          whole);
+  } else {
+    session_->SendPiece(whole);
+  }
+  if (session_->unsent() <= kMaxUnsentBytes || !connection_)
+    return;
+  connection_->SetReading(false);
+  reading_paused_ = true;
+  session_->set_on_drained([weak = weak_from_this()] {
+    if (const auto self = weak.lock())
+      self->OnDrained();
+  });
+}
+
+void RequestExchange::OnDrained() {
+  if (!std::exchange(reading_paused_, false) || !connection_)
+    return;
+  // Silence counts from when the server can be heard again.
+  last_byte_at_ = Now();
+  connection_->SetReading(true);
+}
+
+bool RequestExchange::StreamIsWhole() const {
+  if (events_.inside_event())
+    return false;
+  // With no events, the end of the connection is the only sign of an end, and a
+  // server that is lost behind its head gives it as well.
+  return answer_.framed || answer_.events > 0;
+}
+
+void RequestExchange::OnComplete() {
+  const auto self = shared_from_this();
+  const MonoTime now = Now();
+  if (answer_.streaming && !StreamIsWhole()) {
+    OnBrokenStream(now);
+    return;
+  }
+  connection_.reset();
+  const int status = answer_.status;
+  if (status / 100 == 2) {
+    NoteAnswerBegun(now);
+    FinishAttempt(now, AttemptOutcome::kCompleted);
+    if (!answer_.streaming) {
+      PassOnWhole(now);
+      return;
+    }
+    if (!answer_begun_)
+      session_->BeginAnswer(status, answer_.reason, answer_.fields, {});
+    answer_begun_ = true;
+    session_->SendPiece(events_.partial());
+    session_->EndAnswer();
+    Finish(now, "served", status);
+    return;
+  }
+  const AttemptEnd end = EndOf(status, answer_.fields);
+  if (end == AttemptEnd::kMisdirected)
+    host_.parts_.backends.NoteMissing(now, server_, routing_.model);
+  if (end != AttemptEnd::kServerError || status >= 500 || answer_begun_) {
+    EndAttempt(now, end);
+    return;
+  }
+  FinishAttempt(now, AttemptOutcome::kCompleted);
+  PassOnWhole(now);
+}
+
+void RequestExchange::PassOnWhole(MonoTime now) {
+  session_->AnswerWhole(answer_.status, answer_.reason, answer_.fields,
+                        answer_.body);
+  Finish(now, answer_.status / 100 == 2 ? "served" : "server_failure",
+         answer_.status);
+}
+
+}  // namespace mangoport
