--- a/unittests/process/live_attempt_test.cc
+++ b/unittests/process/live_attempt_test.cc
@@ -48,6 +48,14 @@
       [&target](const SeenRequest& it) { return it.target == target; });
 }
 
+/// What a server has been sent, for messages.
+std::string Targets(const BackendStandin& server) {
+  std::string out;
+  for (const SeenRequest& it : server.seen())
+    out += " " + it.method + " " + it.target;
+  return out;
+}
+
 /// A host whose servers are the scripted ones that are listed later.
 class Host {
  public:
@@ -206,7 +214,8 @@
       dead, "/stream/x", [&] { host.it_.List(host.it_.b_, "ready"); });
   cr_assert(reply);
   cr_assert_eq(reply->body, Events(1, 6));
-  cr_assert_eq(host.it_.b_.seen().size(), before + 1);
+  cr_assert_eq(host.it_.b_.seen().size(), before + 1, "%zu before:%s", before,
+               Targets(host.it_.b_).c_str());
 }
 
 // Both servers may speak at the same time; the caller gets one run's events.
