--- a/include/mangoport/cli/cli.h
+++ b/include/mangoport/cli/cli.h
@@ -3,7 +3,7 @@
 
 namespace mangoport {
 
-/// What the process tells its caller.
+/// The exit status of the process.
 enum class ExitCode {
   kOk = 0,
   kFailed = 1,
--- a/include/mangoport/entryhost/access.h
+++ b/include/mangoport/entryhost/access.h
@@ -23,7 +23,7 @@
 struct KeyEvidence {
   MonoTime newest;
   Duration max_staleness{};
-  /// Keys withdrawn by word of an operator, beside the configuration.
+  /// Keys that an operator has withdrawn directly, beside the configuration.
   std::shared_ptr<const std::set<KeyId>> withdrawn;
 };
 
--- a/include/mangoport/entryhost/attempt_inbox.h
+++ b/include/mangoport/entryhost/attempt_inbox.h
@@ -15,8 +15,8 @@
 /// Carries the events of one request's attempts from the threads that read the
 /// engines' streams to the one that serves the caller.
 ///
-/// A closed attempt is told to stop at its next event; nothing that it still
-/// sends reaches the caller's side.
+/// A closed attempt is cancelled at its next event; nothing that it still sends
+/// reaches the caller's side.
 class AttemptInbox {
  public:
   enum class Kind { kEvent, kEnded, kTimeout };
--- a/include/mangoport/entryhost/budget_service.h
+++ b/include/mangoport/entryhost/budget_service.h
@@ -101,8 +101,9 @@
     std::unique_ptr<LogAppender> appender;
     std::unique_ptr<LogFollower> follower;
     int appends_under_way = 0;
-    /// What a peer told of the stream's dealer while the log is out.
-    std::optional<KnownDealer> told;
+    /// The stream's dealer as a peer last named it, for use while the log is
+    /// unavailable.
+    std::optional<KnownDealer> peer_dealer;
   };
 
   /// A request to a dealer, ready to be sent.
@@ -123,11 +124,12 @@
   /// Whether the zone's dealer is worth asking: it answers, or has not yet been
   /// asked for long.
   bool ZoneAnswersLocked(MonoTime now, const AllocatorId& zone);
-  /// The stream's present dealer: from the log, or else as a peer told.
+  /// The stream's present dealer: from the log, or else as a peer last named
+  /// it.
   std::optional<KnownDealer> DealerOf(const Level& level) const;
   bool MustAskForDealersLocked(MonoTime now);
   void AskForDealers();
-  void OnDealers(const wire::BudgetDealers& told);
+  void OnDealers(const wire::BudgetDealers& dealers);
   void AddRequestLocked(const wire::BudgetRequest& request,
                         bool from_zone,
                         std::vector<Outgoing>& outgoing) const;
--- a/include/mangoport/entryhost/config_service.h
+++ b/include/mangoport/entryhost/config_service.h
@@ -74,7 +74,8 @@
   /// under way when this returns.
   void SetPageObserver(OnLogPage observer);
 
-  /// Keys withdrawn by word of an operator that the log has not recorded.
+  /// Keys that an operator has withdrawn directly and that the log does not yet
+  /// record as withdrawn.
   std::shared_ptr<const KeySet> withdrawn_keys() const {
     return withdrawn_keys_.load(std::memory_order_acquire);
   }
--- a/include/mangoport/entryhost/log_follower.h
+++ b/include/mangoport/entryhost/log_follower.h
@@ -18,7 +18,7 @@
 /// Follows one stream of the log on a thread of its own.
 class LogFollower {
  public:
-  /// Tells where to read next. Called before every read.
+  /// Returns the position of the next read. Called before every read.
   using NextOffset = std::function<std::uint64_t()>;
   /// Takes one page that the log answered with; it may be empty. `requested_at`
   /// is the time just before the read was sent: the page is no older than that.
--- a/include/mangoport/entryhost/once_service.h
+++ b/include/mangoport/entryhost/once_service.h
@@ -43,7 +43,7 @@
   OnceService(const OnceService&) = delete;
   OnceService& operator=(const OnceService&) = delete;
 
-  /// Waits until the caller can be told something.
+  /// Waits until there is an answer or a refusal for the caller.
   PlainAnswer Run(const PlainRequest& request);
 
   /// For the operators' status page.
--- a/include/mangoport/entryhost/peer_service.h
+++ b/include/mangoport/entryhost/peer_service.h
@@ -47,7 +47,7 @@
   /// records it when it can.
   void Withdraw(const KeyId& key, const std::string& reason);
 
-  /// Tells peers that this host is stopping.
+  /// Announces to the peers that this host is stopping.
   void AnnounceLeaving();
 
   /// True once this host may serve what it knows.
--- a/include/mangoport/entryhost/quarantine_service.h
+++ b/include/mangoport/entryhost/quarantine_service.h
@@ -36,7 +36,7 @@
   /// Whether the claim holds, once it was read back from the log.
   std::optional<bool> ClaimAnswer(std::uint64_t number);
 
-  /// Gives a claim back. With number 0, tells only that the request ran to its
+  /// Releases a claim. With number 0, only records that the request ran to its
   /// end.
   void End(const Fingerprint& fingerprint, std::uint64_t number, bool survived);
 
--- a/lib/entryhost/budget_service.cc
+++ b/lib/entryhost/budget_service.cc
@@ -265,7 +265,7 @@
     const Level& level) const {
   const BudgetFold& fold = level.lease->fold();
   if (!fold.epoch())
-    return level.told;
+    return level.peer_dealer;
   KnownDealer dealer{{level.stream, *fold.epoch()}, {}};
   if (fold.holder().empty() ||
       !ParseEndpoint(fold.holder_address(), dealer.address))
@@ -288,25 +288,25 @@
   if (live.empty())
     return;
   thread_local std::minstd_rand random(std::random_device{}());
-  peers_->client().Call(
-      live[random() % live.size()], kBudgetDealersMethod, "", kPeerTimeout,
-      [this](const PeerReply& reply) {
-        wire::BudgetDealers told;
-        if (reply.status == PeerStatus::kOk && told.ParseFromString(reply.body))
-          OnDealers(told);
-      });
+  peers_->client().Call(live[random() % live.size()], kBudgetDealersMethod, "",
+                        kPeerTimeout, [this](const PeerReply& reply) {
+                          wire::BudgetDealers dealers;
+                          if (reply.status == PeerStatus::kOk &&
+                              dealers.ParseFromString(reply.body))
+                            OnDealers(dealers);
+                        });
 }
 
-void BudgetService::OnDealers(const wire::BudgetDealers& told) {
+void BudgetService::OnDealers(const wire::BudgetDealers& dealers) {
   const std::lock_guard lock(mutex_);
-  KnownDealer floor{FromWire(told.floor()), {}};
+  KnownDealer floor{FromWire(dealers.floor()), {}};
   if (floor.id.stream == floor_.stream &&
-      ParseEndpoint(told.floor_address(), floor.address))
-    floor_.told = floor;
-  KnownDealer pool{FromWire(told.pool()), {}};
+      ParseEndpoint(dealers.floor_address(), floor.address))
+    floor_.peer_dealer = floor;
+  KnownDealer pool{FromWire(dealers.pool()), {}};
   if (pool.id.stream == pool_.stream &&
-      ParseEndpoint(told.pool_address(), pool.address))
-    pool_.told = pool;
+      ParseEndpoint(dealers.pool_address(), pool.address))
+    pool_.peer_dealer = pool;
 }
 
 void BudgetService::OnDealersRequest(
--- a/lib/entryhost/caller_api.cc
+++ b/lib/entryhost/caller_api.cc
@@ -168,9 +168,9 @@
                               const Error& error,
                               Duration retry_after,
                               httplib::Response& response) {
-  Error told = error;
-  told.not_run = error.not_run && !exchange.may_be_repeat;
-  SetError(response, exchange.request, told, retry_after);
+  Error reported = error;
+  reported.not_run = error.not_run && !exchange.may_be_repeat;
+  SetError(response, exchange.request, reported, retry_after);
   services.metrics->CountRequest(exchange.identity.account, exchange.surface,
                                  ErrorCodeName(error.code));
   AuditEvent event;
--- a/lib/peer/http2_connection.h
+++ b/lib/peer/http2_connection.h
@@ -22,7 +22,7 @@
  public:
   enum class Role { kClient, kServer };
 
-  /// Limits told to the other end, and flow control windows.
+  /// Limits announced to the other end, and flow control windows.
   struct Settings {
     std::uint32_t max_streams = 0;
     std::uint32_t max_header_bytes = 0;
--- a/lib/peer/peer_client_connection.h
+++ b/lib/peer/peer_client_connection.h
@@ -46,7 +46,7 @@
 
 using OpenCallPtr = std::shared_ptr<OpenCall>;
 
-/// What a connection tells the link that owns it.
+/// Callbacks of a connection to the link that owns it.
 struct ConnectionHooks {
   std::function<void(const OpenCallPtr&, PeerReply)> finish;
   std::function<void(std::string_view reason,
@@ -70,7 +70,7 @@
 
   void Submit(const OpenCallPtr& call);
 
-  /// Gives the call up and tells the peer so.
+  /// Cancels the call and resets its stream, so that the peer stops too.
   void Abandon(const OpenCallPtr& call);
 
   /// Checks progress and idleness at regular times until the connection is
