--- a/include/mangoport/edge/edge_host.h
+++ b/include/mangoport/edge/edge_host.h
@@ -77,8 +77,11 @@
   FeedHooks MakeFeedHooks();
   /// A backend server said that it leaves.
   void OnServerLeaving(const ServerId& server);
-  /// The store's answer or the peer `source` named a timeline of the store.
-  void OnStoreTimeline(StoreTimeline timeline, std::string_view source);
+  /// The store's answer or the peer `source_name` named a timeline of the
+  /// store.
+  void OnStoreTimeline(StoreTimeline timeline,
+                       TimelineSource source,
+                       std::string_view source_name);
   void AnswerStatus(const std::shared_ptr<ClientSession>& session,
                     const HttpRequest& request);
   bool IsReady() const;
--- a/include/mangoport/edge/feed_service.h
+++ b/include/mangoport/edge/feed_service.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "mangoport/core/time.h"
+#include "mangoport/fleet/config_feed.h"
 #include "mangoport/fleet/feed_tracker.h"
 #include "mangoport/fleet/fleet_config.h"
 #include "mangoport/fleet/key_evidence.h"
@@ -28,6 +29,9 @@
   /// A host reads the feeds itself once the readers' newest update is older.
   Duration config_patience = std::chrono::milliseconds(1500);
   Duration servers_patience = std::chrono::milliseconds(1500);
+  /// Hosts that learn of a restored store from another host read the feeds at
+  /// random times within this time.
+  Duration restart_spread = std::chrono::milliseconds(400);
   Duration hosts_interval = std::chrono::seconds(30);
   /// The delay after a failed call doubles from the first to the longest.
   Duration first_backoff = std::chrono::milliseconds(150);
@@ -91,19 +95,24 @@
   /// that has the list up to there.
   FeedUpdates OwnUpdatesSince(MonoTime now,
                               BootTime boot_now,
-                              std::uint64_t position);
+                              const StorePosition& position);
 
-  /// This host's position in the list of servers; zero before the first read.
-  std::uint64_t servers_position() const {
-    return server_feed_.position().value_or(0);
+  /// The position of the list of servers that this host uses; zero before the
+  /// first read.
+  const StorePosition& servers_position() const {
+    return server_feed_.list_position();
   }
 
+  /// Processes a timeline of the store that an answer of the store or another
+  /// host named. If it is a later one, both feeds are read anew.
+  void OnStoreTimeline(StoreTimeline timeline, TimelineSource source);
+
   /// Processes what another host, `peer`, has read.
   void OnPeerUpdates(MonoTime now,
                      const HostId& peer,
                      const FeedUpdates& updates);
 
-  bool has_config() const { return version_.has_value(); }
+  bool has_config() const { return config_feed_.version().has_value(); }
   bool has_servers() const { return server_feed_.has_list(); }
 
  private:
@@ -112,8 +121,9 @@
   /// The state of the repeated calls for one feed.
   struct Feed {
     std::string_view name;
-    /// When the last read was sent.
+    /// When the last read was sent, and from which position.
     BootTime sent_at = {};
+    FeedPosition asked = std::nullopt;
     Duration backoff{};
     bool in_flight = false;
     bool lost = false;
@@ -126,7 +136,7 @@
   void Follow(Feed& feed, Duration wait, Step follow, Step read);
   void ReadConfig();
   void OnConfig(CallReply<ConfigNews> reply);
-  void ApplyConfig(FleetConfig config, std::uint64_t next);
+  void ApplyConfig(FleetConfig config);
   void ReadServers();
   void OnServers(const CallReply<ServerNews>& reply);
   /// Logs the outcome and calls the hooks for it.
@@ -144,6 +154,14 @@
   /// failures.
   Duration NoteFailure(Feed& feed, CallStatus status, const std::string& error);
   void NoteSuccess(Feed& feed);
+  /// Logs that the feed is read anew, and that `position` is given up.
+  void LogRestart(const Feed& feed,
+                  const FeedPosition& position,
+                  std::string_view reason);
+  /// Logs that the result of a read is not used.
+  void LogDiscarded(const Feed& feed,
+                    FeedReadUse use,
+                    const StorePosition& next);
   void LogProblems(const Feed& feed, const std::vector<std::string>& problems);
 
   FleetPlatform& platform_;
@@ -156,14 +174,11 @@
   Feed config_;
   Feed servers_;
   Feed hosts_;
-  std::optional<std::uint64_t> version_;
-  /// The position after the newest configuration.
-  std::uint64_t config_changed_at_ = 0;
-  FeedTracker config_track_;
+  std::mt19937_64 random_;
+  ConfigFeed config_feed_;
   ServerFeed server_feed_;
   TimerQueue::Ticket expiry_timer_ = TimerQueue::kNoTicket;
   bool stopped_ = false;
-  std::mt19937_64 random_;
 };
 
 }  // namespace mangoport
--- a/include/mangoport/fleet/feed_tracker.h
+++ b/include/mangoport/fleet/feed_tracker.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 
+#include "mangoport/core/store_position.h"
 #include "mangoport/core/time.h"
 
 namespace mangoport {
@@ -18,8 +19,9 @@
 /// A feed reader's status update: how far it has read a feed of the store.
 struct FeedUpdate {
   /// The position after the last entry that the reader has read.
-  std::uint64_t position = 0;
-  /// The update contains all changes from this position up to `position`.
+  StorePosition position;
+  /// The update contains all changes from this offset up to `position`, in the
+  /// timeline of `position`.
   std::uint64_t complete_from = 0;
   /// When the reader confirmed `position`, on the receiver's clock. The times
   /// are lower bounds. None if the receiver cannot bound the age of the update.
@@ -32,14 +34,35 @@
   kCurrent,
   /// The receiver may lack changes that the update does not contain.
   kBehind,
+  /// The update is of an earlier timeline of the store and proves nothing.
+  kOutdated,
 };
 
+/// Whether the result of a read can be used.
+enum class FeedReadUse {
+  kApply,
+  /// An update advanced the position past the result in the meantime.
+  kPassed,
+  /// The result does not continue from this host's position: the store has been
+  /// restored, or the position was discarded in the meantime.
+  kNoContinuation,
+  /// The answer is of an earlier timeline than the highest known one.
+  kEarlierTimeline,
+};
+
+/// Where this host learned of a timeline of the store.
+enum class TimelineSource { kStore, kPeer };
+
 struct FeedTrackerSettings {
   /// The time from the reply to a reader's call to its next call.
   Duration interval{};
   /// The maximum age of the newest confirmation from a reader. Once it is
   /// older, a host that is not a reader reads the feed directly.
   Duration patience{};
+  /// The time from the news of a later timeline from another host to this
+  /// host's read of the whole feed. It differs between hosts, so that a large
+  /// fleet does not read at once.
+  Duration restart_delay{};
 };
 
 /// Tracks this host's position in a feed of the store and schedules its reads.
@@ -52,6 +75,9 @@
 ///
 /// This limits the load of a large fleet on the store: the number of calls
 /// grows with the number of readers, not with the number of hosts.
+///
+/// A position is valid only in its timeline. Once a later timeline of the store
+/// is known, the position is discarded and the host reads the whole feed.
 class FeedTracker {
  public:
   explicit FeedTracker(const FeedTrackerSettings& settings)
@@ -59,10 +85,12 @@
 
   void set_reader(bool reader) { reader_ = reader; }
 
-  /// Records a read by this host that returned all entries up to `next`.
-  /// Returns false if an update advanced the position past `next` in the
-  /// meantime, so that the result of the read is outdated.
-  bool OnRead(const FeedConfirmation& read, std::uint64_t next);
+  /// Records a read by this host that returned all entries up to `next`: the
+  /// present state if `whole`, otherwise what follows this host's position. Any
+  /// result but `kApply` means that its entries must not be applied to a list.
+  FeedReadUse OnRead(const FeedConfirmation& read,
+                     const StorePosition& next,
+                     bool whole);
 
   /// Processes an update from a reader. Advances the position and records the
   /// confirmation, if any, if the result is `kCurrent`; otherwise changes
@@ -72,9 +100,15 @@
   /// Returns the result of `OnFeedUpdate` without changing any state.
   FeedUpdateCoverage Judge(const FeedUpdate& update) const;
 
+  /// Records a timeline of the store. If it is later than all known ones, this
+  /// host's position is discarded; returns the discarded position.
+  std::optional<StorePosition> OnTimeline(BootTime now,
+                                          StoreTimeline timeline,
+                                          TimelineSource source);
+
   /// Makes the next read due immediately, because an update showed changes that
-  /// this host lacks.
-  void RequestImmediateRead() { read_soon_ = true; }
+  /// this host lacks. Returns false if it was due for this reason already.
+  bool RequestImmediateRead();
 
   /// Discards the position because the store no longer keeps it. The next read
   /// fetches the current state.
@@ -92,12 +126,17 @@
   std::optional<FeedUpdate> MakeFeedUpdate(BootTime now,
                                            std::uint64_t complete_from) const;
 
-  /// None before the first read.
-  const std::optional<std::uint64_t>& position() const { return position_; }
+  /// None before the first read, and from the news of a later timeline to the
+  /// next one.
+  const std::optional<StorePosition>& position() const { return position_; }
 
  private:
   FeedTrackerSettings settings_;
-  std::optional<std::uint64_t> position_;
+  std::optional<StorePosition> position_;
+  /// The highest known timeline of the store.
+  StoreTimeline timeline_ = 0;
+  /// When the whole feed is read after the news of a later timeline.
+  std::optional<BootTime> restart_due_;
   /// The last read by this host.
   std::optional<FeedConfirmation> last_read_;
   /// The time of the newest confirmation that another reader sent.
--- a/include/mangoport/fleet/server_feed.h
+++ b/include/mangoport/fleet/server_feed.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "mangoport/core/ids.h"
+#include "mangoport/core/store_position.h"
 #include "mangoport/core/time.h"
 #include "mangoport/fleet/feed_tracker.h"
 #include "mangoport/fleet/server_directory.h"
@@ -21,10 +22,10 @@
   /// True if `changes` are the whole present state.
   bool whole = false;
   std::vector<ServerChange> changes = {};
-  std::uint64_t next = 0;
+  StorePosition next = {};
   /// A whole read may already contain changes from after `next`; a host that
   /// has applied all changes up to this position has the exact list.
-  std::uint64_t exact_from = 0;
+  StorePosition exact_from = {};
   /// The position is no longer kept: read the present state.
   bool history_lost = false;
   /// Records that were passed over, and why.
@@ -43,7 +44,7 @@
 
 /// A listing that differs from another host's at the same position.
 struct ListingDifference {
-  std::uint64_t position = 0;
+  StorePosition position;
   std::uint64_t own_digest = 0;
   std::uint64_t peer_digest = 0;
 };
@@ -54,13 +55,15 @@
     ServerId id;
     ServerChangeEffect effect = ServerChangeEffect::kNone;
     /// The store's position at which it was read.
-    std::uint64_t position = 0;
+    StorePosition position;
   };
   std::vector<Effect> effects = {};
   /// The others should be told at once.
   bool news = false;
   /// Set if this input showed a difference; the next read is then a whole one.
   std::optional<ListingDifference> difference = std::nullopt;
+  /// Whether the result of a read was used.
+  FeedReadUse read_use = FeedReadUse::kApply;
 };
 
 struct ServerFeedSettings {
@@ -89,12 +92,23 @@
   Duration Wait(BootTime now) const { return track_.Wait(now); }
 
   /// Where the next read starts; none for a read of the whole list.
-  const std::optional<std::uint64_t>& position() const {
+  const std::optional<StorePosition>& position() const {
     return track_.position();
   }
 
+  /// The position of the list that this host uses, also while it waits for a
+  /// whole read.
+  const StorePosition& list_position() const { return relay_.position(); }
+
   void OnReadFailed(MonoTime now) { directory_.OnReadFailed(now); }
 
+  /// Records a timeline of the store; see `FeedTracker`.
+  std::optional<StorePosition> OnTimeline(BootTime now,
+                                          StoreTimeline timeline,
+                                          TimelineSource source) {
+    return track_.OnTimeline(now, timeline, source);
+  }
+
   /// The store no longer keeps this host's position.
   void OnHistoryLost() { track_.Restart(); }
 
@@ -117,7 +131,7 @@
   /// The same with the changes that a host at `position` lacks.
   std::optional<ServerFeedUpdate> OwnUpdateSince(MonoTime now,
                                                  BootTime boot_now,
-                                                 std::uint64_t position);
+                                                 const StorePosition& position);
 
   /// True after the first whole read.
   bool has_list() const { return has_list_; }
@@ -147,7 +161,7 @@
   ServerRelay relay_;
   bool has_list_ = false;
   /// The listing is exact from this position on.
-  std::uint64_t exact_from_ = 0;
+  StorePosition exact_from_;
   std::optional<MonoTime> repaired_at_;
   Duration repair_pause_;
 };
--- a/include/mangoport/fleet/server_relay.h
+++ b/include/mangoport/fleet/server_relay.h
@@ -2,10 +2,10 @@
 #define MANGOPORT_FLEET_SERVER_RELAY_H_
 
 #include <cstddef>
-#include <cstdint>
 #include <deque>
 #include <vector>
 
+#include "mangoport/core/store_position.h"
 #include "mangoport/core/time.h"
 #include "mangoport/fleet/server_directory.h"
 
@@ -14,7 +14,7 @@
 /// The result of one read of the server list.
 struct ServerBatch {
   /// The position after the last entry that was read.
-  std::uint64_t next = 0;
+  StorePosition next;
   std::vector<ServerChange> changes;
 };
 
@@ -34,21 +34,22 @@
   ServerRelay() : ServerRelay(Settings{}) {}
 
   /// Clears the buffer after a read of the whole list up to `next`.
-  void Restart(std::uint64_t next);
+  void Restart(const StorePosition& next);
 
   /// Adds the result of a read that continued from the previous one. `batch`
   /// may contain no changes.
   void Add(MonoTime now, ServerBatch batch);
 
   /// Returns the buffered changes that a host at `position` lacks, oldest
-  /// first. They are complete only from `complete_from` on.
-  std::vector<ServerBatch> Since(MonoTime now, std::uint64_t position);
+  /// first. They are complete only from `complete_from` on. None for a host in
+  /// another timeline, which has to read the whole list.
+  std::vector<ServerBatch> Since(MonoTime now, const StorePosition& position);
 
-  std::uint64_t position() const { return position_; }
+  const StorePosition& position() const { return position_; }
   /// The position after the newest change that is no longer buffered.
-  std::uint64_t complete_from() const { return complete_from_; }
+  const StorePosition& complete_from() const { return complete_from_; }
   /// The position after the newest change.
-  std::uint64_t changed_at() const { return changed_at_; }
+  const StorePosition& changed_at() const { return changed_at_; }
 
  private:
   struct BufferedBatch {
@@ -61,9 +62,9 @@
   Settings settings_;
   std::deque<BufferedBatch> buffered_;
   std::size_t buffered_changes_ = 0;
-  std::uint64_t position_ = 0;
-  std::uint64_t complete_from_ = 0;
-  std::uint64_t changed_at_ = 0;
+  StorePosition position_;
+  StorePosition complete_from_;
+  StorePosition changed_at_;
 };
 
 }  // namespace mangoport
--- a/include/mangoport/gossip/soft_state.h
+++ b/include/mangoport/gossip/soft_state.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "mangoport/core/ids.h"
+#include "mangoport/core/store_position.h"
 #include "mangoport/core/time.h"
 #include "mangoport/soft_state.pb.h"
 
@@ -28,7 +29,7 @@
   /// The newest clock reading that the peer has sent.
   std::uint64_t clock_us = 0;
   /// The peer's position in the server list.
-  std::uint64_t servers_position = 0;
+  StorePosition servers_position = {};
   /// When this host last sent it a datagram.
   std::optional<MonoTime> last_sent_at;
   /// The peer is shutting down in order.
--- a/include/mangoport/ports/fleet_platform.h
+++ b/include/mangoport/ports/fleet_platform.h
@@ -17,13 +17,15 @@
 namespace mangoport {
 
 /// Where a read of a feed goes on; none reads the feed's present state.
-using FeedPosition = std::optional<std::uint64_t>;
+using FeedPosition = std::optional<StorePosition>;
 
 /// News of the operators' configuration.
 struct ConfigNews {
   /// The newest valid configuration in what was read, if there was one.
   std::optional<FleetConfig> newest = std::nullopt;
-  std::uint64_t next = 0;
+  StorePosition next = {};
+  /// True if this is the present state, not what follows a position.
+  bool whole = false;
   /// The position is no longer kept: read the present state.
   bool history_lost = false;
   /// Records that were passed over, and why.
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -44,7 +44,12 @@
   // The rest of the bound is for the host's own read and for applying it.
   constexpr int kParts = 4;
   constexpr int kPatientParts = 3;
+  // The news of a restored store takes up to a reader's read and a datagram,
+  // half of the bound.
+  constexpr int kRestartParts = 5;
   FeedSettings out;
+  out.restart_spread =
+      std::min(bounds.config_apply, bounds.server_drain) / kRestartParts;
   out.config_patience = bounds.config_apply / kParts * kPatientParts;
   out.servers_patience = bounds.server_drain / kParts * kPatientParts;
   return out;
@@ -135,8 +140,9 @@
               LeaseSettingsFor(settings_.bounds),
               DrawClaimDelay()),
       signals_(io_, SIGTERM, SIGINT, SIGHUP) {
-  platform_->set_on_timeline(
-      [this](StoreTimeline timeline) { OnStoreTimeline(timeline, "store"); });
+  platform_->set_on_timeline([this](StoreTimeline timeline) {
+    OnStoreTimeline(timeline, TimelineSource::kStore, "store");
+  });
   quota_.AwaitHostList();
   caller_.set_on_head([this](const std::string& peer, const HttpHead& head) {
     forwarder_.NoteServerSignals(Now(), backends_.StartOf(ServerId(peer)),
@@ -192,14 +198,16 @@
 }
 
 void EdgeHost::OnStoreTimeline(StoreTimeline timeline,
-                               std::string_view source) {
+                               TimelineSource source,
+                               std::string_view source_name) {
   if (store_timeline_ && timeline <= *store_timeline_)
     return;
   log_.Write(LogLine("store_timeline")
                  .Add("timeline", timeline)
                  .Add("earlier", store_timeline_.value_or(0))
-                 .Add("source", source));
+                 .Add("source", source_name));
   store_timeline_ = timeline;
+  feeds_.OnStoreTimeline(timeline, source);
 }
 
 void EdgeHost::Run() {
--- a/lib/edge/edge_peers.cc
+++ b/lib/edge/edge_peers.cc
@@ -52,7 +52,8 @@
                          const PeerHost& peer,
                          wire::HostState& message) {
   const BootTime boot_now = BootClock::now();
-  message.set_servers_position(feeds_.servers_position());
+  message.set_servers_timeline(feeds_.servers_position().timeline);
+  message.set_servers_position(feeds_.servers_position().offset);
   message.set_store_timeline(store_timeline_.value_or(0));
   // Each zone has a reader, so changes are not sent across zones.
   if (peer.zone == settings_.zone)
@@ -120,7 +121,8 @@
                            std::optional<BootTime> sent_after,
                            const wire::HostState& message) {
   if (message.store_timeline() != 0)
-    OnStoreTimeline(message.store_timeline(), message.host());
+    OnStoreTimeline(message.store_timeline(), TimelineSource::kPeer,
+                    message.host());
   if (!message.leaving())
     feeds_.OnPeerUpdates(now, HostId(message.host()),
                          ReadFeeds(sent_after, message));
@@ -190,7 +192,9 @@
                                       const wire::HostState& message) {
   // The ids mean the starts in the sender's list. If that is older than this
   // host's, a server may have started again since.
-  if (message.servers_position() < feeds_.servers_position())
+  const StorePosition position{.timeline = message.servers_timeline(),
+                               .offset = message.servers_position()};
+  if (position < feeds_.servers_position())
     return;
   for (const std::string& it : message.leaving_servers())
     backends_.NoteSignals(now, backends_.StartOf(ServerId(it)),
--- a/lib/edge/feed_service.cc
+++ b/lib/edge/feed_service.cc
@@ -34,6 +34,31 @@
   return "none";
 }
 
+std::string_view ReadUseName(FeedReadUse use) {
+  switch (use) {
+    case FeedReadUse::kApply:
+      return "none";
+    case FeedReadUse::kPassed:
+      return "passed_by_update";
+    case FeedReadUse::kNoContinuation:
+      return "no_continuation";
+    case FeedReadUse::kEarlierTimeline:
+      return "earlier_timeline";
+  }
+  return "none";
+}
+
+std::string PositionText(const FeedPosition& position) {
+  return position ? ToString(*position) : "none";
+}
+
+/// A time within `spread` for this host.
+Duration Draw(std::mt19937_64& random, Duration spread) {
+  std::uniform_real_distribution<> draw(0, 1);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(spread) * draw(random));
+}
+
 /// "m1,m2+3" for two models, the second with three adapters.
 std::string ModelNames(const ServerEntry& entry) {
   std::string out;
@@ -66,20 +91,19 @@
       config_{.name = "config"},
       servers_{.name = "servers"},
       hosts_{.name = "hosts"},
-      config_track_({.patience = settings.config_patience}),
-      server_feed_({.tracker = {.interval = settings.servers_interval,
-                                .patience = settings.servers_patience},
-                    .directory = {}}),
-      random_(std::random_device{}()) {}
+      random_(std::random_device{}()),
+      config_feed_({.patience = settings.config_patience,
+                    .restart_delay = Draw(random_, settings.restart_spread)}),
+      server_feed_(
+          {.tracker = {.interval = settings.servers_interval,
+                       .patience = settings.servers_patience,
+                       .restart_delay = Draw(random_, settings.restart_spread)},
+           .directory = {}}) {}
 
 void FeedService::Start() {
   ReadConfig();
   ReadServers();
-  const std::chrono::duration<double> spread(kStartSpread);
-  std::uniform_real_distribution<> draw(0, 1);
-  StepAfter(hosts_,
-            std::chrono::duration_cast<Duration>(spread * draw(random_)),
-            &FeedService::Announce);
+  StepAfter(hosts_, Draw(random_, kStartSpread), &FeedService::Announce);
 }
 
 void FeedService::StepAfter(Feed& feed, Duration wait, Step step) {
@@ -101,7 +125,7 @@
 }
 
 void FeedService::FollowConfig() {
-  Follow(config_, config_track_.Wait(BootClock::now()),
+  Follow(config_, config_feed_.tracker().Wait(BootClock::now()),
          &FeedService::FollowConfig, &FeedService::ReadConfig);
 }
 
@@ -111,7 +135,7 @@
 }
 
 void FeedService::SetReader(bool reader) {
-  config_track_.set_reader(reader);
+  config_feed_.tracker().set_reader(reader);
   server_feed_.set_reader(reader);
   FollowConfig();
   FollowServers();
@@ -148,14 +172,52 @@
                    .Add("problem", it));
 }
 
+void FeedService::LogRestart(const Feed& feed,
+                             const FeedPosition& position,
+                             std::string_view reason) {
+  log_.Write(LogLine("feed_restarted")
+                 .Add("feed", feed.name)
+                 .Add("position", PositionText(position))
+                 .Add("reason", reason));
+}
+
+void FeedService::LogDiscarded(const Feed& feed,
+                               FeedReadUse use,
+                               const StorePosition& next) {
+  log_.Write(LogLine("feed_read_discarded")
+                 .Add("feed", feed.name)
+                 .Add("asked", PositionText(feed.asked))
+                 .Add("next", ToString(next))
+                 .Add("reason", ReadUseName(use)));
+}
+
+void FeedService::OnStoreTimeline(StoreTimeline timeline,
+                                  TimelineSource source) {
+  if (stopped_)
+    return;
+  const BootTime now = BootClock::now();
+  FeedTracker& tracker = config_feed_.tracker();
+  if (const auto position = tracker.OnTimeline(now, timeline, source))
+    LogRestart(config_, position, "store_restored");
+  if (const auto position = server_feed_.OnTimeline(now, timeline, source))
+    LogRestart(servers_, position, "store_restored");
+  // After a failure, the backoff timer triggers the next read.
+  if (config_.backoff == Duration::zero() && has_config())
+    FollowConfig();
+  if (servers_.backoff == Duration::zero() && has_servers())
+    FollowServers();
+}
+
 void FeedService::ReadConfig() {
   if (config_.in_flight)
     return;
   timers_.Cancel(config_.timer);
   config_.in_flight = true;
   config_.sent_at = BootClock::now();
-  const bool regular = config_track_.ReadsFeedDirectly(config_.sent_at);
-  platform_.ReadConfig(config_track_.position(),
+  config_.asked = config_feed_.tracker().position();
+  const bool regular =
+      config_feed_.tracker().ReadsFeedDirectly(config_.sent_at);
+  platform_.ReadConfig(config_.asked,
                        regular ? settings_.config_wait : Duration::zero(),
                        [this](CallReply<ConfigNews> reply) {
                          if (!stopped_)
@@ -172,28 +234,45 @@
   NoteSuccess(config_);
   LogProblems(config_, reply.value.problems);
   if (reply.value.history_lost) {
-    config_track_.Restart();
+    LogRestart(config_, config_.asked, "history_lost");
+    config_feed_.tracker().Restart();
     ReadConfig();
     return;
   }
   const FeedConfirmation proof{.sent_at = config_.sent_at,
                                .answered_at = BootClock::now()};
-  config_track_.OnRead(proof, reply.value.next);
-  if (reply.value.newest)
-    ApplyConfig(std::move(*reply.value.newest), reply.value.next);
+  const ConfigReadOutcome outcome = config_feed_.OnRead(
+      proof, {.next = reply.value.next,
+              .whole = reply.value.whole,
+              .version = reply.value.newest
+                             ? std::optional(reply.value.newest->version)
+                             : std::nullopt});
+  if (outcome.use != FeedReadUse::kApply)
+    LogDiscarded(config_, outcome.use, reply.value.next);
+  if (outcome.use == FeedReadUse::kEarlierTimeline) {
+    StepAfter(config_, settings_.first_backoff, &FeedService::FollowConfig);
+    return;
+  }
+  if (outcome.use == FeedReadUse::kNoContinuation) {
+    FollowConfig();
+    return;
+  }
+  if (outcome.apply)
+    ApplyConfig(std::move(*reply.value.newest));
+  else if (reply.value.newest)
+    log_.Write(LogLine("config_not_newer")
+                   .Add("version", reply.value.newest->version)
+                   .Add("applied", config_feed_.version().value_or(0))
+                   .Add("position", ToString(reply.value.next)));
   key_evidence_.OnCurrentRead(proof.sent_at);
   // Without a configuration the host cannot serve, so it polls.
-  if (!version_)
+  if (!has_config())
     StepAfter(config_, settings_.first_backoff, &FeedService::ReadConfig);
   else
     FollowConfig();
 }
 
-void FeedService::ApplyConfig(FleetConfig config, std::uint64_t next) {
-  if (version_ && config.version <= *version_)
-    return;
-  version_ = config.version;
-  config_changed_at_ = next;
+void FeedService::ApplyConfig(FleetConfig config) {
   const auto view = std::make_shared<const FleetConfigView>(std::move(config));
   log_.Write(LogLine("config_applied")
                  .Add("version", view->version())
@@ -201,7 +280,7 @@
                  .Add("services", view->config().services.size())
                  .Add("accounts", view->config().accounts.size()));
   hooks_.on_config(view);
-  if (config_track_.ReadsFeedDirectly(BootClock::now()))
+  if (config_feed_.tracker().ReadsFeedDirectly(BootClock::now()))
     hooks_.on_news();
 }
 
@@ -211,7 +290,8 @@
   timers_.Cancel(servers_.timer);
   servers_.in_flight = true;
   servers_.sent_at = BootClock::now();
-  platform_.ReadServers(server_feed_.position(),
+  servers_.asked = server_feed_.position();
+  platform_.ReadServers(servers_.asked,
                         [this](const CallReply<ServerNews>& reply) {
                           if (!stopped_)
                             OnServers(reply);
@@ -229,15 +309,22 @@
   NoteSuccess(servers_);
   LogProblems(servers_, reply.value.problems);
   if (reply.value.history_lost) {
+    LogRestart(servers_, servers_.asked, "history_lost");
     server_feed_.OnHistoryLost();
     ReadServers();
     return;
   }
-  OnServerOutcome(now, server_feed_.OnRead(now,
-                                           {.sent_at = servers_.sent_at,
-                                            .answered_at = BootClock::now()},
-                                           reply.value));
-  FollowServers();
+  const FeedConfirmation proof{.sent_at = servers_.sent_at,
+                               .answered_at = BootClock::now()};
+  const ServerFeedOutcome outcome =
+      server_feed_.OnRead(now, proof, reply.value);
+  if (outcome.read_use != FeedReadUse::kApply)
+    LogDiscarded(servers_, outcome.read_use, reply.value.next);
+  OnServerOutcome(now, outcome);
+  if (outcome.read_use == FeedReadUse::kEarlierTimeline)
+    StepAfter(servers_, settings_.first_backoff, &FeedService::FollowServers);
+  else
+    FollowServers();
 }
 
 void FeedService::OnServerOutcome(MonoTime now,
@@ -253,7 +340,7 @@
         LogLine("server_list")
             .Add("server", it.id.value())
             .Add("change", EffectName(it.effect))
-            .Add("position", it.position)
+            .Add("position", ToString(it.position))
             .Add("models", gone ? std::string() : ModelNames(entry->second)));
   }
   if (!outcome.effects.empty())
@@ -275,15 +362,14 @@
 
 FeedUpdates FeedService::OwnUpdates(BootTime now) const {
   FeedUpdates out;
-  if (version_)
-    out.config = config_track_.MakeFeedUpdate(now, config_changed_at_);
+  out.config = config_feed_.OwnUpdate(now);
   out.servers = server_feed_.OwnUpdate(now);
   return out;
 }
 
 FeedUpdates FeedService::OwnUpdatesSince(MonoTime now,
                                          BootTime boot_now,
-                                         std::uint64_t position) {
+                                         const StorePosition& position) {
   FeedUpdates out = OwnUpdates(boot_now);
   out.servers = server_feed_.OwnUpdateSince(now, boot_now, position);
   return out;
@@ -301,14 +387,23 @@
 }
 
 void FeedService::OnConfigUpdate(const FeedUpdate& update) {
-  if (!version_)
+  if (!has_config())
+    return;
+  FeedTracker& tracker = config_feed_.tracker();
+  const FeedUpdateCoverage coverage = tracker.OnFeedUpdate(update);
+  if (coverage == FeedUpdateCoverage::kOutdated)
     return;
-  if (config_track_.OnFeedUpdate(update) == FeedUpdateCoverage::kCurrent) {
+  if (coverage == FeedUpdateCoverage::kCurrent) {
     if (update.proof)
       key_evidence_.OnCurrentRead(update.proof->sent_at);
     return;
   }
-  config_track_.RequestImmediateRead();
+  if (tracker.RequestImmediateRead())
+    log_.Write(LogLine("feed_behind")
+                   .Add("feed", config_.name)
+                   .Add("position", PositionText(tracker.position()))
+                   .Add("peer_position", ToString(update.position))
+                   .Add("complete_from", update.complete_from));
   // After a failure, the backoff timer triggers the next read.
   if (config_.backoff == Duration::zero())
     FollowConfig();
@@ -323,7 +418,7 @@
     return;
   log_.Write(LogLine("server_list_differs")
                  .Add("peer", peer.value())
-                 .Add("position", outcome.difference->position)
+                 .Add("position", ToString(outcome.difference->position))
                  .Add("own_digest", outcome.difference->own_digest)
                  .Add("peer_digest", outcome.difference->peer_digest));
   hooks_.on_difference();
--- a/lib/edge/feed_wire.cc
+++ b/lib/edge/feed_wire.cc
@@ -19,7 +19,8 @@
 void WriteFeedNote(BootTime now,
                    const FeedUpdate& update,
                    wire::FeedNote& note) {
-  note.set_position(update.position);
+  note.set_timeline(update.position.timeline);
+  note.set_position(update.position.offset);
   note.set_complete_from(update.complete_from);
   if (!update.proof)
     return;
@@ -30,7 +31,7 @@
 FeedUpdate ReadFeedNote(std::optional<BootTime> sent_after,
                         const wire::FeedNote& note) {
   FeedUpdate out;
-  out.position = note.position();
+  out.position = {.timeline = note.timeline(), .offset = note.position()};
   out.complete_from = note.complete_from();
   if (sent_after)
     out.proof = {
@@ -110,7 +111,7 @@
     feed.set_digest(*updates.servers->digest);
   for (const ServerBatch& batch : updates.servers->batches) {
     wire::ServerBatchNote& note = *message.add_server_batches();
-    note.set_next(batch.next);
+    note.set_next(batch.next.offset);
     for (const ServerChange& it : batch.changes)
       WriteChange(it, *note.add_entries());
   }
@@ -130,7 +131,7 @@
     servers.digest = feed.digest();
   for (const wire::ServerBatchNote& note : message.server_batches()) {
     ServerBatch& batch = servers.batches.emplace_back();
-    batch.next = note.next();
+    batch.next = {.timeline = feed.timeline(), .offset = note.next()};
     for (const wire::ServerEntryNote& it : note.entries())
       batch.changes.push_back(ReadChange(it));
   }
--- a/lib/fleet/feed_tracker.cc
+++ b/lib/fleet/feed_tracker.cc
@@ -1,30 +1,50 @@
 #include "mangoport/fleet/feed_tracker.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "mangoport/core/mutant.h"
 
 namespace mangoport {
 
-bool FeedTracker::OnRead(const FeedConfirmation& read, std::uint64_t next) {
-  last_read_ = read;
+FeedReadUse FeedTracker::OnRead(const FeedConfirmation& read,
+                                const StorePosition& next,
+                                bool whole) {
   read_soon_ = false;
+  if (next.timeline < timeline_)
+    return FeedReadUse::kEarlierTimeline;
+  timeline_ = next.timeline;
+  const bool continues = (position_ && position_->timeline == next.timeline) ||
+                         MutantEnabled("reads_cross_timelines");
+  if (!whole && !continues) {
+    position_.reset();
+    return FeedReadUse::kNoContinuation;
+  }
+  last_read_ = read;
+  restart_due_.reset();
   if (position_ && next < *position_)
-    return false;
+    return FeedReadUse::kPassed;
   position_ = next;
-  return true;
+  return FeedReadUse::kApply;
 }
 
 FeedUpdateCoverage FeedTracker::Judge(const FeedUpdate& update) const {
-  const bool covers_gap = position_ && *position_ >= update.complete_from;
+  if (update.position.timeline < timeline_)
+    return FeedUpdateCoverage::kOutdated;
+  const bool comparable =
+      position_ && (position_->timeline == update.position.timeline ||
+                    MutantEnabled("updates_cross_timelines"));
+  const bool covers_gap =
+      comparable && position_->offset >= update.complete_from;
   return covers_gap || (position_ && MutantEnabled("gap_overlooked"))
              ? FeedUpdateCoverage::kCurrent
              : FeedUpdateCoverage::kBehind;
 }
 
 FeedUpdateCoverage FeedTracker::OnFeedUpdate(const FeedUpdate& update) {
-  if (Judge(update) == FeedUpdateCoverage::kBehind)
-    return FeedUpdateCoverage::kBehind;
+  const FeedUpdateCoverage coverage = Judge(update);
+  if (coverage != FeedUpdateCoverage::kCurrent)
+    return coverage;
   position_ = std::max(*position_, update.position);
   if (update.proof) {
     const BootTime confirmed_at = update.proof->answered_at;
@@ -34,12 +54,31 @@
   return FeedUpdateCoverage::kCurrent;
 }
 
+std::optional<StorePosition> FeedTracker::OnTimeline(BootTime now,
+                                                     StoreTimeline timeline,
+                                                     TimelineSource source) {
+  if (timeline <= timeline_)
+    return std::nullopt;
+  timeline_ = timeline;
+  if (MutantEnabled("updates_cross_timelines"))
+    return std::nullopt;
+  if (position_ && source == TimelineSource::kPeer)
+    restart_due_ = now + settings_.restart_delay;
+  return std::exchange(position_, std::nullopt);
+}
+
+bool FeedTracker::RequestImmediateRead() {
+  return !std::exchange(read_soon_, true);
+}
+
 bool FeedTracker::ReadsFeedDirectly(BootTime now) const {
   return reader_ || !relayed_confirmation_at_ ||
          now - *relayed_confirmation_at_ >= settings_.patience;
 }
 
 Duration FeedTracker::Wait(BootTime now) const {
+  if (!position_ && restart_due_ && !reader_)
+    return std::max(*restart_due_ - now, Duration::zero());
   if (read_soon_ || !last_read_ || !position_)
     return Duration::zero();
   if (relayed_confirmation_at_ && !reader_ &&
--- a/lib/fleet/server_feed.cc
+++ b/lib/fleet/server_feed.cc
@@ -17,15 +17,17 @@
                                      const FeedConfirmation& read,
                                      const ServerNews& news) {
   ServerFeedOutcome out;
-  has_list_ = true;
-  // An update may have moved the position past this read in the meantime.
-  if (!track_.OnRead(read, news.next))
+  out.read_use = track_.OnRead(read, news.next, news.whole);
+  const bool passed = out.read_use == FeedReadUse::kPassed;
+  has_list_ = has_list_ || passed || out.read_use == FeedReadUse::kApply;
+  if (out.read_use != FeedReadUse::kApply)
     return out;
   if (news.whole) {
+    const bool restored = news.next.timeline != relay_.position().timeline;
     ApplyWhole(now, news, out);
-    out.news = !out.effects.empty();
+    out.news = restored || !out.effects.empty();
   } else {
-    const std::uint64_t changed_before = relay_.changed_at();
+    const StorePosition changed_before = relay_.changed_at();
     ApplyBatch(now, {.next = news.next, .changes = news.changes}, out);
     out.news = relay_.changed_at() != changed_before;
   }
@@ -75,7 +77,7 @@
   ServerFeedOutcome out;
   // An update that does not reach back far enough proves nothing here. Another
   // reader's may, or this host reads for itself soon.
-  if (track_.Judge(update.feed) == FeedUpdateCoverage::kBehind)
+  if (track_.Judge(update.feed) != FeedUpdateCoverage::kCurrent)
     return out;
   for (const ServerBatch& it : update.batches) {
     if (it.next > relay_.position() && it.next <= update.feed.position)
@@ -126,7 +128,7 @@
 
 std::optional<ServerFeedUpdate> ServerFeed::OwnUpdate(BootTime now) const {
   const std::optional<FeedUpdate> feed =
-      track_.MakeFeedUpdate(now, relay_.changed_at());
+      track_.MakeFeedUpdate(now, relay_.changed_at().offset);
   if (!feed)
     return std::nullopt;
   return ServerFeedUpdate{
@@ -136,12 +138,12 @@
 std::optional<ServerFeedUpdate> ServerFeed::OwnUpdateSince(
     MonoTime now,
     BootTime boot_now,
-    std::uint64_t position) {
+    const StorePosition& position) {
   std::optional<ServerFeedUpdate> out = OwnUpdate(boot_now);
   if (!out)
     return std::nullopt;
   out->batches = relay_.Since(now, position);
-  out->feed.complete_from = relay_.complete_from();
+  out->feed.complete_from = relay_.complete_from().offset;
   return out;
 }
 
--- a/lib/fleet/server_relay.cc
+++ b/lib/fleet/server_relay.cc
@@ -5,7 +5,7 @@
 
 namespace mangoport {
 
-void ServerRelay::Restart(std::uint64_t next) {
+void ServerRelay::Restart(const StorePosition& next) {
   buffered_.clear();
   buffered_changes_ = 0;
   position_ = next;
@@ -14,7 +14,7 @@
 }
 
 void ServerRelay::Add(MonoTime now, ServerBatch batch) {
-  assert(batch.next >= position_ &&
+  assert(batch.next.timeline == position_.timeline && batch.next >= position_ &&
          "a read must continue where the previous one ended");
   position_ = batch.next;
   if (!batch.changes.empty()) {
@@ -26,9 +26,11 @@
 }
 
 std::vector<ServerBatch> ServerRelay::Since(MonoTime now,
-                                            std::uint64_t position) {
+                                            const StorePosition& position) {
   DropOld(now);
   std::vector<ServerBatch> out;
+  if (position.timeline != position_.timeline)
+    return out;
   for (const BufferedBatch& it : buffered_) {
     if (it.batch.next > position)
       out.push_back(it.batch);
--- a/lib/gossip/soft_state.cc
+++ b/lib/gossip/soft_state.cc
@@ -56,7 +56,8 @@
   peer.sequence = message.sequence();
   peer.last_received_at = now;
   peer.clock_us = message.sent_at_us();
-  peer.servers_position = message.servers_position();
+  peer.servers_position = {.timeline = message.servers_timeline(),
+                           .offset = message.servers_position()};
   peer.leaving = message.leaving();
   return true;
 }
--- a/unittests/edge/feed_relay_soak.cc
+++ b/unittests/edge/feed_relay_soak.cc
@@ -1,6 +1,7 @@
 // A fleet of which a few hosts read a feed of the store and tell the others in
 // datagrams, while hosts stand still, restart with another clock, lose the
-// store or each other, and backend servers lose and renew their entries. No
+// store or each other, backend servers lose and renew their entries, and the
+// store is restored from an older copy. No
 // host may take its keys for proven when it lacks news, each host that reaches
 // the store must have news and each registered server in time, and the store
 // must not be read by all once the trouble is over.
@@ -16,11 +17,13 @@
 
 #include "lib/edge/feed_wire.h"
 #include "mangoport/core/invariant.h"
+#include "mangoport/fleet/config_feed.h"
 #include "mangoport/fleet/feed_tracker.h"
 #include "mangoport/fleet/key_evidence.h"
 #include "mangoport/fleet/server_feed.h"
 #include "mangoport/gossip/soft_state.h"
 #include "mangoport/membership/feed_readers.h"
+#include "unittests/edge/config_store.h"
 #include "unittests/edge/server_store.h"
 #include "unittests/support/soak_main.h"
 
@@ -57,6 +60,7 @@
 struct Read {
   MonoTime answered;
   BootTime sent;
+  std::optional<StorePosition> from;
 };
 
 struct Host {
@@ -64,9 +68,9 @@
   /// This run's clock against the world's.
   Duration clock_offset{};
   std::unique_ptr<PeerTable> peers;
-  std::optional<FeedTracker> track;
+  std::optional<ConfigFeed> config;
   std::optional<KeyEvidence> evidence;
-  std::uint64_t changed_at = 0;
+  StoreTimeline timeline = 0;
   std::uint64_t sequence = 0;
   std::optional<Read> read;
   std::optional<ServerFeed> servers;
@@ -85,6 +89,7 @@
   FeedWorld(const SoakOptions& options, SoakProgress& progress)
       : random_(options.seed),
         progress_(progress),
+        news_(random_),
         store_(MonoTime(seconds(1000)), random_) {
     for (int i = 0; i < kHosts; ++i)
       Start(i);
@@ -101,6 +106,8 @@
     if (!store_.IsDown(now_))
       ChangeStore(calm);
     store_.Step(now_);
+    if (!store_.IsDown(now_))
+      news_.Step(now_);
     for (int i = 0; i < kHosts; ++i) {
       if (now_ >= hosts_[i].frozen_until)
         StepHost(i);
@@ -128,13 +135,17 @@
         std::make_unique<PeerTable>(Name(i), Zone(i), SoftStateSettings{});
     for (int other = 0; other < kHosts; ++other)
       host.peers->OnListed(now_, Name(other), std::to_string(other));
-    host.track.emplace(FeedTrackerSettings{.patience = kPatience});
+    const Duration delay = milliseconds(random_() % 400);
+    host.config.emplace(
+        FeedTrackerSettings{.patience = kPatience, .restart_delay = delay});
+    host.timeline = 0;
     host.evidence.emplace(kMaxKeyAge);
-    host.changed_at = 0;
     host.read.reset();
-    host.servers.emplace(ServerFeedSettings{
-        .tracker = {.interval = kServersInterval, .patience = kPatience},
-        .directory = kDirectory});
+    host.servers.emplace(
+        ServerFeedSettings{.tracker = {.interval = kServersInterval,
+                                       .patience = kPatience,
+                                       .restart_delay = delay},
+                           .directory = kDirectory});
     host.servers_read.reset();
     host.servers_pause_until = now_;
     host.tells_at = now_;
@@ -145,7 +156,7 @@
 
   void ChangeStore(bool calm) {
     if (Chance(120))
-      news_.push_back(now_);
+      news_.Write(now_);
     if (Chance(150))
       store_.ChangeOne(now_);
     if (Chance(200))
@@ -154,10 +165,33 @@
       store_.Forget();
       ++forgotten_;
     }
-    if (calm || !Chance(400))
+    if (calm)
+      return;
+    if (Chance(150)) {
+      news_.TakeBackup();
+      store_.TakeBackup();
+    }
+    if (Chance(300))
+      Restore();
+    if (!Chance(400))
       return;
     store_.GoDown(now_, now_ + milliseconds(500 + random_() % 7500));
     progress_.Note("store down");
+    if (Chance(2))
+      Restore();
+  }
+
+  void Restore() {
+    news_.Restore(now_);
+    store_.Restore(now_);
+    progress_.Note("store restored");
+  }
+
+  /// The host learns of a timeline of the store.
+  void NoteTimeline(Host& host, StoreTimeline timeline, TimelineSource source) {
+    host.timeline = std::max(host.timeline, timeline);
+    host.config->tracker().OnTimeline(Clock(host), timeline, source);
+    host.servers->OnTimeline(Clock(host), timeline, source);
   }
 
   /// This host can read the store.
@@ -205,13 +239,16 @@
     ChooseReaders(i);
     Receive(i);
     FinishRead(host);
-    if (!host.read && host.track->Wait(Clock(host)) == Duration::zero()) {
+    const FeedTracker& tracker = host.config->tracker();
+    if (!host.read && tracker.Wait(Clock(host)) == Duration::zero()) {
       ++calls_;
       const bool fails = !Reaches(host);
       // A regular reader's call waits for news.
-      const bool waits = host.track->ReadsFeedDirectly(Clock(host));
+      const bool waits = tracker.ReadsFeedDirectly(Clock(host));
       const Duration held = fails || waits ? kReaderInterval : kCallTime;
-      host.read = Read{.answered = now_ + held, .sent = Clock(host)};
+      host.read = Read{.answered = now_ + held,
+                       .sent = Clock(host),
+                       .from = tracker.position()};
     }
     StepServers(host);
     if (now_ >= host.tells_at)
@@ -221,15 +258,16 @@
   void StepServers(Host& host) {
     host.servers->Expire(now_);
     if (host.servers_read && now_ >= host.servers_read->answered) {
-      const BootTime sent = host.servers_read->sent;
+      const Read read = *host.servers_read;
       host.servers_read.reset();
       if (Reaches(host)) {
-        const ServerNews news = store_.Read(host.servers->position());
+        const ServerNews news = store_.Read(read.from);
+        NoteTimeline(host, store_.timeline(), TimelineSource::kStore);
         if (news.history_lost)
           host.servers->OnHistoryLost();
         else
           host.servers->OnRead(
-              now_, {.sent_at = sent, .answered_at = Clock(host)}, news);
+              now_, {.sent_at = read.sent, .answered_at = Clock(host)}, news);
       } else {
         host.servers->OnReadFailed(now_);
         host.servers_pause_until = now_ + kRetryPause;
@@ -238,31 +276,36 @@
     if (!host.servers_read && now_ >= host.servers_pause_until &&
         host.servers->Wait(Clock(host)) == Duration::zero()) {
       ++calls_;
-      host.servers_read =
-          Read{.answered = now_ + kCallTime, .sent = Clock(host)};
+      host.servers_read = Read{.answered = now_ + kCallTime,
+                               .sent = Clock(host),
+                               .from = host.servers->position()};
     }
   }
 
-  /// Everything that `host` has been shown by position.
-  void Take(Host& host, std::uint64_t position) const {
-    host.changed_at = std::max(host.changed_at, position);
-  }
-
   void FinishRead(Host& host) {
     if (!host.read)
       return;
-    const std::uint64_t end = news_.size();
-    const bool news = host.track->position().value_or(0) < end;
+    const bool news = news_.HasNews(host.read->from);
     // A call that fails does so at its end; news answers one at once.
     if (now_ < host.read->answered && !(news && Reaches(host)))
       return;
-    const BootTime sent = host.read->sent;
+    const Read read = *host.read;
     host.read.reset();
     if (!Reaches(host))
       return;
-    host.track->OnRead({.sent_at = sent, .answered_at = Clock(host)}, end);
-    Take(host, end);
-    host.evidence->OnCurrentRead(sent);
+    NoteTimeline(host, news_.timeline(), TimelineSource::kStore);
+    const std::optional<ConfigRead> result = news_.Read(read.from);
+    if (!result) {
+      host.config->tracker().Restart();
+      return;
+    }
+    const FeedReadUse use =
+        host.config
+            ->OnRead({.sent_at = read.sent, .answered_at = Clock(host)},
+                     *result)
+            .use;
+    if (use == FeedReadUse::kApply || use == FeedReadUse::kPassed)
+      host.evidence->OnCurrentRead(read.sent);
   }
 
   void Tell(int i) {
@@ -283,12 +326,15 @@
       out.message.set_echo_us(peer.clock_us);
       out.message.set_echo_incarnation(peer.incarnation);
       FeedUpdates updates;
-      updates.config = host.track->MakeFeedUpdate(Clock(host), host.changed_at);
+      updates.config = host.config->OwnUpdate(Clock(host));
       updates.servers = peer.zone == Zone(i)
                             ? host.servers->OwnUpdateSince(
                                   now_, Clock(host), peer.servers_position)
                             : host.servers->OwnUpdate(Clock(host));
-      out.message.set_servers_position(host.servers->position().value_or(0));
+      const StorePosition& position = host.servers->list_position();
+      out.message.set_servers_timeline(position.timeline);
+      out.message.set_servers_position(position.offset);
+      out.message.set_store_timeline(host.timeline);
       WriteFeeds(Clock(host), updates, out.message);
       const bool lost = host.cut_off || hosts_[out.to].cut_off || Chance(20);
       out.arrives = now_ + milliseconds(random_() % 30);
@@ -309,16 +355,19 @@
       it = flying_.erase(it);
       if (!host.peers->OnMessage(now_, message))
         continue;
+      NoteTimeline(host, message.store_timeline(), TimelineSource::kPeer);
       const auto sent_after = SentAfter(message, host.incarnation);
       const FeedUpdates updates = ReadFeeds(sent_after, message);
       if (updates.servers)
         host.servers->OnPeerUpdate(now_, *updates.servers);
-      if (!updates.config || !host.track->position())
+      if (!updates.config || !host.config->version())
         continue;
-      if (host.track->OnFeedUpdate(*updates.config) ==
-          FeedUpdateCoverage::kBehind)
-        host.track->RequestImmediateRead();
-      else if (updates.config->proof)
+      FeedTracker& tracker = host.config->tracker();
+      const FeedUpdateCoverage coverage = tracker.OnFeedUpdate(*updates.config);
+      if (coverage == FeedUpdateCoverage::kBehind)
+        tracker.RequestImmediateRead();
+      else if (coverage == FeedUpdateCoverage::kCurrent &&
+               updates.config->proof)
         host.evidence->OnCurrentRead(updates.config->proof->sent_at);
     }
   }
@@ -330,15 +379,10 @@
       fleet.push_back({.host = it.host, .zone = it.zone});
     const std::set<HostId> readers = ChooseFeedReaders(fleet);
     host.peers->SetReaders(readers);
-    host.track->set_reader(readers.contains(Name(i)));
+    host.config->tracker().set_reader(readers.contains(Name(i)));
     host.servers->set_reader(readers.contains(Name(i)));
   }
 
-  /// News that was written by `time`.
-  std::uint64_t NewsBy(MonoTime time) const {
-    return std::upper_bound(news_.begin(), news_.end(), time) - news_.begin();
-  }
-
   /// A server that has been registered for long is in the host's list, and one
   /// that has not been for long is not.
   void CheckServers(int i, MonoTime up_since) {
@@ -352,7 +396,7 @@
                ", stable for " + std::to_string(stable / milliseconds(1)) +
                " ms";
       };
-      if (server.listed && stable >= kApplyBound)
+      if (server.alive && server.listed && stable >= kApplyBound)
         CheckInvariant(known, "registered servers are known in time", detail);
       if (!server.listed && stable >= kApplyBound + kDirectory.reregister_grace)
         CheckInvariant(!known, "servers that are gone are dropped in time",
@@ -360,13 +404,17 @@
     }
   }
 
+  static std::uint64_t Version(const Host& host) {
+    return host.config->version().value_or(0);
+  }
+
   void CheckHosts() {
     for (int i = 0; i < kHosts; ++i) {
       const Host& host = hosts_[i];
       const auto age = host.evidence->Age(Clock(host));
       if (age) {
         const MonoTime proven = World(host, Clock(host) - *age);
-        CheckInvariant(host.changed_at >= NewsBy(proven - kStep),
+        CheckInvariant(Version(host) >= news_.NewestThroughout(proven - kStep),
                        "keys are proven only with all news",
                        [&] { return Name(i).value(); });
       }
@@ -375,17 +423,18 @@
         continue;
       CheckServers(i, up_since);
       CheckInvariant(
-          host.changed_at >= NewsBy(now_ - kApplyBound),
+          Version(host) >= news_.NewestThroughout(now_ - kApplyBound),
           "news is known in time", [&] {
-            return Name(i).value() + " knows " +
-                   std::to_string(host.changed_at) + " of " +
-                   std::to_string(news_.size()) + ", next read in " +
-                   std::to_string(host.track->Wait(Clock(host)) /
-                                  milliseconds(1)) +
+            const FeedTracker& tracker = host.config->tracker();
+            return Name(i).value() + " knows " + std::to_string(Version(host)) +
+                   " of " + std::to_string(news_.NewestThroughout(now_)) +
+                   ", next read in " +
+                   std::to_string(tracker.Wait(Clock(host)) / milliseconds(1)) +
                    " ms, reads itself " +
-                   std::to_string(host.track->ReadsFeedDirectly(Clock(host))) +
+                   std::to_string(tracker.ReadsFeedDirectly(Clock(host))) +
                    ", call under way " + std::to_string(host.read.has_value()) +
-                   ", at " + std::to_string(host.track->position().value_or(0));
+                   ", at " +
+                   ToString(tracker.position().value_or(StorePosition{}));
           });
     }
   }
@@ -395,7 +444,7 @@
     if (at == kCalmFrom + kSettle) {
       calls_ = 0;
       forgotten_ = 0;
-      news_counted_ = news_.size();
+      news_counted_ = news_.writes();
     }
     if (at != kPeriod - 1 || step < kPeriod)
       return;
@@ -406,7 +455,7 @@
     // news and each whole read after a forgotten history.
     const double most =
         1.5 * (2 * 3 * passed.count() / interval.count() +
-               kHosts * static_cast<double>(news_.size() - news_counted_ +
+               kHosts * static_cast<double>(news_.writes() - news_counted_ +
                                             forgotten_));
     CheckInvariant(static_cast<double>(calls_) <= most,
                    "few hosts read the store in calm times", [&] {
@@ -420,12 +469,11 @@
   MonoTime now_ = MonoTime(seconds(1000));
   Host hosts_[kHosts];
   std::deque<Datagram> flying_;
-  /// When each piece of news was written; its position is its index.
-  std::vector<MonoTime> news_;
+  ConfigStore news_;
   ServerStore store_;
   std::uint64_t calls_ = 0;
   std::uint64_t forgotten_ = 0;
-  std::size_t news_counted_ = 0;
+  std::uint64_t news_counted_ = 0;
 };
 
 void Run(const SoakOptions& options, SoakProgress& progress) {
@@ -441,6 +489,8 @@
   return mangoport::SoakMain(
       argc, argv,
       {"digests_not_compared", "echo_of_any_run", "gap_overlooked",
-       "readers_trusted_for_ever", "unchanged_renewal_dropped"},
+       "readers_trusted_for_ever", "reads_cross_timelines",
+       "rewritten_record_ignored", "updates_cross_timelines",
+       "unchanged_renewal_dropped"},
       mangoport::Run);
 }
--- a/unittests/edge/server_store.h
+++ b/unittests/edge/server_store.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -26,6 +27,10 @@
     /// Since when it has been listed, or not listed, as it is now.
     MonoTime changed_at;
     MonoTime registers_at;
+    /// It has written since the last restore of the store.
+    bool written = true;
+    /// When the entry of a server that is gone, from the backup, lapses.
+    std::optional<MonoTime> lapses_at;
   };
 
   static ServerId Name(int i) { return ServerId("s" + std::to_string(i)); }
@@ -40,9 +45,12 @@
     if (now < down_until_)
       return;
     for (int i = 0; i < kServers; ++i) {
-      if (servers_[i].alive && !servers_[i].listed &&
-          now >= servers_[i].registers_at)
+      Server& server = servers_[i];
+      if (server.alive && (!server.listed || !server.written) &&
+          now >= server.registers_at)
         Register(now, i);
+      if (server.lapses_at && now >= *server.lapses_at)
+        Unlist(now, i);
     }
   }
 
@@ -104,32 +112,59 @@
   bool IsDown(MonoTime now) const { return now < down_until_; }
   MonoTime down_until() const { return down_until_; }
 
+  void TakeBackup() { backup_ = topic_; }
+
+  /// Comes back from the last backup, in a new timeline. Within two seconds,
+  /// running servers write their entries again, and the entries of those that
+  /// are gone lapse.
+  void Restore(MonoTime now) {
+    topic_ = backup_;
+    ++timeline_;
+    for (int i = 0; i < kServers; ++i) {
+      Server& server = servers_[i];
+      const auto entry = topic_.present.find(Name(i));
+      const bool listed = entry != topic_.present.end();
+      if (listed != server.listed)
+        server.changed_at = now;
+      server.listed = listed;
+      server.written = listed && entry->second.started_at_ms == server.version;
+      const MonoTime within = now + std::chrono::milliseconds(random_() % 1900);
+      server.registers_at = std::max(server.registers_at, within);
+      server.lapses_at.reset();
+      if (!server.alive && listed)
+        server.lapses_at = within;
+    }
+  }
+
+  StoreTimeline timeline() const { return timeline_; }
+
   /// Drops the history, so that earlier positions are no longer readable.
-  void Forget() { first_ = log_.size(); }
+  void Forget() { topic_.first = topic_.log.size(); }
 
   /// A read from `from`. Of several records of one server the store may return
   /// only the newest.
-  ServerNews Read(const std::optional<std::uint64_t>& from) {
+  ServerNews Read(const std::optional<StorePosition>& from) {
+    const std::vector<ServerChange>& log = topic_.log;
     ServerNews out;
-    out.next = log_.size();
+    out.next = {.timeline = timeline_, .offset = log.size()};
     out.exact_from = out.next;
     if (!from) {
       out.whole = true;
-      for (const auto& [id, entry] : present_)
+      for (const auto& [id, entry] : topic_.present)
         out.changes.push_back({id, entry});
       return out;
     }
-    if (*from < first_) {
+    if (from->offset < topic_.first || from->offset > log.size()) {
       out.history_lost = true;
       return out;
     }
     const bool newest_only = random_() % 2 == 0;
-    for (std::uint64_t i = *from; i < log_.size(); ++i) {
+    for (std::uint64_t i = from->offset; i < log.size(); ++i) {
       const bool superseded = std::any_of(
-          log_.begin() + static_cast<std::ptrdiff_t>(i) + 1, log_.end(),
-          [&](const ServerChange& it) { return it.id == log_[i].id; });
+          log.begin() + static_cast<std::ptrdiff_t>(i) + 1, log.end(),
+          [&](const ServerChange& it) { return it.id == log[i].id; });
       if (!newest_only || !superseded)
-        out.changes.push_back(log_[i]);
+        out.changes.push_back(log[i]);
     }
     return out;
   }
@@ -137,6 +172,12 @@
   const Server& server(int i) const { return servers_[i]; }
 
  private:
+  struct Topic {
+    std::map<ServerId, ServerEntry> present;
+    std::vector<ServerChange> log;
+    std::uint64_t first = 0;
+  };
+
   void Register(MonoTime now, int i) {
     ServerEntry entry;
     entry.id = Name(i);
@@ -144,8 +185,10 @@
     if (!servers_[i].listed)
       servers_[i].changed_at = now;
     servers_[i].listed = true;
-    present_[entry.id] = entry;
-    log_.push_back({entry.id, entry});
+    servers_[i].written = true;
+    servers_[i].lapses_at.reset();
+    topic_.present[entry.id] = entry;
+    topic_.log.push_back({entry.id, entry});
   }
 
   void Unlist(MonoTime now, int i) {
@@ -153,15 +196,16 @@
       return;
     servers_[i].listed = false;
     servers_[i].changed_at = now;
-    present_.erase(Name(i));
-    log_.push_back({Name(i), std::nullopt});
+    servers_[i].lapses_at.reset();
+    topic_.present.erase(Name(i));
+    topic_.log.push_back({Name(i), std::nullopt});
   }
 
   std::mt19937_64& random_;
   Server servers_[kServers];
-  std::map<ServerId, ServerEntry> present_;
-  std::vector<ServerChange> log_;
-  std::uint64_t first_ = 0;
+  Topic topic_;
+  Topic backup_;
+  StoreTimeline timeline_ = 1;
   MonoTime down_until_;
 };
 
--- a/unittests/fleet/server_feed_test.cc
+++ b/unittests/fleet/server_feed_test.cc
@@ -17,6 +17,16 @@
 constexpr MonoTime kStart{seconds(500)};
 constexpr Duration kPatience = milliseconds(1500);
 
+/// A position in the store's first timeline.
+StorePosition At(std::uint64_t offset) {
+  return {.timeline = 1, .offset = offset};
+}
+
+/// A position after the store was restored once.
+StorePosition Restored(std::uint64_t offset) {
+  return {.timeline = 2, .offset = offset};
+}
+
 BootTime Boot(MonoTime now) {
   return BootTime(now.time_since_epoch());
 }
@@ -43,7 +53,7 @@
       .directory = {}}};
 
   ServerFeedOutcome Read(MonoTime now, ServerNews news) {
-    if (news.exact_from == 0)
+    if (news.exact_from == StorePosition{})
       news.exact_from = news.next;
     return feed.OnRead(now, {.sent_at = Boot(now), .answered_at = Boot(now)},
                        news);
@@ -52,7 +62,7 @@
   /// Tells `other` what this host has read and what the other lacks.
   ServerFeedOutcome Tell(MonoTime now, Host& other) {
     const auto update =
-        feed.OwnUpdateSince(now, Boot(now), other.feed.position().value_or(0));
+        feed.OwnUpdateSince(now, Boot(now), other.feed.list_position());
     cr_assert(update.has_value());
     return other.feed.OnPeerUpdate(now, *update);
   }
@@ -63,8 +73,9 @@
 };
 
 void ReadWhole(MonoTime now, Host& host) {
-  host.Read(now,
-            {.whole = true, .changes = {Listed("a"), Listed("b")}, .next = 10});
+  host.Read(
+      now,
+      {.whole = true, .changes = {Listed("a"), Listed("b")}, .next = At(10)});
 }
 
 // The store was away, the leases lapsed meanwhile, and the servers renew their
@@ -79,11 +90,11 @@
   reader.feed.OnReadFailed(kStart + seconds(5));
   other.feed.OnReadFailed(kStart + seconds(5));
   const MonoTime back = kStart + seconds(6);
-  reader.Read(back, {.changes = {Removal("a"), Removal("b")}, .next = 12});
+  reader.Read(back, {.changes = {Removal("a"), Removal("b")}, .next = At(12)});
   reader.Tell(back, other);
   const MonoTime renewed = back + seconds(1);
   const ServerFeedOutcome outcome =
-      reader.Read(renewed, {.changes = {Listed("a")}, .next = 13});
+      reader.Read(renewed, {.changes = {Listed("a")}, .next = At(13)});
   cr_assert(outcome.news);
   reader.Tell(renewed, other);
   const MonoTime late = back + seconds(4);
@@ -104,15 +115,16 @@
   ReadWhole(kStart, reader);
   ReadWhole(kStart, other);
   const MonoTime now = kStart + seconds(2);
-  other.Read(now, {.changes = {Removal("a")}, .next = 11});
-  reader.Read(now, {.changes = {Listed("a")}, .next = 12});
+  other.Read(now, {.changes = {Removal("a")}, .next = At(11)});
+  reader.Read(now, {.changes = {Listed("a")}, .next = At(12)});
   const ServerFeedOutcome outcome = reader.Tell(now, other);
   cr_assert(outcome.difference.has_value());
-  cr_assert_eq(outcome.difference->position, 12);
+  cr_assert_eq(outcome.difference->position, At(12));
   cr_assert_not(other.feed.position().has_value());
   cr_assert_eq(other.feed.Wait(Boot(now)), Duration::zero());
   other.Read(
-      now, {.whole = true, .changes = {Listed("a"), Listed("b")}, .next = 12});
+      now,
+      {.whole = true, .changes = {Listed("a"), Listed("b")}, .next = At(12)});
   cr_assert(other.Knows("a"));
   cr_assert_not(reader.Tell(now, other).difference.has_value());
 }
@@ -127,9 +139,10 @@
   int whole_reads = 0;
   for (Duration passed{}; passed < seconds(60); passed += milliseconds(200)) {
     const MonoTime now = kStart + passed;
-    reader.Read(now, {.next = 10});
+    reader.Read(now, {.next = At(10)});
     if (!other.feed.position()) {
-      other.Read(now, {.whole = true, .changes = {Listed("a")}, .next = 10});
+      other.Read(now,
+                 {.whole = true, .changes = {Listed("a")}, .next = At(10)});
       ++whole_reads;
     }
     reader.Tell(now, other);
@@ -147,12 +160,12 @@
   ReadWhole(kStart, reader);
   other.Read(kStart, {.whole = true,
                       .changes = {Listed("a"), Listed("b"), Listed("c")},
-                      .next = 10,
-                      .exact_from = 11});
+                      .next = At(10),
+                      .exact_from = At(11)});
   cr_assert_not(reader.Tell(kStart, other).difference.has_value());
-  reader.Read(kStart, {.changes = {Listed("c")}, .next = 11});
+  reader.Read(kStart, {.changes = {Listed("c")}, .next = At(11)});
   cr_assert_not(reader.Tell(kStart, other).difference.has_value());
-  reader.Read(kStart, {.changes = {Removal("c")}, .next = 12});
+  reader.Read(kStart, {.changes = {Removal("c")}, .next = At(12)});
   cr_assert_not(reader.Tell(kStart, other).difference.has_value());
   cr_assert_not(other.Knows("c"));
 }
@@ -165,9 +178,10 @@
   ReadWhole(kStart, reader);
   ReadWhole(kStart, other);
   reader.feed.OnHistoryLost();
-  reader.Read(kStart, {.whole = true, .changes = {Listed("a")}, .next = 30});
+  reader.Read(kStart,
+              {.whole = true, .changes = {Listed("a")}, .next = At(30)});
   reader.Tell(kStart, other);
-  cr_assert_eq(other.feed.position(), 10);
+  cr_assert_eq(other.feed.position(), At(10));
   cr_assert(other.Knows("b"));
   cr_assert_leq(other.feed.Wait(Boot(kStart)), kPatience);
 }
@@ -182,13 +196,61 @@
   reader.feed.OnReadFailed(kStart + seconds(5));
   started.feed.OnReadFailed(kStart + seconds(5));
   const MonoTime back = kStart + seconds(6);
-  started.Read(back, {.whole = true, .changes = {}, .next = 12});
-  reader.Read(back, {.changes = {Removal("a"), Removal("b")}, .next = 12});
-  reader.Read(back + seconds(1), {.changes = {Listed("a")}, .next = 13});
+  started.Read(back, {.whole = true, .changes = {}, .next = At(12)});
+  reader.Read(back, {.changes = {Removal("a"), Removal("b")}, .next = At(12)});
+  reader.Read(back + seconds(1), {.changes = {Listed("a")}, .next = At(13)});
   cr_assert_not(reader.Tell(back + seconds(1), started).difference.has_value());
   cr_assert(started.Knows("a"));
   cr_assert_not(started.Knows("b"));
 }
 
+// The readers' small new positions seemed to cover the large old ones.
+Test(server_feed, after_a_restore_hosts_read_for_themselves) {
+  Host reader;
+  Host other;
+  reader.feed.set_reader(true);
+  ReadWhole(kStart, reader);
+  ReadWhole(kStart, other);
+  cr_assert(reader
+                .Read(kStart, {.whole = true,
+                               .changes = {Listed("a"), Listed("b")},
+                               .next = Restored(4)})
+                .news);
+  reader.Read(kStart, {.changes = {Listed("c")}, .next = Restored(5)});
+  reader.Tell(kStart, other);
+  cr_assert_not(other.Knows("c"));
+  cr_assert_eq(other.feed.position(), At(10));
+  other.feed.OnTimeline(Boot(kStart), 2, TimelineSource::kPeer);
+  cr_assert_eq(other.feed.Wait(Boot(kStart)), Duration::zero());
+  other.Read(kStart, {.whole = true,
+                      .changes = {Listed("a"), Listed("b")},
+                      .next = Restored(4)});
+  reader.Tell(kStart, other);
+  cr_assert(other.Knows("c"));
+}
+
+// At equal offsets of two timelines the lists differ without any fault.
+Test(server_feed, digests_of_different_timelines_are_not_compared) {
+  Host reader;
+  Host other;
+  reader.feed.set_reader(true);
+  ReadWhole(kStart, other);
+  reader.Read(kStart,
+              {.whole = true, .changes = {Listed("a")}, .next = Restored(10)});
+  cr_assert_not(reader.Tell(kStart, other).difference.has_value());
+}
+
+// A read was under way when the store was restored, and the new history had
+// reached the old offset.
+Test(server_feed, a_read_that_crosses_a_restore_is_not_applied) {
+  Host host;
+  ReadWhole(kStart, host);
+  const ServerFeedOutcome outcome =
+      host.Read(kStart, {.changes = {Removal("a")}, .next = Restored(12)});
+  cr_assert_eq(outcome.read_use, FeedReadUse::kNoContinuation);
+  cr_assert(host.Knows("a"));
+  cr_assert_not(host.feed.position().has_value());
+}
+
 }  // namespace
 }  // namespace mangoport
--- a/unittests/process/peer_signals_test.cc
+++ b/unittests/process/peer_signals_test.cc
@@ -57,6 +57,7 @@
     message.set_address("127.0.0.1:" + std::to_string(port_));
     message.set_incarnation(1);
     message.set_sequence(++sequence_);
+    message.set_servers_timeline(1);
     message.set_servers_position(position);
     if (!leaving_server.empty())
       message.add_leaving_servers(leaving_server);
