The order lease survives a store that comes back from an older copy

Cause: the lease took offsets, terms and records of the store for facts that never change. A restored store shows an older holder's record, a released one or none, gives the offsets out again, and so the terms that were counted up from the record. A write that was sent before may be carried out after it, where its expected end matches by chance.

Why this works: a term is made of the timeline and the end of the log at the claim, so it is unique and rises without anybody remembering it, and tells which timeline its record is of. A record of an earlier timeline, or an empty log, only says that an unknown holder may act until its validity has passed since the first sight of the new timeline, by this host or by one that says how long it has known it. The holder itself writes its record again at once under a new term, so orders go on; a conflict that comes from the restore does not end its lease. A result of another timeline than that of the call counts as unknown.

A host that starts for the first time now also waits for a holder that may be unrecorded: its first order comes about six seconds after its start.

--- a/include/mangoport/core/store_position.h
+++ b/include/mangoport/core/store_position.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <string>
 
+#include "mangoport/core/time.h"
+
 namespace mangoport {
 
 /// The history that a store's log belongs to. A store that is restored from a
@@ -12,6 +14,22 @@
 /// their offsets are assigned again. Zero if the store names none.
 using StoreTimeline = std::uint64_t;
 
+/// Since when a timeline is known. The restore that began it was earlier.
+struct TimelineAge {
+  StoreTimeline timeline = 0;
+  BootTime known_since = {};
+
+  /// Notes that the store was of `seen` at `since` already. Returns false if
+  /// that is no news.
+  bool Note(StoreTimeline seen, BootTime since) {
+    if (seen < timeline || (seen == timeline && since >= known_since))
+      return false;
+    timeline = seen;
+    known_since = since;
+    return true;
+  }
+};
+
 /// A position in one topic of the store's log. Offsets of different timelines
 /// are not comparable, so every position that is kept or sent carries its
 /// timeline; positions of a later timeline are later.
--- a/include/mangoport/edge/edge_host.h
+++ b/include/mangoport/edge/edge_host.h
@@ -79,6 +79,8 @@
   void OnServerLeaving(const ServerId& server);
   /// The store's answer or the peer `source` named a timeline of the store.
   void OnStoreTimeline(StoreTimeline timeline, std::string_view source);
+  /// The store was of `timeline` at `known_since` already.
+  void OnTimelineAge(StoreTimeline timeline, BootTime known_since);
   void AnswerStatus(const std::shared_ptr<ClientSession>& session,
                     const HttpRequest& request);
   bool IsReady() const;
@@ -135,6 +137,7 @@
   SessionSet status_sessions_;
   /// The highest timeline of the store that this host knows.
   std::optional<StoreTimeline> store_timeline_;
+  TimelineAge timeline_age_;
   std::optional<HostId> holder_;
   MonoTime holder_heard_at_;
   Duration holder_lifetime_{};
--- a/include/mangoport/edge/order_service.h
+++ b/include/mangoport/edge/order_service.h
@@ -66,6 +66,8 @@
                     const HostId& host,
                     std::uint64_t incarnation,
                     const std::vector<ModelUse>& uses);
+  /// The store is of `timeline`, and was already at `known_since`.
+  void OnStoreTimeline(StoreTimeline timeline, BootTime known_since);
   void OnHolderUpdate(const HostId& host, std::uint64_t term);
   void OnHolderResigned(const HostId& host,
                         std::uint64_t term,
@@ -99,6 +101,8 @@
   void Tick(MonoTime now);
   void StepLease();
   void PerformLeaseStep(const OrderLeaseStep& step);
+  /// Logs a write that begins a new term.
+  void LogClaim(const OrderLeaseStep& step);
   void Plan(MonoTime now);
   void PlanService(MonoTime now, const ServiceSpec& service);
   void LogDemand(const EngineCapacity& capacity,
--- a/include/mangoport/membership/order_lease.h
+++ b/include/mangoport/membership/order_lease.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "mangoport/core/ids.h"
+#include "mangoport/core/store_position.h"
 #include "mangoport/core/time.h"
 
 namespace mangoport {
@@ -17,8 +18,8 @@
   /// Identifies the run of the holder. A host that restarts has lost its
   /// state.
   std::uint64_t incarnation = 0;
-  /// Increases with each change of holder or incarnation. Engines receive it as
-  /// the fencing number.
+  /// Increases with each change of holder or incarnation, also over restores of
+  /// the store; see `OrderTerm`. Engines receive it as the fencing number.
   std::uint64_t term = 0;
   /// Distinguishes the holder's records from each other.
   std::uint64_t nonce = 0;
@@ -30,6 +31,16 @@
                          const OrderLeaseRecord&) = default;
 };
 
+/// Returns the term of a claim that is appended at `expected_end`. Each append
+/// of a timeline has its own end, so no two claims have the same term, and
+/// terms of a later timeline are higher. Exact in JSON for 2^21 timelines of
+/// 2^32 records.
+std::uint64_t OrderTerm(const StorePosition& expected_end);
+
+/// Returns the timeline that the holder took the store's log for when it
+/// claimed the lease.
+StoreTimeline TermTimeline(std::uint64_t term);
+
 struct OrderLeaseSettings {
   /// How long the holder may act after it sent its latest record.
   Duration validity = std::chrono::milliseconds(2500);
@@ -54,7 +65,7 @@
   Kind kind = Kind::kNone;
   /// For `kWrite`: append `record` only if the log ends at `expected_end`.
   OrderLeaseRecord record = {};
-  std::uint64_t expected_end = 0;
+  StorePosition expected_end = {};
 };
 
 /// Lease that determines which host sends engine orders, as seen by one host.
@@ -66,6 +77,12 @@
 /// log has not changed for longer than that. It then waits for `settle`, so
 /// that no engine receives orders of two holders close together. All times are
 /// on a clock that continues while the machine is suspended.
+///
+/// A store that is restored from a backup may have lost records. Its newest
+/// record from an earlier timeline, or an empty log, therefore does not tell
+/// who held the lease: an unknown holder may act until `validity` after the
+/// restore. A holder that is still valid writes its record again at once, under
+/// a new term; all others wait.
 class OrderLease {
  public:
   /// `claim_delay` is an additional delay before a claim. It differs between
@@ -81,6 +98,9 @@
     settings_.suspicion_timeout = time;
   }
 
+  /// Records that the store is of `timeline`, and was already at `known_since`.
+  void OnTimeline(StoreTimeline timeline, BootTime known_since);
+
   /// Returns the next step. Call it often. After a read or write step, it
   /// returns none until the result is reported.
   OrderLeaseStep Next(BootTime now);
@@ -88,14 +108,14 @@
   /// Reports the result of a read. `now` is the time of the response.
   void OnRead(BootTime now,
               const std::optional<OrderLeaseRecord>& record,
-              std::uint64_t end);
+              const StorePosition& end);
   void OnReadFailed(BootTime now);
 
   /// Reports that the write succeeded and that the log now ends at `new_end`.
-  void OnWritten(BootTime now, std::uint64_t new_end);
-  /// Reports that the write failed because the log did not end at
-  /// `expected_end`.
-  void OnConflict(BootTime now);
+  void OnWritten(BootTime now, const StorePosition& new_end);
+  /// Reports that the write failed because the log, which is now of `timeline`,
+  /// did not end at `expected_end`.
+  void OnConflict(BootTime now, StoreTimeline timeline);
   /// Reports that the outcome of the write is unknown.
   void OnWriteUnknown(BootTime now);
 
@@ -134,9 +154,20 @@
 
   const std::optional<OrderLeaseRecord>& record() const { return record_; }
 
+  /// The highest timeline of the store that this host knows.
+  StoreTimeline timeline() const { return timeline_.timeline; }
+
  private:
   bool IsOwn() const;
+  /// True if `record_` is of the store's present timeline.
+  bool IsOfTimeline() const;
+  /// True if a host may hold the lease that is not in the store's log, because
+  /// its record was lost in a restore.
+  bool MayBeUnrecorded() const;
   bool HolderResigned() const;
+  /// Drops a record of an earlier timeline unless this host holds the lease
+  /// under it.
+  void DropEarlierRecord(BootTime now);
   OrderLeaseStep WriteStep(BootTime now, std::uint64_t term);
   BootTime ClaimableAt() const;
 
@@ -144,8 +175,10 @@
   std::uint64_t incarnation_;
   OrderLeaseSettings settings_;
   Duration claim_delay_;
+  /// The highest timeline of the store that this host knows.
+  TimelineAge timeline_;
   std::optional<OrderLeaseRecord> record_;
-  std::uint64_t end_ = 0;
+  StorePosition end_;
   /// True once `end_` has been read or written.
   bool end_known_ = false;
   /// True while `record_` and `end_` are not known to be outdated.
--- a/include/mangoport/ports/fleet_platform.h
+++ b/include/mangoport/ports/fleet_platform.h
@@ -39,7 +39,7 @@
 
 struct OrderLeaseState {
   std::optional<OrderLeaseRecord> record = std::nullopt;
-  std::uint64_t end = 0;
+  StorePosition end = {};
 };
 
 /// The platform under the hosts: its store and its engines' own interface, in
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -135,8 +135,10 @@
               LeaseSettingsFor(settings_.bounds),
               DrawClaimDelay()),
       signals_(io_, SIGTERM, SIGINT, SIGHUP) {
-  platform_->set_on_timeline(
-      [this](StoreTimeline timeline) { OnStoreTimeline(timeline, "store"); });
+  platform_->set_on_timeline([this](StoreTimeline timeline) {
+    OnTimelineAge(timeline, BootClock::now());
+    OnStoreTimeline(timeline, "store");
+  });
   quota_.AwaitHostList();
   caller_.set_on_head([this](const std::string& peer, const HttpHead& head) {
     forwarder_.NoteServerSignals(Now(), backends_.StartOf(ServerId(peer)),
@@ -202,6 +204,12 @@
   store_timeline_ = timeline;
 }
 
+void EdgeHost::OnTimelineAge(StoreTimeline timeline, BootTime known_since) {
+  if (!timeline_age_.Note(timeline, known_since))
+    return;
+  orders_.OnStoreTimeline(timeline, known_since);
+}
+
 void EdgeHost::Run() {
   log_.Write(LogLine("start")
                  .Add("host", settings_.host.value())
--- a/lib/edge/edge_peers.cc
+++ b/lib/edge/edge_peers.cc
@@ -25,6 +25,14 @@
 /// `kSilentRounds` rounds, after its last datagram.
 constexpr Duration kPeerLoadLifetime = std::chrono::seconds(4);
 
+/// Longer ages of a timeline make no difference.
+constexpr std::uint64_t kMaxTimelineAgeMs = 3'600'000;
+
+std::uint64_t Milliseconds(Duration time) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 MonoTime Now() {
   return std::chrono::steady_clock::now();
 }
@@ -54,6 +62,8 @@
   const BootTime boot_now = BootClock::now();
   message.set_servers_position(feeds_.servers_position());
   message.set_store_timeline(store_timeline_.value_or(0));
+  message.set_store_timeline_age_ms(
+      Milliseconds(boot_now - timeline_age_.known_since));
   // Each zone has a reader, so changes are not sent across zones.
   if (peer.zone == settings_.zone)
     WriteFeeds(boot_now,
@@ -119,6 +129,9 @@
 void EdgeHost::OnPeerState(MonoTime now,
                            std::optional<BootTime> sent_after,
                            const wire::HostState& message) {
+  const std::chrono::milliseconds timeline_age(
+      std::min(message.store_timeline_age_ms(), kMaxTimelineAgeMs));
+  OnTimelineAge(message.store_timeline(), BootClock::now() - timeline_age);
   if (message.store_timeline() != 0)
     OnStoreTimeline(message.store_timeline(), message.host());
   if (!message.leaving())
--- a/lib/edge/order_service.cc
+++ b/lib/edge/order_service.cc
@@ -117,6 +117,19 @@
     on_role_(holds);
 }
 
+void OrderService::LogClaim(const OrderLeaseStep& step) {
+  const std::optional<OrderLeaseRecord>& known = lease_.record();
+  if (known && known->term == step.record.term)
+    return;
+  parts_.log.Write(
+      LogLine("order_lease_claim")
+          .Add("term", step.record.term)
+          .Add("earlier_term", known ? known->term : 0)
+          .Add("earlier_holder", known ? known->holder.value() : std::string())
+          .Add("expected_end", ToString(step.expected_end))
+          .Add("settled", step.record.settled));
+}
+
 void OrderService::PerformLeaseStep(const OrderLeaseStep& step) {
   switch (step.kind) {
     case OrderLeaseStep::Kind::kNone:
@@ -132,14 +145,17 @@
           });
       return;
     case OrderLeaseStep::Kind::kWrite:
+      LogClaim(step);
       parts_.platform.WriteOrderLease(
-          step.record, step.expected_end,
+          step.record, step.expected_end.offset,
           [this](const CallReply<std::uint64_t>& reply) {
             const BootTime now = BootClock::now();
+            const StoreTimeline timeline = reply.timeline.value_or(0);
             if (reply.status == CallStatus::kOk)
-              lease_.OnWritten(now, reply.value);
+              lease_.OnWritten(now,
+                               {.timeline = timeline, .offset = reply.value});
             else if (reply.status == CallStatus::kConflict)
-              lease_.OnConflict(now);
+              lease_.OnConflict(now, timeline);
             else
               lease_.OnWriteUnknown(now);
             UpdateRole();
@@ -176,6 +192,15 @@
                     });
 }
 
+void OrderService::OnStoreTimeline(StoreTimeline timeline,
+                                   BootTime known_since) {
+  const bool is_new = timeline > lease_.timeline();
+  lease_.OnTimeline(timeline, known_since);
+  // The holder writes its record again at once.
+  if (is_new && !stopped_)
+    StepLease();
+}
+
 void OrderService::OnHolderUpdate(const HostId& host, std::uint64_t term) {
   lease_.OnHolderUpdate(BootClock::now(), host, term);
 }
@@ -338,7 +363,7 @@
     return;
   }
   parts_.platform.WriteOrderLease(
-      step->record, step->expected_end,
+      step->record, step->expected_end.offset,
       [done = std::move(done)](const CallReply<std::uint64_t>&) { done(); });
 }
 
--- a/lib/membership/order_lease.cc
+++ b/lib/membership/order_lease.cc
@@ -6,6 +6,23 @@
 #include "mangoport/core/mutant.h"
 
 namespace mangoport {
+namespace {
+
+/// The lower bits of a term are from the end of the log; at one renewal a
+/// second they last for 136 years.
+constexpr int kOffsetBits = 32;
+
+}  // namespace
+
+std::uint64_t OrderTerm(const StorePosition& expected_end) {
+  if (MutantEnabled("order_terms_without_timeline"))
+    return expected_end.offset + 1;
+  return (expected_end.timeline << kOffsetBits) + expected_end.offset + 1;
+}
+
+StoreTimeline TermTimeline(std::uint64_t term) {
+  return term >> kOffsetBits;
+}
 
 OrderLease::OrderLease(HostId self,
                        std::uint64_t incarnation,
@@ -21,19 +38,43 @@
          record_->incarnation == incarnation_;
 }
 
+bool OrderLease::IsOfTimeline() const {
+  return record_ && TermTimeline(record_->term) == timeline_.timeline;
+}
+
+bool OrderLease::MayBeUnrecorded() const {
+  return !record_ && timeline_.timeline != 0 &&
+         !MutantEnabled("empty_log_is_trusted");
+}
+
+void OrderLease::DropEarlierRecord(BootTime now) {
+  if (!IsOfTimeline() && !holds(now) &&
+      !MutantEnabled("restored_record_counts"))
+    record_.reset();
+}
+
+void OrderLease::OnTimeline(StoreTimeline timeline, BootTime known_since) {
+  if (timeline > timeline_.timeline)
+    store_state_known_ = false;
+  timeline_.Note(timeline, known_since);
+}
+
 bool OrderLease::HolderResigned() const {
   return record_ && reported_resigned_term_ != 0 &&
          record_->term == reported_resigned_term_;
 }
 
 BootTime OrderLease::ClaimableAt() const {
+  const Duration takeover = settings_.validity + settings_.takeover_margin;
+  if (MayBeUnrecorded())
+    return std::max(timeline_.known_since, end_observed_at_) + takeover +
+           claim_delay_;
   // No host holds the lease, the holder resigned, or this host held it before
   // it restarted.
   if (!record_ || record_->holder.empty() || record_->holder == self_ ||
       HolderResigned())
     return end_observed_at_ + claim_delay_;
-  return end_observed_at_ + settings_.validity + settings_.takeover_margin +
-         claim_delay_;
+  return end_observed_at_ + takeover + claim_delay_;
 }
 
 OrderLeaseStep OrderLease::WriteStep(BootTime now, std::uint64_t term) {
@@ -41,8 +82,9 @@
   // resigned holder reported. No waiting is needed if no host held the lease,
   // or if an earlier run of this host had already waited.
   if (!IsOwn()) {
+    const bool never_held = !record_ && !MayBeUnrecorded();
     const bool no_other_orders =
-        !record_ || (record_->holder == self_ && record_->settled);
+        never_held || (record_ && record_->holder == self_ && record_->settled);
     may_order_from_ = now;
     if (!no_other_orders && !MutantEnabled("order_lease_not_settled"))
       may_order_from_ =
@@ -68,8 +110,12 @@
     resigned_term_ = record_->term;
   if (result_pending_ || released_ || now < next_call_at_)
     return {};
+  if (store_state_known_)
+    DropEarlierRecord(now);
   const bool renews =
       store_state_known_ && IsOwn() && record_->term != resigned_term_;
+  if (renews && !IsOfTimeline())
+    return WriteStep(now, OrderTerm(end_));
   if (renews) {
     if (now - write_sent_at_ < settings_.renew_interval)
       return {};
@@ -85,21 +131,35 @@
   // The claim names the end of the log that was observed for the whole wait. If
   // the holder has appended since, the claim fails and the wait starts over.
   if (store_state_known_)
-    return WriteStep(now, record_ ? record_->term + 1 : 1);
+    return WriteStep(now, OrderTerm(end_));
   result_pending_ = true;
   return {.kind = OrderLeaseStep::Kind::kRead};
 }
 
 void OrderLease::OnRead(BootTime now,
                         const std::optional<OrderLeaseRecord>& record,
-                        std::uint64_t end) {
+                        const StorePosition& end) {
   result_pending_ = false;
+  OnTimeline(end.timeline, now);
+  if (end.timeline < timeline_.timeline) {
+    // The store answered before it was restored.
+    next_call_at_ = now;
+    return;
+  }
   if (end != end_ || !end_known_)
     end_observed_at_ = now;
   end_ = end;
   end_known_ = true;
   store_state_known_ = true;
-  record_ = record;
+  const bool counts =
+      record && (TermTimeline(record->term) == timeline_.timeline ||
+                 MutantEnabled("restored_record_counts"));
+  if (counts)
+    record_ = record;
+  else if (IsOfTimeline())
+    record_.reset();
+  else
+    DropEarlierRecord(now);
   // The write whose response was lost has succeeded. The lease is valid from
   // the time that write was sent.
   if (IsOwn() && record_->nonce == sent_record_.nonce)
@@ -111,20 +171,30 @@
   next_call_at_ = now + settings_.retry_interval;
 }
 
-void OrderLease::OnWritten(BootTime now, std::uint64_t new_end) {
+void OrderLease::OnWritten(BootTime now, const StorePosition& new_end) {
   result_pending_ = false;
+  OnTimeline(new_end.timeline, now);
+  if (new_end.timeline != end_.timeline) {
+    // The expected end is of another timeline and matched by chance.
+    store_state_known_ = false;
+    next_call_at_ = now;
+    return;
+  }
   record_ = sent_record_;
   end_ = new_end;
   end_known_ = true;
   end_observed_at_ = now;
-  store_state_known_ = true;
+  store_state_known_ = new_end.timeline == timeline_.timeline;
   valid_until_ = write_sent_at_ + settings_.validity;
 }
 
-void OrderLease::OnConflict(BootTime now) {
+void OrderLease::OnConflict(BootTime now, StoreTimeline timeline) {
   result_pending_ = false;
   store_state_known_ = false;
-  valid_until_ = BootTime();
+  // After a restore the log has another end although nobody took over.
+  if (timeline == end_.timeline)
+    valid_until_ = BootTime();
+  OnTimeline(timeline, now);
   next_call_at_ = now;
 }
 
--- a/unittests/membership/order_lease_soak.cc
+++ b/unittests/membership/order_lease_soak.cc
@@ -1,9 +1,11 @@
 // Hosts compete for the order lease while the store loses responses, performs
-// writes late or is unreachable, and hosts pause, restart and lose each other's
-// datagrams. Orders of different hosts must be at least `kMinOrderGap` apart,
-// and a host must be able to send orders once the faults have ended.
+// writes late, is unreachable or is restored from an older copy, and hosts
+// pause, restart and lose each other's datagrams. Orders of different hosts
+// must be at least `kMinOrderGap` apart and have different terms, which never
+// decrease, and a host must be able to send orders once the faults have ended.
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -30,6 +32,8 @@
 /// runs without faults.
 constexpr std::uint64_t kFaultSteps = 700;
 constexpr std::uint64_t kCycleSteps = 1200;
+/// The age of the oldest copy that the store is restored from, in steps.
+constexpr std::size_t kMaxCopyAge = 200;
 
 class LeaseSimulation {
  public:
@@ -48,6 +52,7 @@
     else
       ClearFaults();
     ApplyLateWrites();
+    KeepCopy();
     for (int i = 0; i < kHosts; ++i) {
       if (now_ >= hosts_[i].paused_until)
         StepHost(i);
@@ -64,6 +69,10 @@
     BootTime paused_until;
     bool store_unreachable = false;
   };
+  struct Copy {
+    std::optional<OrderLeaseRecord> record;
+    std::uint64_t end = 0;
+  };
   struct LateWrite {
     OrderLeaseStep step;
     BootTime at;
@@ -92,9 +101,33 @@
       hosts_[i].store_unreachable = !hosts_[i].store_unreachable;
     if (Chance(200))
       updates_lost_ = !updates_lost_;
+    if (Chance(80))
+      Restore();
     store_faulty_ = true;
   }
 
+  void KeepCopy() {
+    copies_.push_back({record_, end_.offset});
+    if (copies_.size() > kMaxCopyAge)
+      copies_.pop_front();
+  }
+
+  /// Restores the store from one of the copies, rarely from an empty one, and
+  /// sometimes again at once.
+  void Restore() {
+    constexpr int kEmptyOneIn = 4;
+    do {
+      const Copy copy =
+          Chance(kEmptyOneIn) ? Copy() : copies_[random_() % copies_.size()];
+      record_ = copy.record;
+      end_ = {.timeline = end_.timeline + 1, .offset = copy.end};
+      progress_.Note("restore to timeline " + std::to_string(end_.timeline) +
+                     " end " + std::to_string(end_.offset));
+    } while (Chance(4));
+    copies_.clear();
+    KeepCopy();
+  }
+
   void ClearFaults() {
     store_faulty_ = false;
     updates_lost_ = false;
@@ -103,10 +136,10 @@
   }
 
   bool Append(const OrderLeaseStep& step) {
-    if (step.expected_end != end_)
+    if (step.expected_end.offset != end_.offset)
       return false;
     record_ = step.record;
-    ++end_;
+    ++end_.offset;
     progress_.Note("record of " + step.record.holder.value() + " term " +
                    std::to_string(step.record.term));
     return true;
@@ -141,7 +174,7 @@
     if (Append(step))
       lease.OnWritten(now_, end_);
     else
-      lease.OnConflict(now_);
+      lease.OnConflict(now_, end_.timeline);
   }
 
   void StepHost(int i) {
@@ -170,6 +203,9 @@
                    });
     CheckInvariant(term >= last_term_, "terms never decrease",
                    [&] { return std::to_string(term); });
+    const auto [sender, is_new] = senders_.try_emplace(term, i);
+    CheckInvariant(sender->second == i, "a term has one holder",
+                   [&] { return std::to_string(term); });
     last_sender_ = i;
     last_order_ = now_;
     hosts_[i].lease->NoteOrder(now_);
@@ -184,6 +220,7 @@
       if (j == i || now_ < hosts_[j].paused_until)
         continue;
       OrderLease& other = *hosts_[j].lease;
+      other.OnTimeline(lease.timeline(), now_);
       if (lease.holds(now_))
         other.OnHolderUpdate(now_, Name(i), lease.record()->term);
       else if (lease.resigned_term() != 0)
@@ -197,13 +234,15 @@
   BootTime now_{seconds(1000)};
   std::map<int, Host> hosts_;
   std::optional<OrderLeaseRecord> record_;
-  std::uint64_t end_ = 0;
+  StorePosition end_{.timeline = 1, .offset = 0};
+  std::deque<Copy> copies_;
   std::vector<LateWrite> late_writes_;
   bool store_faulty_ = false;
   bool updates_lost_ = false;
   std::optional<int> last_sender_;
   BootTime last_order_;
   std::uint64_t last_term_ = 0;
+  std::map<std::uint64_t, int> senders_;
 };
 
 }  // namespace
@@ -211,12 +250,14 @@
 
 int main(int argc, char** argv) {
   using mangoport::LeaseSimulation;
-  return mangoport::SoakMain(argc, argv, {"order_lease_not_settled"},
-                             [](const mangoport::SoakOptions& options,
-                                mangoport::SoakProgress& progress) {
-                               LeaseSimulation simulation(options, progress);
-                               for (std::uint64_t step = 1;
-                                    step <= options.steps; ++step)
-                                 simulation.Step(step);
-                             });
+  return mangoport::SoakMain(
+      argc, argv,
+      {"order_lease_not_settled", "order_terms_without_timeline",
+       "empty_log_is_trusted", "restored_record_counts"},
+      [](const mangoport::SoakOptions& options,
+         mangoport::SoakProgress& progress) {
+        LeaseSimulation simulation(options, progress);
+        for (std::uint64_t step = 1; step <= options.steps; ++step)
+          simulation.Step(step);
+      });
 }
--- a/unittests/membership/order_lease_test.cc
+++ b/unittests/membership/order_lease_test.cc
@@ -7,56 +7,23 @@
 
 #include <criterion/criterion.h>
 
+#include "unittests/membership/lease_store.h"
+
 namespace mangoport {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr BootTime kStart{seconds(500)};
-
-/// A store that appends a record only at the expected end of the log.
-struct Store {
-  std::optional<OrderLeaseRecord> record;
-  std::uint64_t end = 0;
-
-  bool Append(const OrderLeaseStep& step) {
-    if (step.expected_end != end)
-      return false;
-    record = step.record;
-    ++end;
-    return true;
-  }
-};
-
-/// Performs the steps that a host requests, without delay.
-void RunSteps(OrderLease& host, Store& store, BootTime now) {
-  for (int i = 0; i < 3; ++i) {
-    const OrderLeaseStep step = host.Next(now);
-    if (step.kind == OrderLeaseStep::Kind::kNone)
-      return;
-    if (step.kind == OrderLeaseStep::Kind::kRead)
-      host.OnRead(now, store.record, store.end);
-    else if (store.Append(step))
-      host.OnWritten(now, store.end);
-    else
-      host.OnConflict(now);
-  }
-}
-
-OrderLease MakeHost(const char* name, std::uint64_t incarnation = 1) {
-  return {HostId(name), incarnation, OrderLeaseSettings{}, Duration{}};
-}
-
 Test(order_lease, first_holder_may_order_immediately) {
-  Store store;
+  LeaseStore store;
   OrderLease a = MakeHost("a");
   RunSteps(a, store, kStart);
   cr_assert_eq(a.MayOrder(kStart), 1);
 }
 
 Test(order_lease, one_of_two_concurrent_claims_succeeds) {
-  Store store;
+  LeaseStore store;
   OrderLease a = MakeHost("a");
   OrderLease b = MakeHost("b");
   a.OnRead(kStart, store.record, store.end);
@@ -66,14 +33,14 @@
   cr_assert(store.Append(by_a));
   a.OnWritten(kStart, store.end);
   cr_assert_not(store.Append(by_b));
-  b.OnConflict(kStart);
+  b.OnConflict(kStart, store.end.timeline);
   RunSteps(b, store, kStart);
   cr_assert(a.holds(kStart));
   cr_assert_not(b.holds(kStart));
 }
 
 Test(order_lease, orders_of_consecutive_holders_are_three_seconds_apart) {
-  Store store;
+  LeaseStore store;
   OrderLease a = MakeHost("a");
   OrderLease b = MakeHost("b");
   RunSteps(a, store, kStart);
@@ -99,7 +66,7 @@
 }
 
 Test(order_lease, holder_that_was_paused_past_expiry_may_not_order) {
-  Store store;
+  LeaseStore store;
   OrderLease a = MakeHost("a");
   RunSteps(a, store, kStart);
   cr_assert(a.MayOrder(kStart + seconds(2)));
@@ -107,7 +74,7 @@
 }
 
 Test(order_lease, read_recovers_renewal_whose_response_was_lost) {
-  Store store;
+  LeaseStore store;
   OrderLease a = MakeHost("a");
   RunSteps(a, store, kStart);
   const BootTime later = kStart + milliseconds(1100);
@@ -120,7 +87,7 @@
 }
 
 Test(order_lease, claim_that_is_appended_late_does_not_allow_early_orders) {
-  Store store;
+  LeaseStore store;
   OrderLease a = MakeHost("a");
   OrderLease b = MakeHost("b");
   RunSteps(a, store, kStart);
@@ -137,7 +104,7 @@
 }
 
 Test(order_lease, restarted_holder_claims_its_lease_immediately) {
-  Store store;
+  LeaseStore store;
   OrderLease first = MakeHost("a", 1);
   RunSteps(first, store, kStart);
   OrderLease second = MakeHost("a", 2);
@@ -149,7 +116,7 @@
 // Regression test (order_lease_soak, seed 2): a host that restarted right after
 // taking over sent an order immediately, one second after the previous holder.
 Test(order_lease, holder_restarted_before_settling_waits_again) {
-  Store store;
+  LeaseStore store;
   OrderLease other = MakeHost("b");
   RunSteps(other, store, kStart);
   OrderLease first = MakeHost("a", 1);
@@ -166,7 +133,7 @@
 // Regression test (order_lease_soak, seed 5): a holder that resigned before it
 // sent an order reported a bound that did not cover the previous holder.
 Test(order_lease, last_order_bound_covers_previous_holder) {
-  Store store;
+  LeaseStore store;
   OrderLease other = MakeHost("b");
   RunSteps(other, store, kStart);
   OrderLease a = MakeHost("a");
@@ -178,7 +145,7 @@
 }
 
 Test(order_lease, holder_that_cannot_reach_store_resigns) {
-  Store store;
+  LeaseStore store;
   OrderLease a = MakeHost("a");
   OrderLease b = MakeHost("b");
   RunSteps(a, store, kStart);
@@ -200,7 +167,7 @@
 }
 
 Test(order_lease, released_lease_can_be_claimed_immediately) {
-  Store store;
+  LeaseStore store;
   OrderLease a = MakeHost("a");
   RunSteps(a, store, kStart);
   const auto release = a.Release(kStart);
