A read just after a restore of the store proves no key

Seen: after a restore a host could run requests with a key whose withdrawal had been acknowledged more than the bound before (CONFIG): a host that started then took the old configuration for current, and a running host counted its first reads as proof.

Cause: a read that shows nothing newer was proof, whatever the store had lost. The withdrawal is written again within about two seconds; until then the older record is the newest.

Why this works: a read counts only if it was sent two seconds or more after the first sight of the timeline, by this host or by a peer that says since when it knows it. Datagrams also name the version that a host applies; while a peer's is higher, a read confirms nothing. Neither denies anything at once: earlier proof holds until it is old, and a host that knows no other timeline goes on as before. Readiness follows the age of the last read instead of the proof, or all hosts would leave it together.

A host that starts is ready once a peer told it how long the timeline is known, or after two seconds.

--- a/include/mangoport/fleet/key_evidence.h
+++ b/include/mangoport/fleet/key_evidence.h
@@ -1,8 +1,11 @@
 #ifndef MANGOPORT_FLEET_KEY_EVIDENCE_H_
 #define MANGOPORT_FLEET_KEY_EVIDENCE_H_
 
+#include <algorithm>
+#include <cstdint>
 #include <optional>
 
+#include "mangoport/core/store_position.h"
 #include "mangoport/core/time.h"
 
 namespace mangoport {
@@ -13,6 +16,10 @@
 /// The age counts from the time at which the host sent the read that confirmed
 /// the configuration as current. All times are on a clock that keeps running
 /// while the machine is suspended.
+///
+/// A store that was restored from a backup may lack a revocation until it has
+/// been written again. Reads sent before then, or while a peer applies a higher
+/// version than this host, confirm nothing; earlier evidence remains valid.
 class KeyEvidence {
  public:
   /// `max_age` is the maximum time for which a key may be accepted after its
@@ -21,12 +28,20 @@
 
   void set_max_age(Duration max_age) { max_age_ = max_age; }
 
-  /// Records that a read sent at `sent` confirmed the configuration as current.
-  void OnCurrentRead(BootTime sent) {
-    if (!confirmed_at_ || *confirmed_at_ < sent)
-      confirmed_at_ = sent;
+  /// Records that the store is of `timeline`, and was already at `known_since`.
+  /// Call it before `OnCurrentRead` for a read of that timeline.
+  void OnTimeline(StoreTimeline timeline, BootTime known_since);
+
+  /// Records the version of the configuration that this host applies.
+  void OnConfigVersion(std::uint64_t version) { version_ = version; }
+  /// Records a version that another host applies.
+  void OnPeerConfigVersion(std::uint64_t version) {
+    peer_version_ = std::max(peer_version_, version);
   }
 
+  /// Records that a read sent at `sent` showed nothing newer.
+  void OnCurrentRead(BootTime sent);
+
   /// Returns true if a request with a key may be forwarded at `now`.
   bool MayAcceptKeys(BootTime now) const {
     return confirmed_at_ && now - *confirmed_at_ < max_age_ - kForwardingMargin;
@@ -39,12 +54,32 @@
     return now - *confirmed_at_;
   }
 
+  /// Returns the time since the newest read was sent, whether it confirmed the
+  /// keys or not; none before the first.
+  std::optional<Duration> ContactAge(BootTime now) const {
+    if (!contact_at_)
+      return std::nullopt;
+    return now - *contact_at_;
+  }
+
  private:
   /// The time from the check to the request's arrival at a backend server.
   static constexpr Duration kForwardingMargin = std::chrono::milliseconds(300);
 
+  /// The time in which the users write again what a restored store has lost.
+  static constexpr Duration kRewriteTime = std::chrono::seconds(2);
+
+  /// Uses the newest read as evidence if it was sent late enough.
+  void Confirm();
+
   Duration max_age_;
+  TimelineAge timeline_;
+  std::uint64_t version_ = 0;
+  std::uint64_t peer_version_ = 0;
   std::optional<BootTime> confirmed_at_;
+  std::optional<BootTime> contact_at_;
+  /// The newest read of the timeline that showed no version below a peer's.
+  std::optional<BootTime> newest_read_;
 };
 
 }  // namespace mangoport
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -14,8 +14,10 @@
 
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(100);
 
-/// A host is not ready if its key evidence is older.
-constexpr Duration kReadyEvidenceAge = std::chrono::milliseconds(3200);
+/// A host is not ready if its configuration was last compared with the store's
+/// longer ago. Key evidence may be older after a restore of the store, on all
+/// hosts alike.
+constexpr Duration kReadyContactAge = std::chrono::milliseconds(3200);
 
 /// Maximum random delay before a claim, so that hosts do not all claim at once.
 constexpr int kClaimSpreadMs = 500;
@@ -165,6 +167,7 @@
   return {.on_config =
               [this](FleetConfigPtr config) {
                 const MonoTime now = Now();
+                key_evidence_.OnConfigVersion(config->version());
                 forwarder_.SetConfig(now, config);
                 for (const auto& it : caller_sessions_)
                   it->SetLimits(now, config->config().limits);
@@ -208,6 +211,7 @@
   if (!timeline_age_.Note(timeline, known_since))
     return;
   orders_.OnStoreTimeline(timeline, known_since);
+  key_evidence_.OnTimeline(timeline, known_since);
 }
 
 void EdgeHost::Run() {
@@ -308,8 +312,11 @@
 bool EdgeHost::IsReady() const {
   if (stopping_ || !feeds_.has_config() || !feeds_.has_servers())
     return false;
-  const auto age = key_evidence_.Age(BootClock::now());
-  return !settings_.bounds.fail_closed || (age && *age < kReadyEvidenceAge);
+  const BootTime now = BootClock::now();
+  if (!key_evidence_.Age(now))
+    return false;
+  return !settings_.bounds.fail_closed ||
+         *key_evidence_.ContactAge(now) < kReadyContactAge;
 }
 
 void EdgeHost::AnswerStatus(const std::shared_ptr<ClientSession>& session,
--- a/lib/edge/edge_peers.cc
+++ b/lib/edge/edge_peers.cc
@@ -64,6 +64,8 @@
   message.set_store_timeline(store_timeline_.value_or(0));
   message.set_store_timeline_age_ms(
       Milliseconds(boot_now - timeline_age_.known_since));
+  if (const FleetConfigPtr& config = forwarder_.config())
+    message.set_config_version(config->version());
   // Each zone has a reader, so changes are not sent across zones.
   if (peer.zone == settings_.zone)
     WriteFeeds(boot_now,
@@ -132,6 +134,7 @@
   const std::chrono::milliseconds timeline_age(
       std::min(message.store_timeline_age_ms(), kMaxTimelineAgeMs));
   OnTimelineAge(message.store_timeline(), BootClock::now() - timeline_age);
+  key_evidence_.OnPeerConfigVersion(message.config_version());
   if (message.store_timeline() != 0)
     OnStoreTimeline(message.store_timeline(), message.host());
   if (!message.leaving())
