platform: an entry without a usable address names no server

What callers saw: nothing as long as a server was left; requests were sent to an address that takes no connection first, and lost the time of a repeat. Cause: an entry's Addr was taken as any text. One with port 0 got requests; one with port 65536, a name or no port stayed in the list without an address, where the holder of the order lease planned copies for it and counted those that it claims to hold. The entry is passed over with a reason, and what was known of the id holds. ParseEndpoint took an IP number with a zero byte in it; it does no more. It checks a number before make_address sees it, so that function, which throws, has nothing to throw at: ruled out as a cause of processes that end. decode_test's refused entries have usable addresses now, so that each is refused for the reason that it is there for.

--- a/lib/settings/host_settings.cc
+++ b/lib/settings/host_settings.cc
@@ -15,6 +15,9 @@
 using std::chrono::seconds;
 
 bool IsIpNumber(const std::string& text) {
+  // The functions below read up to the first zero byte.
+  if (text.find('\0') != std::string::npos)
+    return false;
   in6_addr buf{};
   return inet_pton(AF_INET, text.c_str(), &buf) == 1 ||
          inet_pton(AF_INET6, text.c_str(), &buf) == 1;
--- a/unittests/platform/decode_test.cc
+++ b/unittests/platform/decode_test.cc
@@ -78,12 +78,13 @@
 
 Test(decode, entries_of_other_writers_are_refused) {
   std::string problem;
-  for (const char* it :
-       {"", "nonsense", "{\"Service\":3}",
-        R"({"Service":"s","Addr":"a:1","Zone":"z","Slots":1,"State":"new"})",
-        R"({"Service":"s","Addr":"a:1","Zone":"z","Slots":"1",
+  for (
+      const char* it :
+      {"", "nonsense", "{\"Service\":3}",
+       R"({"Service":"s","Addr":"10.0.0.9:1","Zone":"z","Slots":1,"State":"new"})",
+       R"({"Service":"s","Addr":"10.0.0.9:1","Zone":"z","Slots":"1",
             "State":"ready"})",
-        R"({"Service":"s","Addr":"a:1","Zone":"z","Slots":-1,
+       R"({"Service":"s","Addr":"10.0.0.9:1","Zone":"z","Slots":-1,
             "State":"ready"})"}) {
     problem.clear();
     cr_assert_not(ParseServerEntry("i", it, problem).has_value());
--- /dev/null
+++ b/unittests/platform/odd_entries_test.cc
@@ -0,0 +1,68 @@
+// Records of other writers among those of the engines: each names no server,
+// and the others hold.
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <criterion/criterion.h>
+
+#include "platform/decode.h"
+
+namespace mangoport::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view kGood =
+    R"({"Service":"s","Addr":"10.0.0.9:8080","Zone":"z","Version":"v1",)"
+    R"("Slots":48,"State":"ready","ColdLeftMs":0,"RemainingMs":1500,)"
+    R"("Models":[{"Name":"m","Version":1,"Adapters":["a1"]}],)"
+    R"("Seq":4,"born":1775933501028})";
+
+/// The good entry with `value` in place of that of the field `name`.
+std::string With(std::string_view name, std::string_view value) {
+  std::string out(kGood);
+  const std::string field = "\"" + std::string(name) + "\":";
+  const std::size_t from = out.find(field) + field.size();
+  const std::size_t length = out.find_first_of(",}", from) - from;
+  return out.replace(from, length, value);
+}
+
+std::string WithAddress(std::string_view address) {
+  return With("Addr", "\"" + std::string(address) + "\"");
+}
+
+std::optional<ServerEntry> Parse(std::string_view text,
+                                 const std::string& id = "i-1") {
+  std::string problem;
+  std::optional<ServerEntry> out = ParseServerEntry(id, text, problem);
+  cr_assert_neq(out.has_value(), !problem.empty(), "a problem is named: %s",
+                problem.c_str());
+  // A log line is of use only if it leaves room for others.
+  cr_assert_lt(problem.size(), 200);
+  return out;
+}
+
+// NOLINTBEGIN: Criterion's macros
+Test(odd_entries, the_good_entry_is_one) {
+  cr_assert(Parse(kGood));
+  cr_assert(Parse(With("born", "1775933501028.0")));
+  cr_assert(Parse(WithAddress("10.0.0.9:65535")));
+  cr_assert_eq(Parse(With("Slots", "0"))->batch_size, 1);
+}
+
+Test(odd_entries, an_address_without_a_port_that_exists_names_no_server) {
+  for (const char* it :
+       {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999", "10.0.0.9:-1",
+        "10.0.0.9:8080x", "10.0.0.9: 8080", "10.0.0.9:", "10.0.0.9",
+        "engine.example:8080", "10.0.0.256:8080", ":8080", "", " 10.0.0.9:8080",
+        "10.0.0.9:8080 ", "10.0.0.9:18446744073709551617",
+        "10.0.0.9\\u0000.x:8080"})
+    cr_assert_not(Parse(WithAddress(it)), "%s", it);
+}
+
+// NOLINTEND
+
+}  // namespace
+}  // namespace mangoport::platform
