platform: a number that is too large is no count, and no time overflows

What callers saw: an entry with Slots of was a server with no slots; one with a huge born was one whose later, right entries count as older, and were ignored; a time-out of a configuration that is too large became a negative one, so that its route refused everything. Cause: counts were cut to 32 bits after they were checked, and milliseconds multiplied to nanoseconds beyond 64 bits. No process ended of such numbers: ruled out.

--- a/unittests/platform/odd_entries_test.cc
+++ b/unittests/platform/odd_entries_test.cc
@@ -62,6 +62,37 @@
     cr_assert_not(Parse(WithAddress(it)), "%s", it);
 }
 
+Test(odd_entries, a_number_that_is_too_large_names_no_server) {
+  for (const char* it : {"4294967296", "4294967297", "18446744073709551615",
+                         "18446744073709551616", "1e18", "1e400", "-1",
+                         "-9223372036854775808"}) {
+    cr_assert_not(Parse(With("Slots", it)), "Slots %s", it);
+  }
+  for (const char* it : {"18446744073709551615", "9223372036855",
+                         "9223372036854775807", "1e17", "1e400", "-1"}) {
+    cr_assert_not(Parse(With("RemainingMs", it)), "RemainingMs %s", it);
+    cr_assert_not(Parse(With("born", it)), "born %s", it);
+  }
+  cr_assert_not(Parse(With("born", "1775933501028.5")));
+  for (const char* it : {"NaN", "Infinity", "0x10", "\"48\"", "[]", "true"})
+    cr_assert_not(Parse(With("Slots", it)), "Slots %s", it);
+}
+
+Test(odd_entries, the_longest_times_of_a_configuration_can_be_added_up) {
+  std::string problem;
+  const auto config = ParseConfig(
+      R"({"Version":1,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/",)"
+      R"("RouteKind":"stream","TimeoutMs":9007199254740991,"Service":"s",)"
+      R"("GoalMs":9007199254740991,"GapGoalMs":9007199254740991}]})",
+      problem);
+  cr_assert(config, "%s", problem.c_str());
+  const RouteSpec& route = config->routes[0];
+  cr_assert(route.timeout > std::chrono::hours(24));
+  cr_assert(route.stall_limit >= route.latency_objective);
+  cr_assert(route.stall_limit >= route.event_gap_objective);
+  const MonoTime now = std::chrono::steady_clock::now();
+  cr_assert(now + route.stall_limit > now);
+}
 // NOLINTEND
 
 }  // namespace
