--- a/unittests/platform/odd_entries_test.cc
+++ b/unittests/platform/odd_entries_test.cc
@@ -78,6 +78,22 @@
     cr_assert_not(Parse(With("Slots", it)), "Slots %s", it);
 }
 
+Test(odd_entries, a_very_deeply_nested_entry_names_no_server) {
+  for (const std::size_t depth : {100, 8192, 131072, 1000000}) {
+    const std::string open(depth, '[');
+    const std::string nested = open + std::string(depth, ']');
+    cr_assert_not(Parse(open));
+    cr_assert_not(Parse(nested));
+    cr_assert_not(Parse(With("ColdLeftMs", nested)), "%zu", depth);
+    std::string objects;
+    for (std::size_t i = 0; i < depth; ++i)
+      objects += "{\"a\":";
+    cr_assert_not(Parse(objects));
+  }
+  // Brackets within a text are none.
+  cr_assert(Parse(With("Version", "\"" + std::string(500, '[') + "\\\"{\"")));
+}
+
 Test(odd_entries, the_longest_times_of_a_configuration_can_be_added_up) {
   std::string problem;
   const auto config = ParseConfig(
