platform: a server's id is text that fields and datagrams can carry

What callers saw: of an entry under a key with bytes that are no UTF-8 the reader of the list made a change like any other and passed it on; its peers could read no datagram that it is in, nor anything else in that datagram. They stopped following the list from this reader, without a line in the log. An id with a line end would have added fields to requests. Cause: the key of a record was taken as the id whatever its bytes; text fields of datagrams must be UTF-8.

--- a/unittests/platform/odd_entries_test.cc
+++ b/unittests/platform/odd_entries_test.cc
@@ -56,8 +56,8 @@
   for (const char* it :
        {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999", "10.0.0.9:-1",
         "10.0.0.9:8080x", "10.0.0.9: 8080", "10.0.0.9:", "10.0.0.9",
-        "engine.example:8080", "10.0.0.256:8080", ":8080", "", " 10.0.0.9:8080",
-        "10.0.0.9:8080 ", "10.0.0.9:18446744073709551617",
+        "engine.example:8080", "10.0.0.256:8080", ":8080", "",
+        " 10.0.0.9:8080", "10.0.0.9:8080 ", "10.0.0.9:18446744073709551617",
         "10.0.0.9\\u0000.x:8080"})
     cr_assert_not(Parse(WithAddress(it)), "%s", it);
 }
@@ -94,6 +94,15 @@
   cr_assert(Parse(With("Version", "\"" + std::string(500, '[') + "\\\"{\"")));
 }
 
+Test(odd_entries, an_id_that_no_header_field_may_have_names_no_server) {
+  using std::string_literals::operator""s;
+  for (const std::string& it :
+       {""s, "i-\xff"s, "i-\xc3\xa9"s, "i-1\r\nX-Tenant: t"s, "i-\0"s, "i 1"s,
+        "\x7f"s, std::string(255, '\x01')})
+    cr_assert_not(Parse(kGood, it));
+  cr_assert(Parse(kGood, std::string(255, 'i')));
+}
+
 Test(odd_entries, the_longest_times_of_a_configuration_can_be_added_up) {
   std::string problem;
   const auto config = ParseConfig(
--- a/unittests/process/peer_signals_test.cc
+++ b/unittests/process/peer_signals_test.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -52,28 +53,45 @@
             std::uint64_t position,
             const std::string& leaving_server) {
     wire::HostState message;
+    message.set_servers_position(position);
+    if (!leaving_server.empty())
+      message.add_leaving_servers(leaving_server);
+    Send(port, message);
+  }
+
+  /// Sends `message` as this host's next one.
+  void Send(std::uint16_t port, wire::HostState message) {
     message.set_host("edge-2");
     message.set_zone("z1");
     message.set_address("127.0.0.1:" + std::to_string(port_));
     message.set_incarnation(1);
     message.set_sequence(++sequence_);
-    message.set_servers_position(position);
-    if (!leaving_server.empty())
-      message.add_leaving_servers(leaving_server);
     const std::string bytes = message.SerializeAsString();
     const sockaddr_in address = Loopback(port);
     ::sendto(fd_, bytes.data(), bytes.size(), 0,
              reinterpret_cast<const sockaddr*>(&address), sizeof(address));
   }
 
-  /// True if the next datagram says that `server` leaves.
-  bool HearsLeaving(const std::string& server) const {
+  /// The next datagram, if one that can be read comes soon.
+  std::optional<wire::HostState> Hear() {
     char buf[65536];
     const ssize_t n = ::recv(fd_, buf, sizeof(buf), 0);
     wire::HostState message;
-    if (n <= 0 || !message.ParseFromArray(buf, static_cast<int>(n)))
+    if (n <= 0)
+      return std::nullopt;
+    if (message.ParseFromArray(buf, static_cast<int>(n)))
+      return message;
+    ++unreadable_;
+    return std::nullopt;
+  }
+  int unreadable() const { return unreadable_; }
+
+  /// True if the next datagram says that `server` leaves.
+  bool HearsLeaving(const std::string& server) {
+    const std::optional<wire::HostState> message = Hear();
+    if (!message)
       return false;
-    const auto& told = message.leaving_servers();
+    const auto& told = message->leaving_servers();
     return std::find(told.begin(), told.end(), server) != told.end();
   }
 
@@ -81,6 +99,7 @@
   std::uint16_t port_ = FreePort();
   int fd_ = -1;
   std::uint64_t sequence_ = 0;
+  int unreadable_ = 0;
 };
 
 /// The port on which the host of the fixture hears its peers.
@@ -107,6 +126,17 @@
   return arrivals() - before;
 }
 
+/// True if `message` passes on a change of the server's entry.
+bool HasEntryOf(const wire::HostState& message, const std::string& server) {
+  for (const wire::ServerBatchNote& batch : message.server_batches()) {
+    for (const wire::ServerEntryNote& entry : batch.entries()) {
+      if (entry.server() == server)
+        return true;
+    }
+  }
+  return false;
+}
+
 // NOLINTBEGIN: Criterion's macros
 // A server that told another host that it leaves was sent requests until it
 // told this one too.
@@ -141,6 +171,23 @@
     return peer.HearsLeaving(c.id());
   }));
 }
+
+// Another writer's key reached the peers as a server's id.
+Test(peer_signals, peers_can_read_what_follows_an_odd_id, .timeout = 60) {
+  EdgeFixture it;
+  PeerStandin peer;
+  it.store_.Put("keyed.servers", "i-\xff", it.a_.Entry("s", "ready"));
+  it.List(it.a_, "draining");
+  cr_assert(EdgeFixture::Within(seconds(5),
+                                [&] {
+                                  peer.Tell(PeerPort(it), 0, "");
+                                  const auto message = peer.Hear();
+                                  return message &&
+                                         HasEntryOf(*message, it.a_.id());
+                                }),
+            "%d datagrams could not be read", peer.unreadable());
+  cr_assert_eq(peer.unreadable(), 0);
+}
 // NOLINTEND
 
 }  // namespace
