logs: a value of any bytes stays one short quoted value

What operators saw: a record with a State of 250,000 bytes filled the log's buffer of 256 KB with itself, so that the other lines of that time were left out; control bytes of keys and of callers' ids reached the terminal as they are.

--- a/lib/telemetry/decision_log.cc
+++ b/lib/telemetry/decision_log.cc
@@ -27,9 +27,14 @@
   static log4cplus::Initializer initializer;
 }
 
+bool IsPrintable(char c) {
+  return c >= ' ' && c <= '~';
+}
+
 bool NeedsQuotes(std::string_view value) {
   return value.empty() ||
-         value.find_first_of(" \t\r\n\"=") != std::string_view::npos;
+         value.find_first_of(" \"=") != std::string_view::npos ||
+         !std::all_of(value.begin(), value.end(), IsPrintable);
 }
 
 /// Gathers formatted lines up to a bound.
@@ -83,7 +88,7 @@
   for (const char c : value) {
     if (c == '"' || c == '\\')
       text_.push_back('\\');
-    text_.push_back(c == '\n' || c == '\r' ? ' ' : c);
+    text_.push_back(IsPrintable(c) ? c : ' ');
   }
   text_.push_back('"');
   return *this;
--- a/unittests/platform/odd_entries_test.cc
+++ b/unittests/platform/odd_entries_test.cc
@@ -56,8 +56,8 @@
   for (const char* it :
        {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999", "10.0.0.9:-1",
         "10.0.0.9:8080x", "10.0.0.9: 8080", "10.0.0.9:", "10.0.0.9",
-        "engine.example:8080", "10.0.0.256:8080", ":8080", "",
-        " 10.0.0.9:8080", "10.0.0.9:8080 ", "10.0.0.9:18446744073709551617",
+        "engine.example:8080", "10.0.0.256:8080", ":8080", "", " 10.0.0.9:8080",
+        "10.0.0.9:8080 ", "10.0.0.9:18446744073709551617",
         "10.0.0.9\\u0000.x:8080"})
     cr_assert_not(Parse(WithAddress(it)), "%s", it);
 }
@@ -103,6 +103,16 @@
   cr_assert(Parse(kGood, std::string(255, 'i')));
 }
 
+Test(odd_entries, texts_and_other_types_name_no_server) {
+  for (const char* name : {"Service", "Zone", "State", "Addr"}) {
+    for (const char* it : {"null", "7", "[]", "{}", "true", "\"\xff\""})
+      cr_assert_not(Parse(With(name, it)), "%s %s", name, it);
+  }
+  cr_assert_not(Parse(With("State", "\"" + std::string(250000, 'x') + "\"")));
+  cr_assert_not(Parse(kGood.substr(0, kGood.size() - 1)));
+  cr_assert_not(Parse(std::string(256 * 1024, '\0')));
+}
+
 Test(odd_entries, the_longest_times_of_a_configuration_can_be_added_up) {
   std::string problem;
   const auto config = ParseConfig(
