platform: an odd record does not take the others of its page with it

What callers saw: one item of a page of the newest records that can't be read lost the whole page, at each read again, so that the host did not follow the list at all. A record of the log without a whole key was passed over in silence. Cause: the first bad item ended the reading of its page.

--- a/unittests/platform/odd_entries_test.cc
+++ b/unittests/platform/odd_entries_test.cc
@@ -113,6 +113,50 @@
   cr_assert_not(Parse(std::string(256 * 1024, '\0')));
 }
 
+// Hosts that read the whole list lost it again and again.
+Test(odd_entries, a_page_keeps_its_other_records_beside_an_odd_item) {
+  for (const char* odd :
+       {R"({"Key":"odd","Value":"*"})", R"({"Key":"odd","Value":7})",
+        R"({"Key":"odd"})", R"({"Key":7,"Value":""})", R"({"Value":""})", "7",
+        "[]", "null"}) {
+    std::string problem;
+    const auto page = ParseNewestPage(
+        R"({"items":[{"Key":"a","Value":"YQ=="},)" + std::string(odd) +
+            R"(,{"Key":"b","Value":"Yg=="}],"Truncated":true,"End":6})",
+        problem);
+    cr_assert(page, "%s: %s", odd, problem.c_str());
+    cr_assert_eq(page->records.size(), 2);
+    cr_assert_eq(*page->records[1].value, "b");
+    cr_assert_eq(page->problems.size(), 1);
+  }
+}
+
+// The next page begins behind the last key, whatever its value is.
+Test(odd_entries, a_page_goes_on_behind_an_odd_last_item) {
+  std::string problem;
+  const auto page = ParseNewestPage(
+      R"({"items":[{"Key":"a","Value":"YQ=="},{"Key":"odd","Value":"*"}],)"
+      R"("Truncated":true,"End":6})",
+      problem);
+  cr_assert(page);
+  cr_assert_eq(page->last_key, "odd");
+}
+
+Test(odd_entries, a_record_without_a_whole_key_is_named) {
+  std::string bytes(16, '\0');
+  bytes += EncodeKeyedRecord("a", "1");
+  // A key of 200 bytes in a record of three.
+  bytes += std::string("\0\0\0\3\xc8xy", 7);
+  bytes += std::string("\0\0\0\0", 4);
+  bytes += EncodeKeyedRecord("b", "2");
+  std::string problem;
+  const auto slice = ParseLogSlice(bytes, 7, problem);
+  cr_assert(slice, "%s", problem.c_str());
+  cr_assert_eq(slice->next, 11);
+  cr_assert_eq(slice->records.size(), 2);
+  cr_assert_eq(slice->problems.size(), 2);
+}
+
 Test(odd_entries, the_longest_times_of_a_configuration_can_be_added_up) {
   std::string problem;
   const auto config = ParseConfig(
