stop_policy: answers are cut in the last sixth of any grace time

What callers saw: with a grace time of one second, answers under way were cut half a second before its end, with 0.5 s the host ended at once. The users count a cut answer as lost unless its server was at work in the last sixth. Cause: the margin for the exit was half a second whatever the grace time, and checks came each 100 ms, so that with a shorter margin the end could fall between two of them.

--- a/include/mangoport/edge/stop_policy.h
+++ b/include/mangoport/edge/stop_policy.h
@@ -26,8 +26,13 @@
   bool close_idle = false;
   /// The process exits.
   bool finish = false;
+  /// Time from SIGTERM to the next decision.
+  Duration next{};
 };
 
+/// Time from SIGTERM to the end of answers that are still under way then.
+Duration AnswersEndAfter(Duration grace);
+
 /// Decides the next step of an orderly shutdown. Requests are accepted until
 /// the load balancer has had time to notice that the host is not ready. After
 /// that they are refused, so that none is interrupted by the end of the grace
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -12,8 +12,6 @@
 
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds(250);
 
-constexpr Duration kStopCheckInterval = std::chrono::milliseconds(100);
-
 /// A host is not ready if its key evidence is older.
 constexpr Duration kReadyEvidenceAge = std::chrono::milliseconds(3200);
 
@@ -388,7 +386,7 @@
     io_.stop();
     return;
   }
-  timers_.Add(now + kStopCheckInterval,
+  timers_.Add(stop_began_ + decision.next,
               [this](MonoTime due) { ContinueStop(due); });
 }
 
