forward: a host that ends soon sends a request to no further server

What callers saw: a request that may run once, which its server refused late in the grace time of a planned stop, was sent to another server that could not answer before the end; the caller got 504 and could not ask elsewhere. Cause: requests are refused as they arrive from 2.5 s on, but one that had come before was sent on at any time. Evidence, before: stop_test: 504 {"error":{"code":"stopping","not_run":false}} [FAIL] stop::a_request_refused_late_in_the_grace_goes_to_no_other_server Why this works: while no server has run it the refusal is true, so it is given as soon as less is left until the end than the route's objective, the users' time for a good answer. A request that has perhaps run goes on as before: its refusal would promise nothing. Not shown: a request that arrived late and was passed on. stop_policy_test and stop_test hold that those from 2.5 s on are refused.

--- a/include/mangoport/forward/forwarder.h
+++ b/include/mangoport/forward/forwarder.h
@@ -69,8 +69,8 @@
                  HttpRequest request);
 
   /// From now on requests are refused as they arrive, since the host stops, and
-  /// so are those that wait for a copy.
-  void RefuseNew(MonoTime now);
+  /// so are those that wait for a copy. Answers end at `end`, the latest.
+  void RefuseNew(MonoTime now, MonoTime end);
 
   /// Answers all requests that are still under way, as the process ends: those
   /// that no server has seen are refused, the others fail.
@@ -144,6 +144,8 @@
   /// All requests under way; each removes itself at its end.
   std::set<RequestExchange*> exchanges_;
   bool refuses_new_ = false;
+  /// When answers under way end, if the host stops.
+  MonoTime end_ = MonoTime::max();
 };
 
 }  // namespace mangoport
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -374,7 +374,8 @@
                   .connections = caller_sessions_.size(),
                   .lease_released = released_});
   if (decision.refuse_new)
-    forwarder_.RefuseNew(now);
+    forwarder_.RefuseNew(
+        now, stop_began_ + AnswersEndAfter(settings_.bounds.stop_grace));
   if (decision.close_idle) {
     const SessionSet sessions = caller_sessions_;
     for (const auto& it : sessions)
--- a/lib/forward/forwarder.cc
+++ b/lib/forward/forwarder.cc
@@ -102,9 +102,10 @@
   return out;
 }
 
-void Forwarder::RefuseNew(MonoTime now) {
+void Forwarder::RefuseNew(MonoTime now, MonoTime end) {
   if (std::exchange(refuses_new_, true))
     return;
+  end_ = end;
   for (const auto& it : Exchanges())
     it->OnHostStopping(now);
 }
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -64,6 +64,10 @@
                  .retry_after = kQuarantineRetryAfter});
     return;
   }
+  if (runs_ == 0 && EndsTooSoon(now)) {
+    Refuse(now, {.status = 503, .reason = "stopping"});
+    return;
+  }
   if (!AdmitParts(now))
     return;
   routing_.deadline = CallerLeavesAt(
@@ -89,6 +93,10 @@
   Send(now, *choice.server);
 }
 
+bool RequestExchange::EndsTooSoon(MonoTime now) const {
+  return host_.end_ - now < route_->latency_objective;
+}
+
 void RequestExchange::AwaitCopy(MonoTime now, const RouteChoice& choice) {
   const ServiceSpec* service = config_->FindService(service_);
   if (!service || !service->engine ||
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -78,6 +78,9 @@
 
   // Attempts.
   void Dispatch(MonoTime now);
+  /// The host stops before a server that gets the request now is expected to
+  /// have answered it.
+  bool EndsTooSoon(MonoTime now) const;
   void AwaitCopy(MonoTime now, const RouteChoice& choice);
   void Send(MonoTime now, const ServerId& server);
   /// Sends the request to `server` on a connection of the pool.
--- a/unittests/process/stop_test.cc
+++ b/unittests/process/stop_test.cc
@@ -11,6 +11,7 @@
 #include <criterion/criterion.h>
 
 #include "unittests/support/edge_fixture.h"
+#include "unittests/support/scripted_backend.h"
 
 namespace mangoport {
 namespace {
@@ -67,6 +68,24 @@
   return out;
 }
 
+/// The fixture's configuration with another latency objective of all routes.
+std::string ConfigWithObjective(int version, milliseconds objective) {
+  std::string out = Config(version, R"("k1")");
+  const std::string old = R"("GoalMs":250)";
+  const std::string replaced =
+      R"("GoalMs":)" + std::to_string(objective.count());
+  for (std::size_t at = 0; (at = out.find(old, at)) != std::string::npos;)
+    out.replace(at, old.size(), replaced);
+  return out;
+}
+
+void RequireLogged(const EdgeFixture& it, const std::string& text) {
+  Require(
+      EdgeFixture::Within(
+          seconds(5), [&] { return it.Log().find(text) != std::string::npos; }),
+      "not logged: " + text);
+}
+
 // NOLINTBEGIN: Criterion's macros
 Test(stop,
      ends_early_beside_connections_that_their_callers_keep,
@@ -130,6 +149,45 @@
             last.c_str());
   cr_assert_eq(it.process_->Wait(seconds(5)), 0);
 }
+
+// The second server could not finish before the host ends, and the caller could
+// not ask elsewhere.
+Test(stop,
+     a_request_refused_late_in_the_grace_goes_to_no_other_server,
+     .timeout = 60) {
+  EdgeFixture it;
+  it.store_.Put("keyed.op", "config", ConfigWithObjective(2, seconds(3)));
+  ScriptedBackend* self = nullptr;
+  ScriptedBackend late("i-late", [&self](const SeenRequest& request, int) {
+    return ScriptedAnswer{.pieces = {"", self->Head(request, 503,
+                                                    "X-Not-Executed: 1\r\n"
+                                                    "Content-Length: 0\r\n")},
+                          .pause = milliseconds(2500)};
+  });
+  self = &late;
+  const ScriptedBackend slow("i-slow", [](const SeenRequest&, int) {
+    return ScriptedAnswer{.pieces = {"", ""}, .pause = seconds(6)};
+  });
+  it.Unlist(it.a_.id());
+  it.Unlist(it.b_.id());
+  it.List(late, "ready");
+  RequireLogged(it, "server=i-b change=removed");
+  RequireLogged(it, "server=i-late change=added");
+  RequireLogged(it, "config_applied version=2");
+  httplib::Result reply(nullptr, httplib::Error::Unknown);
+  std::thread caller([&] { reply = it.Ask("/once/x"); });
+  cr_assert(
+      EdgeFixture::Within(seconds(1), [&] { return !late.seen().empty(); }));
+  it.process_->Signal(SIGTERM);
+  it.List(slow, "ready");
+  caller.join();
+  cr_assert(reply, "no answer");
+  cr_assert_eq(reply->status, 503, "%d %s", reply->status, reply->body.c_str());
+  cr_assert_neq(reply->body.find("\"not_run\":true"), std::string::npos);
+  cr_assert_neq(reply->get_header_value("Retry-After"), "");
+  cr_assert(slow.seen().empty());
+  cr_assert_eq(it.process_->Wait(seconds(5)), 0);
+}
 // NOLINTEND
 
 }  // namespace
