stop_test: requests late in the grace time, however they come

On a new connection, with a head or a body that ends late, and sent ahead of an answer: each is refused, which the report of other operators says of machines that took them and cut them at the end. It passes on the code as it is; that requests are taken late was not reproduced.

--- a/unittests/process/stop_test.cc
+++ b/unittests/process/stop_test.cc
@@ -86,6 +86,17 @@
       "not logged: " + text);
 }
 
+/// `answer` promises that its request has not run, and tells the caller when to
+/// come back, on another connection.
+void RequireRefused(const std::string& answer) {
+  const auto has = [&answer](const char* text) {
+    return answer.find(text) != std::string::npos;
+  };
+  Require(answer.starts_with("HTTP/1.1 503") && has("Connection: close") &&
+              has("Retry-After: ") && has("\"not_run\":true"),
+          "no refusal: " + answer);
+}
+
 // NOLINTBEGIN: Criterion's macros
 Test(stop,
      ends_early_beside_connections_that_their_callers_keep,
@@ -188,6 +199,52 @@
   cr_assert(slow.seen().empty());
   cr_assert_eq(it.process_->Wait(seconds(5)), 0);
 }
+
+// Whenever and however they come, requests late in the grace time are refused.
+Test(stop, requests_late_in_the_grace_are_refused_with_not_run, .timeout = 60) {
+  constexpr std::string_view kPost =
+      "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id1\r\n"
+      "Authorization: Bearer k1\r\nContent-Length: 4\r\n\r\n";
+  EdgeFixture it;
+  const ScriptedBackend slow("i-slow", [](const SeenRequest&, int) {
+    return ScriptedAnswer{.pieces = {"", ""}, .pause = seconds(6)};
+  });
+  it.Unlist(it.a_.id());
+  it.Unlist(it.b_.id());
+  it.List(slow, "ready");
+  RequireLogged(it, "server=i-b change=removed");
+  RequireLogged(it, "server=i-slow change=added");
+  const Connection half(it.callers_);
+  half.Send(kRequest.substr(0, 30));
+  const Connection slow_body(it.callers_);
+  slow_body.Send(std::string(kPost) + "bo");
+  const Connection pipelined(it.callers_);
+  pipelined.Send(std::string(kPost) + "body" + std::string(kRequest));
+  cr_assert(
+      EdgeFixture::Within(seconds(1), [&] { return !slow.seen().empty(); }));
+  it.process_->Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(2000));
+  half.Send(kRequest.substr(30));
+  slow_body.Send("dy");
+  RequireRefused(half.Receive());
+  RequireRefused(slow_body.Receive());
+  // The end of the answers is after 3.67 s.
+  for (int i = 0; i < 14; ++i) {
+    const Connection late(it.callers_);
+    late.Send(kRequest);
+    RequireRefused(late.Receive());
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  std::string text = pipelined.Receive();
+  cr_assert(text.starts_with("HTTP/1.1 504"), "%s", text.c_str());
+  for (std::string more; !(more = pipelined.Receive()).empty();)
+    text += more;
+  const std::size_t second = text.find("HTTP/1.1 503");
+  cr_assert_neq(second, std::string::npos, "%s", text.c_str());
+  RequireRefused(text.substr(second));
+  cr_assert_eq(slow.seen().size(), 1);
+  cr_assert_eq(it.process_->Wait(seconds(5)), 0);
+}
 // NOLINTEND
 
 }  // namespace
