forward: demand is kept only for what can be loaded

What callers saw: after one request with a byte in X-Model that is no UTF-8, the host that orders engines could read no full datagram of the host that had the request, for as long as that host ran: its demand, its loads and its spending were lost, so copies were not loaded for its callers and its share of the quotas was set aside. Nothing was logged. Each other name took memory for good. Cause: the model that a caller names was kept as demand whatever it is, and demand goes to the holder as text, which must be UTF-8. Such a request is refused as before, with unknown_model.

--- a/lib/forward/request_admission.cc
+++ b/lib/forward/request_admission.cc
@@ -69,6 +69,21 @@
   return std::min(stated, static_cast<std::int64_t>(most));
 }
 
+/// True if orders can name `model`: one of the engine's models, or an adapter
+/// of one. Callers may send any bytes, and demand goes to other hosts as text.
+bool CanBeLoaded(const ModelId& model, const EngineCapacity& engine) {
+  const std::string_view name = model.value();
+  const std::size_t slash = name.find('/');
+  const auto visible = [](char c) { return c > ' ' && c <= '~'; };
+  const bool is_text = slash == std::string_view::npos ||
+                       std::all_of(name.begin() + slash, name.end(), visible);
+  return is_text &&
+         std::any_of(engine.models.begin(), engine.models.end(),
+                     [&](const ModelSpec& it) {
+                       return it.model.value() == name.substr(0, slash);
+                     });
+}
+
 /// The parts that requests share: all but the last, which is the request's own.
 std::string_view SharedParts(std::string_view parts) {
   const std::size_t comma = parts.rfind(',');
@@ -193,6 +208,8 @@
     return;
   }
   prompt_tokens_ = ReadableTokens(prompt_tokens_, *service->engine);
+  if (!CanBeLoaded(routing_.model, *service->engine))
+    return;
   use_ = &host_.uses_[routing_.model];
   use_->model = routing_.model;
   ++use_->arrivals;
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -114,7 +114,7 @@
   const auto spec = std::find_if(
       service->engine->models.begin(), service->engine->models.end(),
       [base](const ModelSpec& it) { return it.model.value() == base; });
-  if (spec == service->engine->models.end()) {
+  if (!use_ || spec == service->engine->models.end()) {
     Refuse(now, {.status = 503, .reason = "unknown_model"});
     return;
   }
--- a/unittests/process/peer_signals_test.cc
+++ b/unittests/process/peer_signals_test.cc
@@ -188,6 +188,37 @@
             "%d datagrams could not be read", peer.unreadable());
   cr_assert_eq(peer.unreadable(), 0);
 }
+
+// One request of a caller kept its host's demand from the host that orders.
+Test(peer_signals, peers_can_read_the_demand_for_any_model, .timeout = 60) {
+  EdgeFixture it;
+  PeerStandin holder;
+  it.store_.Put("keyed.op", "config", ConfigWithModel(2, 4));
+  const auto ask = [&it](const std::string& model) {
+    return it.Raw(
+        "GET /stream/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id1\r\n"
+        "Authorization: Bearer k1\r\nX-Deadline-Ms: 300\r\n"
+        "Connection: close\r\nX-Model: " +
+        model + "\r\n\r\n");
+  };
+  cr_assert(EdgeFixture::Within(seconds(5), [&it] {
+    return it.Log().find("config_applied version=2") != std::string::npos;
+  }));
+  ask("m1/\xff");
+  const std::string text = ask("\xfe");
+  cr_assert(text.starts_with("HTTP/1.1 503"), "%s", text.c_str());
+  ask("m1");
+  wire::HostState message;
+  message.set_order_term(1);
+  cr_assert(EdgeFixture::Within(seconds(5),
+                                [&] {
+                                  holder.Send(PeerPort(it), message);
+                                  const auto heard = holder.Hear();
+                                  return heard && heard->demands_size() > 0;
+                                }),
+            "%d datagrams could not be read", holder.unreadable());
+  cr_assert_eq(holder.unreadable(), 0);
+}
 // NOLINTEND
 
 }  // namespace
