soft_state_service: a datagram that can't be read is logged

Cause: OnDatagram returned without a line. Evidence, before: [FAIL] peer_signals::a_datagram_that_cannot_be_read_is_logged Why this works: the first one makes a line with its size, then each doubling of the count, so that a stream of them doesn't fill the log.

--- a/include/mangoport/edge/soft_state_service.h
+++ b/include/mangoport/edge/soft_state_service.h
@@ -85,6 +85,8 @@
   void Receive();
   void ReadAll();
   void OnDatagram(MonoTime now, std::size_t bytes);
+  /// Logs the first datagram that can't be read, then fewer and fewer of them.
+  void NoteUnreadable(std::size_t bytes);
   void SendDue(MonoTime now);
   void ChooseReaders(MonoTime now);
   enum class Content { kFeeds, kChanges, kFull };
@@ -102,6 +104,8 @@
   PeerTable peers_;
   std::uint64_t incarnation_;
   std::uint64_t sequence_ = 0;
+  /// Datagrams that could not be read.
+  std::uint64_t unreadable_ = 0;
   std::set<HostId> readers_;
   bool send_changes_pending_ = false;
   MonoTime changes_sent_at_;
--- a/lib/edge/soft_state_service.cc
+++ b/lib/edge/soft_state_service.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <asio/buffer.hpp>
+#include <bit>
 #include <utility>
 
 #include "mangoport/membership/feed_readers.h"
@@ -80,8 +81,10 @@
 
 void SoftStateService::OnDatagram(MonoTime now, std::size_t bytes) {
   wire::HostState message;
-  if (!message.ParseFromArray(buffer_.data(), static_cast<int>(bytes)))
+  if (!message.ParseFromArray(buffer_.data(), static_cast<int>(bytes))) {
+    NoteUnreadable(bytes);
     return;
+  }
   const auto known = peers_.peers().find(HostId(message.host()));
   const bool is_new = known == peers_.peers().end() ||
                       known->second.incarnation != message.incarnation();
@@ -95,6 +98,15 @@
   hooks_.on_state(now, SentAfter(message, incarnation_), message);
 }
 
+void SoftStateService::NoteUnreadable(std::size_t bytes) {
+  ++unreadable_;
+  // A peer may send several a second.
+  if (std::has_single_bit(unreadable_))
+    log_.Write(LogLine("datagram_unreadable")
+                   .Add("bytes", bytes)
+                   .Add("so_far", unreadable_));
+}
+
 void SoftStateService::OnHosts(const std::vector<HostAddress>& hosts) {
   const MonoTime now = Now();
   for (const HostAddress& it : hosts)
--- a/unittests/process/peer_signals_test.cc
+++ b/unittests/process/peer_signals_test.cc
@@ -66,7 +66,10 @@
     message.set_address("127.0.0.1:" + std::to_string(port_));
     message.set_incarnation(1);
     message.set_sequence(++sequence_);
-    const std::string bytes = message.SerializeAsString();
+    SendBytes(port, message.SerializeAsString());
+  }
+
+  void SendBytes(std::uint16_t port, const std::string& bytes) const {
     const sockaddr_in address = Loopback(port);
     ::sendto(fd_, bytes.data(), bytes.size(), 0,
              reinterpret_cast<const sockaddr*>(&address), sizeof(address));
@@ -219,6 +222,18 @@
             "%d datagrams could not be read", holder.unreadable());
   cr_assert_eq(holder.unreadable(), 0);
 }
+
+Test(peer_signals, a_datagram_that_cannot_be_read_is_logged, .timeout = 60) {
+  EdgeFixture it;
+  PeerStandin peer;
+  for (int i = 0; i < 8; ++i)
+    peer.SendBytes(PeerPort(it), "\xff\xff\xff");
+  cr_assert(EdgeFixture::Within(seconds(5), [&it] {
+    return it.Log().find("event=datagram_unreadable bytes=3 so_far=8") !=
+           std::string::npos;
+  }));
+  cr_assert_eq(it.Log().find("so_far=7"), std::string::npos);
+}
 // NOLINTEND
 
 }  // namespace
