--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -12,8 +12,6 @@
 
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds(250);
 
-constexpr Duration kStopCheckInterval = std::chrono::milliseconds(100);
-
 /// A host is not ready if its configuration was last compared with the store's
 /// longer ago. Key evidence may be older after a restore of the store, on all
 /// hosts alike.
@@ -398,7 +396,8 @@
                   .connections = caller_sessions_.size(),
                   .lease_released = released_});
   if (decision.refuse_new)
-    forwarder_.RefuseNew(now);
+    forwarder_.RefuseNew(
+        now, stop_began_ + AnswersEndAfter(settings_.bounds.stop_grace));
   if (decision.close_idle) {
     const SessionSet sessions = caller_sessions_;
     for (const auto& it : sessions)
@@ -410,7 +409,7 @@
     io_.stop();
     return;
   }
-  timers_.Add(now + kStopCheckInterval,
+  timers_.Add(stop_began_ + decision.next,
               [this](MonoTime due) { ContinueStop(due); });
 }
 
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -64,6 +64,10 @@
                  .retry_after = kQuarantineRetryAfter});
     return;
   }
+  if (runs_ == 0 && EndsTooSoon(now)) {
+    Refuse(now, {.status = 503, .reason = "stopping"});
+    return;
+  }
   if (!AdmitParts(now))
     return;
   routing_.deadline = CallerLeavesAt(
@@ -89,6 +93,10 @@
   Send(now, *choice.server);
 }
 
+bool RequestExchange::EndsTooSoon(MonoTime now) const {
+  return host_.end_ - now < route_->latency_objective;
+}
+
 void RequestExchange::AwaitCopy(MonoTime now, const RouteChoice& choice) {
   const ServiceSpec* service = config_->FindService(service_);
   if (!service || !service->engine ||
@@ -106,7 +114,7 @@
   const auto spec = std::find_if(
       service->engine->models.begin(), service->engine->models.end(),
       [base](const ModelSpec& it) { return it.model.value() == base; });
-  if (spec == service->engine->models.end()) {
+  if (!use_ || spec == service->engine->models.end()) {
     Refuse(now, {.status = 503, .reason = "unknown_model"});
     return;
   }
