--- a/unittests/process/stop_test.cc
+++ b/unittests/process/stop_test.cc
@@ -1,8 +1,4 @@
 // A host that is asked to stop, beside connections of several kinds.
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <chrono>
 #include <csignal>
 #include <string>
@@ -11,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #include "unittests/support/edge_fixture.h"
+#include "unittests/support/raw_connection.h"
 
 namespace mangoport {
 namespace {
@@ -22,41 +19,6 @@
     "GET /read/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id1\r\n"
     "Authorization: Bearer k1\r\n\r\n";
 
-/// A connection to the host that stays open.
-class Connection {
- public:
-  explicit Connection(std::uint16_t port)
-      : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    Require(::connect(fd_, reinterpret_cast<sockaddr*>(&address),
-                      sizeof(address)) == 0,
-            "the host takes no connection");
-    const timeval limit{.tv_sec = 3, .tv_usec = 0};
-    ::setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-  }
-  ~Connection() { ::close(fd_); }
-
-  Connection(const Connection&) = delete;
-  Connection& operator=(const Connection&) = delete;
-
-  void Send(std::string_view bytes) const {
-    ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-  }
-
-  std::string Receive() const {
-    char bytes[4096];
-    const ssize_t n = ::recv(fd_, bytes, sizeof(bytes), 0);
-    return n > 0 ? std::string(bytes, static_cast<std::size_t>(n))
-                 : std::string();
-  }
-
- private:
-  int fd_;
-};
-
 /// The fixture's configuration with another time for idle connections.
 std::string ConfigWithIdle(int version, milliseconds idle) {
   std::string out = Config(version, R"("k1")");
@@ -72,16 +34,16 @@
      ends_early_beside_connections_that_their_callers_keep,
      .timeout = 60) {
   EdgeFixture it("");
-  const Connection untouched(it.callers_);
-  const Connection answered(it.callers_);
+  const RawConnection untouched(it.callers_);
+  const RawConnection answered(it.callers_);
   answered.Send(kRequest);
   cr_assert(answered.Receive().starts_with("HTTP/1.1 200"));
-  const Connection half(it.callers_);
+  const RawConnection half(it.callers_);
   half.Send(kRequest.substr(0, 30));
   std::this_thread::sleep_for(milliseconds(100));
   it.process_->Signal(SIGTERM);
   std::this_thread::sleep_for(milliseconds(100));
-  const Connection told(it.callers_);
+  const RawConnection told(it.callers_);
   told.Send(kRequest);
   const std::string text = told.Receive();
   cr_assert(text.starts_with("HTTP/1.1 200"), "%s", text.c_str());
@@ -99,7 +61,7 @@
   cr_assert(EdgeFixture::Within(seconds(5), [&it] {
     return it.Log().find("config_applied version=2") != std::string::npos;
   }));
-  const Connection kept(it.callers_);
+  const RawConnection kept(it.callers_);
   it.store_.Put("keyed.op", "config", ConfigWithIdle(3, milliseconds(9000)));
   std::this_thread::sleep_for(milliseconds(2500));
   kept.Send(kRequest);
@@ -116,7 +78,7 @@
   });
   std::string last;
   int answered = 0;
-  const Connection kept(it.callers_);
+  const RawConnection kept(it.callers_);
   while (last.find("Connection: close") == std::string::npos) {
     kept.Send(kRequest);
     last = kept.Receive();
--- a/unittests/support/scripted_backend.cc
+++ b/unittests/support/scripted_backend.cc
@@ -119,6 +119,11 @@
   return seen_;
 }
 
+std::vector<SeenRequest> ScriptedBackend::given_up() const {
+  const std::lock_guard lock(mutex_);
+  return given_up_;
+}
+
 std::string ScriptedBackend::Entry(const std::string& service,
                                    const std::string& state) const {
   return BackendEntry(service, address(), state);
@@ -137,12 +142,18 @@
 
 void ScriptedBackend::Serve(int fd) {
   std::string buf;
-  while (!stopping_) {
-    const std::optional<SeenRequest> request = ReadRequest(fd, buf);
-    if (!request || !Answer(fd, *request))
+  std::optional<SeenRequest> last;
+  bool goes_on = true;
+  while (!stopping_ && goes_on) {
+    std::optional<SeenRequest> request = ReadRequest(fd, buf);
+    if (!request)
       break;
+    last = std::move(request);
+    goes_on = Answer(fd, *last);
   }
   const std::lock_guard lock(mutex_);
+  if (last && goes_on)
+    given_up_.push_back(*std::move(last));
   open_.erase(std::find(open_.begin(), open_.end(), fd));
   ::close(fd);
 }
--- a/unittests/support/scripted_fleet.h
+++ b/unittests/support/scripted_fleet.h
@@ -67,6 +67,17 @@
     return out;
   }
 
+  /// True if the host has closed a connection behind a request for `target`.
+  bool HasGivenUp(const std::string& target) const {
+    for (const ScriptedBackend* server : {&x_, &y_}) {
+      for (const SeenRequest& it : server->given_up()) {
+        if (it.target == target)
+          return true;
+      }
+    }
+    return false;
+  }
+
   EdgeFixture& host() { return it_; }
 
   /// A whole good answer with the body "ok".
