A new limit does not count what an account spent without one

Seen: after a change of the configuration that gives an account a limit, its requests are refused with 429, for as long as its use before the change would have taken to be refilled.

Cause: an account without a limit spends as well, which takes its level below zero without end, and nothing is refilled meanwhile. SetLimits kept that level.

Evidence, on the code before:

The expression quota.TrySpend(now, kAccount, 400).admitted is false. [FAIL] shared_quota::a_new_limit_does_not_count_what_came_before_it

The level starts at no less than zero where a limit begins, as it does for an account that is new. A limit that changes keeps its level.

--- a/lib/limits/shared_quota.cc
+++ b/lib/limits/shared_quota.cc
@@ -44,6 +44,9 @@
       Fill(now, bucket);
     else
       bucket.filled_at = now;
+    // What was spent without a limit is not owed.
+    if (!bucket.limited)
+      bucket.level = std::max(bucket.level, 0.0);
     bucket.limit = it;
     bucket.limited = it.tokens_per_second > 0;
     bucket.level = std::min(bucket.level, static_cast<double>(it.burst_tokens));
--- a/unittests/limits/shared_quota_test.cc
+++ b/unittests/limits/shared_quota_test.cc
@@ -251,5 +251,19 @@
   cr_assert_eq(quota.host_count(), 1);
 }
 
+// What was spent while there was no limit is no debt: the account was refused
+// until a whole day's use had been filled up again.
+Test(shared_quota, a_new_limit_does_not_count_what_came_before_it) {
+  SharedQuota quota;
+  quota.SetLimits(kStart, {{kAccount, 0, 0}});
+  quota.OnPeerUsage(kStart, UsageReport(1, 0));
+  cr_assert(quota.TrySpend(kStart, kAccount, 300000).admitted);
+  quota.OnPeerUsage(kStart + seconds(1), UsageReport(1, 300000));
+  quota.SetLimits(kStart + seconds(1), {{kAccount, kRate, kBurst}});
+  const MonoTime now = kStart + seconds(3);
+  quota.OnPeerUsage(now, UsageReport(1, 300000));
+  cr_assert(quota.TrySpend(now, kAccount, 400).admitted);
+}
+
 }  // namespace
 }  // namespace mangoport
