A request that was given up does not leave the host's buffer later

Seen: a server gets and runs a request whose caller has left, or which goes on elsewhere, however long ago that was (GONE).

Cause: giving an exchange up closed its connection in order. What the system had taken of the request and the server had not (its buffer full, the way to it slow) was still delivered, whole, and then the end of the connection.

Evidence, on the code before, with a server that reads only after the close:

1048629 bytes [FAIL] given_up_request::does_not_leave_the_hosts_buffer_later

that is the whole request. Giving up now resets the connection: the system drops what it holds, and the server can't take the end for that of one direction. That the users' report came from this is not shown.

--- a/include/mangoport/forward/http_connection.h
+++ b/include/mangoport/forward/http_connection.h
@@ -70,13 +70,14 @@
   /// body follows the answer's head.
   void Exchange(std::string request, bool bodyless, HttpExchangeHooks hooks);
 
-  /// Gives the exchange up and closes the connection.
+  /// Gives the exchange up and resets the connection, so that what the system
+  /// still holds of the request does not reach the peer.
   void Cancel();
 
   /// Stops and resumes reading, for back-pressure.
   void SetReading(bool reading);
 
-  void Close();
+  void Close(bool reset = false);
 
   /// True if another request may be sent on this idle connection: the peer's
   /// idle limit is not near, and nothing has arrived since the last answer.
--- a/lib/forward/http_connection.cc
+++ b/lib/forward/http_connection.cc
@@ -229,7 +229,7 @@
 
 void HttpConnection::Cancel() {
   hooks_.reset();
-  Close();
+  Close(/*reset=*/true);
 }
 
 void HttpConnection::SetReading(bool reading) {
@@ -237,12 +237,12 @@
     stream_->SetReading(reading);
 }
 
-void HttpConnection::Close() {
+void HttpConnection::Close(bool reset) {
   if (state_ == State::kClosed)
     return;
   state_ = State::kClosed;
   timers_.Cancel(connect_timer_);
-  stream_->Close();
+  stream_->Close(reset);
   on_state_(shared_from_this(), /*reusable=*/false);
 }
 
--- a/unittests/forward/kept_connection_test.cc
+++ b/unittests/forward/kept_connection_test.cc
@@ -1,6 +1,7 @@
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
 #include <chrono>
@@ -132,5 +133,39 @@
   cr_assert_eq(it.opened(), 2);
 }
 
+// A request that was given up still reached its server out of this host's
+// buffer, whole, once the server read on.
+Test(given_up_request, does_not_leave_the_hosts_buffer_later) {
+  constexpr std::size_t kBodyBytes = std::size_t{1} << 20;
+  asio::io_context io;
+  TimerQueue timers(io);
+  ConnectionPool pool(io, timers);
+  asio::io_context server_io;
+  asio::ip::tcp::acceptor acceptor(server_io);
+  acceptor.open(asio::ip::tcp::v4());
+  // The server reads nothing yet, and its buffer is small.
+  acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+  acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+  acceptor.listen();
+  const HttpConnection::Ptr connection =
+      pool.Acquire(std::chrono::steady_clock::now(), "s",
+                   acceptor.local_endpoint(), /*fresh=*/false);
+  connection->Exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                           std::to_string(kBodyBytes) + "\r\n\r\n" +
+                           std::string(kBodyBytes, 'a'),
+                       /*bodyless=*/false,
+                       {.on_head = [](const HttpHead&) { return true; },
+                        .on_body = [](std::string_view) {},
+                        .on_complete = [] {},
+                        .on_failed = [](const HttpFailure&) {}});
+  io.run_for(milliseconds(60));
+  asio::ip::tcp::socket server = acceptor.accept();
+  connection->Cancel();
+  std::vector<char> bytes(2 * kBodyBytes);
+  asio::error_code ec;
+  const std::size_t n = asio::read(server, asio::buffer(bytes), ec);
+  cr_assert_lt(n, kBodyBytes, "%zu bytes", n);
+}
+
 }  // namespace
 }  // namespace mangoport
