Reports of copies do not outlive the start of the server that they are of

Seen: requests are sent to a server that holds nothing any more, or wait for a copy that is there, after the server's entry was removed and came back with another start while it had work of this host.

Cause: what other hosts reported of a server was dropped only if the entry of its new start followed that of the old one at once. Behind a removal it stayed as long as the server had work, and the count of orders of the old start, which is higher, hid all reports of the new one.

The start is now kept beside the reports that belong to it.

--- a/include/mangoport/forward/backend_table.h
+++ b/include/mangoport/forward/backend_table.h
@@ -153,6 +153,8 @@
   struct Backend {
     ServiceId service;
     asio::ip::tcp::endpoint address;
+    /// The start to which `told` belongs.
+    std::uint64_t started_at_ms = 0;
     MonoTime last_activity;
     /// The same as other hosts tell.
     MonoTime peers_activity;
--- a/lib/forward/backend_table.cc
+++ b/lib/forward/backend_table.cc
@@ -140,8 +140,8 @@
       touched.insert(old->second.service);
     backend.service = entry.service;
     backend.address = *address;
-    if (old != servers_.end() &&
-        old->second.started_at_ms != entry.started_at_ms)
+    if (std::exchange(backend.started_at_ms, entry.started_at_ms) !=
+        entry.started_at_ms)
       backend.told.clear();
     backend.denied.clear();
     for (const ResidentModel& model : entry.models)
--- a/unittests/forward/backend_table_test.cc
+++ b/unittests/forward/backend_table_test.cc
@@ -70,6 +70,20 @@
   cr_assert_not(table.HasModel(kStart, kService, kModel));
 }
 
+// The entry goes and comes back with another start while the server has work of
+// this host: what was reported of the earlier start hid the newer reports.
+Test(backend_table, reports_of_an_earlier_start_do_not_outlive_its_entry) {
+  BackendTable table(ZoneId("a"));
+  table.SetServers(kStart, List(1, {}));
+  table.NoteResidency(kStart, Loaded(7));
+  table.OnDispatched(kStart, kEngine, 0);
+  table.SetServers(kStart, {});
+  table.SetServers(kStart, List(2, {}));
+  cr_assert_not(table.HasModel(kStart, kService, kModel), "of the old start");
+  table.NoteResidency(kStart, Loaded(1));
+  cr_assert(table.HasModel(kStart, kService, kModel), "of the new start");
+}
+
 // An entry goes to another service under the same id, and then away: requests
 // for the old service were sent to it, and later to no address at all.
 Test(backend_table, a_server_that_changes_its_service_leaves_the_old_one) {
