An entry that lists an adapter wakes the requests that wait for it

Seen: a request that waits for an adapter is refused with 503 at the end of its wait though a server lists the adapter.

Cause: a change of an entry woke the requests for its models, not those for their adapters; only the report of the host that orders engines did, and a datagram may be lost.

Evidence, on the code before:

The expression (std::count(woken.begin(), woken.end(), ModelId("m1/a1"))) == (1) is false. [FAIL] backend_table::an_entry_with_an_adapter_wakes_what_waits_for_it

The same function now names what an entry holds to the router and to those that wait.

--- a/lib/forward/backend_table.cc
+++ b/lib/forward/backend_table.cc
@@ -41,6 +41,15 @@
          a.started_at_ms == b.started_at_ms;
 }
 
+/// Appends the models and adapters that the entry lists.
+void AppendItems(const ServerEntry& entry, std::vector<ModelId>& items) {
+  for (const ResidentModel& it : entry.models) {
+    items.push_back(it.model);
+    for (const AdapterId& adapter : it.adapters)
+      items.emplace_back(it.model.value() + "/" + adapter.value());
+  }
+}
+
 }  // namespace
 
 std::vector<ModelId> BackendTable::ModelsOf(MonoTime now,
@@ -49,11 +58,9 @@
   std::set<ModelId> held;
   // A plain service's requests name no model.
   held.emplace();
-  for (const ResidentModel& it : entry.models) {
-    held.insert(it.model);
-    for (const AdapterId& adapter : it.adapters)
-      held.insert(ModelId(it.model.value() + "/" + adapter.value()));
-  }
+  std::vector<ModelId> listed;
+  AppendItems(entry, listed);
+  held.insert(listed.begin(), listed.end());
   for (const auto& [item, told] : backend.told) {
     if (now - told.heard_at > kToldLifetime)
       continue;
@@ -144,8 +151,7 @@
         entry.started_at_ms)
       backend.told.clear();
     backend.denied.clear();
-    for (const ResidentModel& model : entry.models)
-      appeared.push_back(model.model);
+    AppendItems(entry, appeared);
   }
   servers_ = std::move(servers);
   std::erase_if(backends_, [this](const auto& it) {
--- a/unittests/forward/backend_table_test.cc
+++ b/unittests/forward/backend_table_test.cc
@@ -84,6 +84,19 @@
   cr_assert(table.HasModel(kStart, kService, kModel), "of the new start");
 }
 
+// Requests that waited for an adapter slept until their time was up if the
+// holder's report was lost.
+Test(backend_table, an_entry_with_an_adapter_wakes_what_waits_for_it) {
+  BackendTable table(ZoneId("a"));
+  std::vector<ModelId> woken;
+  table.set_on_resident([&woken](const ModelId& it) { woken.push_back(it); });
+  std::map<ServerId, ServerEntry> list = List(1, {kModel});
+  table.SetServers(kStart, list);
+  list.begin()->second.models.front().adapters.emplace_back("a1");
+  table.SetServers(kStart + seconds(1), list);
+  cr_assert_eq(std::count(woken.begin(), woken.end(), ModelId("m1/a1")), 1);
+}
+
 // An entry goes to another service under the same id, and then away: requests
 // for the old service were sent to it, and later to no address at all.
 Test(backend_table, a_server_that_changes_its_service_leaves_the_old_one) {
