Work is counted for the service that sent it

Seen: a server whose entry goes to another service and comes back is taken for full for good: requests are refused with 503 (no_time) or wait though it is idle.

Cause: the end of an attempt was counted for the service that the server's entry names at that time, its beginning for the one that it named then. The old service kept the attempts as running.

Evidence, on the code before (with the old signatures):

still taken for full [FAIL] backend_table::work_ends_at_the_service_that_it_was_sent_for

A request now names its own service, which does not change, at each count.

--- a/include/mangoport/forward/backend_table.h
+++ b/include/mangoport/forward/backend_table.h
@@ -113,18 +113,23 @@
   std::optional<asio::ip::tcp::endpoint> AddressOf(
       const ServerId& server) const;
 
+  /// Work is counted for the service that sends it, since the server's entry
+  /// may go to another service meanwhile.
   void OnDispatched(MonoTime now,
+                    const ServiceId& service,
                     const ServerId& server,
                     std::int64_t prompt_tokens);
   /// Bytes have arrived from the server.
   void OnActivity(MonoTime now, const ServerId& server);
   /// The first token came `time` after the request was dispatched.
   void OnFirstToken(MonoTime now,
+                    const ServiceId& service,
                     const ServerId& server,
                     std::int64_t prompt_tokens,
                     Duration time,
                     std::uint32_t urgency);
   void OnFinished(MonoTime now,
+                  const ServiceId& service,
                   const ServerId& server,
                   AttemptOutcome outcome,
                   Duration ran_for);
--- a/lib/forward/backend_table.cc
+++ b/lib/forward/backend_table.cc
@@ -353,6 +353,7 @@
 }
 
 void BackendTable::OnDispatched(MonoTime now,
+                                const ServiceId& service,
                                 const ServerId& server,
                                 std::int64_t prompt_tokens) {
   const auto it = backends_.find(server);
@@ -360,7 +361,7 @@
     return;
   if (it->second.own_running++ == 0)
     it->second.last_activity = now;
-  routers_[it->second.service].OnDispatched(now, server, prompt_tokens);
+  routers_[service].OnDispatched(now, server, prompt_tokens);
 }
 
 void BackendTable::OnActivity(MonoTime now, const ServerId& server) {
@@ -370,17 +371,16 @@
 }
 
 void BackendTable::OnFirstToken(MonoTime now,
+                                const ServiceId& service,
                                 const ServerId& server,
                                 std::int64_t prompt_tokens,
                                 Duration time,
                                 std::uint32_t urgency) {
-  const auto it = backends_.find(server);
-  if (it != backends_.end())
-    routers_[it->second.service].OnFirstToken(now, server, prompt_tokens, time,
-                                              urgency);
+  routers_[service].OnFirstToken(now, server, prompt_tokens, time, urgency);
 }
 
 void BackendTable::OnFinished(MonoTime now,
+                              const ServiceId& service,
                               const ServerId& server,
                               AttemptOutcome outcome,
                               Duration ran_for) {
@@ -389,7 +389,7 @@
     return;
   if (it->second.own_running > 0)
     --it->second.own_running;
-  routers_[it->second.service].OnFinished(now, server, outcome, ran_for);
+  routers_[service].OnFinished(now, server, outcome, ran_for);
 }
 
 Duration BackendTable::SilentFor(MonoTime now, const ServerId& server) const {
--- a/lib/forward/request_answer.cc
+++ b/lib/forward/request_answer.cc
@@ -93,7 +93,7 @@
   if (first_event_at_)
     return;
   first_event_at_ = now;
-  host_.parts_.backends.OnFirstToken(now, server_, prompt_tokens_,
+  host_.parts_.backends.OnFirstToken(now, service_, server_, prompt_tokens_,
                                      now - sent_at_, routing_.urgency);
   host_.parts_.metrics.OnFirstEvent(now - request_.arrived);
 }
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -190,7 +190,7 @@
     host_.StateOf(service_).budget.OnRequest(now, AccountId());
   if (use_)
     ++use_->running;
-  host_.parts_.backends.OnDispatched(now, server, prompt_tokens_);
+  host_.parts_.backends.OnDispatched(now, service_, server, prompt_tokens_);
   HttpConnection::Ptr connection =
       host_.parts_.pool.Acquire(now, server.value(), address,
                                 /*fresh=*/runs_ > 0 || connection_);
@@ -355,7 +355,8 @@
                                AttemptOutcome outcome) {
   if (use_)
     --use_->running;
-  host_.parts_.backends.OnFinished(now, server, outcome, now - sent_at);
+  host_.parts_.backends.OnFinished(now, service_, server, outcome,
+                                   now - sent_at);
   host_.parts_.metrics.OnAttempt(
       outcome == AttemptOutcome::kCompleted   ? "completed"
       : outcome == AttemptOutcome::kCancelled ? "cancelled"
--- a/unittests/forward/backend_table_test.cc
+++ b/unittests/forward/backend_table_test.cc
@@ -76,7 +76,7 @@
   BackendTable table(ZoneId("a"));
   table.SetServers(kStart, List(1, {}));
   table.NoteResidency(kStart, Loaded(7));
-  table.OnDispatched(kStart, kEngine, 0);
+  table.OnDispatched(kStart, kService, kEngine, 0);
   table.SetServers(kStart, {});
   table.SetServers(kStart, List(2, {}));
   cr_assert_not(table.HasModel(kStart, kService, kModel), "of the old start");
@@ -97,6 +97,28 @@
   cr_assert_eq(std::count(woken.begin(), woken.end(), ModelId("m1/a1")), 1);
 }
 
+// What the server works on ends in the books of the service that sent it, or
+// the old service never sends it anything again.
+Test(backend_table, work_ends_at_the_service_that_it_was_sent_for) {
+  const ServiceId other("ledger");
+  BackendTable table(ZoneId("a"));
+  const std::map<ServerId, ServerEntry> here = List(1, {});
+  std::map<ServerId, ServerEntry> moved = here;
+  moved.begin()->second.service = other;
+  table.SetServers(kStart, here);
+  for (int i = 0; i < 100; ++i)
+    table.OnDispatched(kStart, kService, kEngine, 0);
+  table.SetServers(kStart, moved);
+  for (int i = 0; i < 100; ++i)
+    table.OnFinished(kStart, kService, kEngine, AttemptOutcome::kCompleted,
+                     seconds(1));
+  table.SetServers(kStart, here);
+  RouteRequest request;
+  request.deadline = kStart + seconds(1);
+  cr_assert(table.Choose(kStart, kService, request).server,
+            "still taken for full");
+}
+
 // An entry goes to another service under the same id, and then away: requests
 // for the old service were sent to it, and later to no address at all.
 Test(backend_table, a_server_that_changes_its_service_leaves_the_old_one) {
