--- a/lib/edge/feed_service.cc
+++ b/lib/edge/feed_service.cc
@@ -47,6 +47,14 @@
   return out;
 }
 
+/// Adds the parts of an entry whose change can affect work under way.
+void AddWhatWorkDependsOn(const ServerEntry& entry, LogLine& line) {
+  line.Add("service", entry.service.value())
+      .Add("address", entry.address)
+      .Add("started_at_ms", entry.started_at_ms)
+      .Add("draining", entry.draining);
+}
+
 }  // namespace
 
 FeedService::FeedService(FleetPlatform& platform,
@@ -249,12 +257,14 @@
       removed.push_back(it.id);
     const auto entry = server_feed_.servers().find(it.id);
     const bool gone = entry == server_feed_.servers().end();
-    log_.Write(
-        LogLine("server_list")
-            .Add("server", it.id.value())
-            .Add("change", EffectName(it.effect))
-            .Add("position", it.position)
-            .Add("models", gone ? std::string() : ModelNames(entry->second)));
+    LogLine line("server_list");
+    line.Add("server", it.id.value())
+        .Add("change", EffectName(it.effect))
+        .Add("position", it.position)
+        .Add("models", gone ? std::string() : ModelNames(entry->second));
+    if (!gone)
+      AddWhatWorkDependsOn(entry->second, line);
+    log_.Write(line);
   }
   if (!outcome.effects.empty())
     hooks_.on_servers(server_feed_.servers(), removed);
