A caller that leaves is not charged for what has not run

Seen: callers that leave while a connection to a server is being made are charged for their requests, and their account's next ones are refused with 429; the log says runs=1 of a request of which no server has seen a byte. No line said when the attempt of a caller that had left was ended (GONE could not be told from the logs).

Cause: OnCallerDisconnected counted a run for every attempt, and gave back charges of refused requests only. GiveUp had it right.

Evidence, on the code before:

{"error":{"code":"over_quota","not_run":true}} [FAIL] caller_leaves::what_has_not_run_is_not_charged

Both ways now share CancelAttempt, which asks whether the request was sent and writes attempt_ended, with end=caller_gone here.

--- a/lib/forward/request_ending.cc
+++ b/lib/forward/request_ending.cc
@@ -13,6 +13,8 @@
 
 /// Least time to which a refused caller is told to come back.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
+/// How a request ends whose caller has left.
+constexpr std::string_view kCallerGone = "caller_gone";
 /// Spread of the times at which refused callers come back.
 constexpr double kRetrySpread = 0.5;
 
@@ -97,14 +99,7 @@
 void RequestExchange::GiveUp(MonoTime now, std::string_view reason) {
   if (done_)
     return;
-  if (connection_) {
-    // A request that is still connecting has provably not run.
-    if (connection_->request_sent())
-      ++runs_;
-    std::exchange(connection_, nullptr)->Cancel();
-    FinishAttempt(now, AttemptOutcome::kCancelled);
-    LogAttempt(now, reason);
-  }
+  CancelAttempt(now, reason);
   if (answer_begun_) {
     Break(now, reason);
     return;
@@ -112,16 +107,23 @@
   Refuse(now, {.status = runs_ > 0 ? 504 : 503, .reason = reason});
 }
 
+void RequestExchange::CancelAttempt(MonoTime now, std::string_view reason) {
+  if (!connection_)
+    return;
+  // A request that is still connecting has provably not run.
+  if (connection_->request_sent())
+    ++runs_;
+  std::exchange(connection_, nullptr)->Cancel();
+  FinishAttempt(now, AttemptOutcome::kCancelled);
+  LogAttempt(now, reason);
+}
+
 void RequestExchange::OnCallerDisconnected() {
   if (done_)
     return;
   const MonoTime now = Now();
-  if (connection_) {
-    std::exchange(connection_, nullptr)->Cancel();
-    FinishAttempt(now, AttemptOutcome::kCancelled);
-    ++runs_;
-  }
-  Finish(now, "caller_gone", 0);
+  CancelAttempt(now, kCallerGone);
+  Finish(now, kCallerGone, 0);
 }
 
 void RequestExchange::Finish(MonoTime now,
@@ -137,7 +139,8 @@
   timers.Cancel(wait_timer_);
   if (std::exchange(waiting_, false))
     --use_->waiting;
-  if (charged_ && runs_ == 0 && outcome == "refused")
+  if (charged_ && runs_ == 0 &&
+      (outcome == "refused" || outcome == kCallerGone))
     host_.parts_.quota.Refund(now, account_->id, charge_);
   const std::string_view kind = route_ ? KindName(route_->kind) : "none";
   const AccountId account = account_ ? account_->id : AccountId();
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -158,6 +158,8 @@
   void OnDeadline(MonoTime now);
   /// Ends the attempt under way, if any, and answers the caller.
   void GiveUp(MonoTime now, std::string_view reason);
+  /// Ends the attempt under way, if any.
+  void CancelAttempt(MonoTime now, std::string_view reason);
   void OnCallerDisconnected();
 
   RequestProgress Progress(MonoTime now) const;
