Bytes behind a request do not hide that its caller has left

Seen: a request whose caller gave up before the host read it is sent to a server (GONE), if the caller had sent more behind it.

Cause: whether the caller is still there was asked by looking for the end of the stream at the place up to which it has been read. Unread bytes lie before the end.

Evidence, on the code before:

The expression (caller.TakeUp()) == (0) is false. [FAIL] client_session::a_request_with_more_behind_it_is_dropped_as_well

The system is now asked for the peer's close itself (POLLRDHUP), one call as before.

--- a/include/mangoport/forward/tcp_stream.h
+++ b/include/mangoport/forward/tcp_stream.h
@@ -64,9 +64,9 @@
   /// destroy the answer on its way; the owner closes on the peer's end.
   void EndAfterWrites();
 
-  /// True if the peer has closed or reset the connection and everything that it
-  /// sent before has been read. Asks the system, so it also tells of a close
-  /// that arrived while this process stood still.
+  /// True if the peer has closed or reset the connection, also behind bytes
+  /// that have not been read. Asks the system, so it also tells of a close that
+  /// arrived while this process stood still.
   bool PeerHasClosed();
 
   /// True if bytes have arrived that have not been read. Asks the system.
--- a/lib/forward/tcp_stream.cc
+++ b/lib/forward/tcp_stream.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 
 #include <array>
 #include <asio/buffer.hpp>
@@ -119,8 +120,8 @@
 }
 
 bool TcpStream::PeerHasClosed() {
-  const asio::error_code ec = Peek();
-  return ec == asio::error::eof || ec == asio::error::connection_reset;
+  pollfd it{.fd = socket_.native_handle(), .events = POLLRDHUP, .revents = 0};
+  return ::poll(&it, /*nfds=*/1, /*timeout=*/0) > 0;
 }
 
 bool TcpStream::HasUnread() {
--- a/unittests/forward/client_session_test.cc
+++ b/unittests/forward/client_session_test.cc
@@ -28,10 +28,16 @@
       : acceptor_(io_, {asio::ip::make_address("127.0.0.1"), 0}),
         socket_(io_),
         timers_(io_) {
+    acceptor_.set_option(asio::socket_base::receive_buffer_size(kBufferBytes));
     socket_.connect(acceptor_.local_endpoint());
     asio::write(socket_, asio::buffer(kRequest, sizeof(kRequest) - 1));
   }
 
+  /// Sends more behind the request than the host reads at once.
+  void SendAhead() {
+    asio::write(socket_, asio::buffer(std::string(kBufferBytes / 8, 'a')));
+  }
+
   void Leave() { socket_.close(); }
 
   /// The host takes up what has arrived; returns how many requests it got.
@@ -52,6 +58,7 @@
   }
 
  private:
+  static constexpr int kBufferBytes = 1 << 20;
   static constexpr int kMaxTurns = 20;
   static constexpr Duration kTurn = milliseconds(20);
 
@@ -75,6 +82,14 @@
   cr_assert_eq(caller.TakeUp(), 0);
 }
 
+// Bytes behind the request hid that its caller had left.
+Test(client_session, a_request_with_more_behind_it_is_dropped_as_well) {
+  Caller caller;
+  caller.SendAhead();
+  caller.Leave();
+  cr_assert_eq(caller.TakeUp(), 0);
+}
+
 /// A caller that sends and reads as it likes, and the session that serves it.
 class Conversation {
  public:
