A caller that is not read is still seen to leave

Seen: work goes on for a caller that has left (GONE), until its answer ends, if it had sent much ahead.

Cause: beyond 64 KiB sent ahead of an answer the host stops reading, and a close was noticed by reading only.

Evidence, on the code before:

/read/run: still at work [FAIL] caller_leaves::behind_more_than_is_read_ahead

A session that does not read asks the system each 200 ms; the users' bound is half a second.

--- a/include/mangoport/forward/client_session.h
+++ b/include/mangoport/forward/client_session.h
@@ -107,6 +107,10 @@
   /// the socket, and no answer is leaving.
   bool CloseIfIdle();
 
+  /// Ends the session if the caller has left, as its close will when it is
+  /// read. True if the session has ended. Asks the system.
+  bool CloseIfCallerLeft();
+
   bool busy() const { return busy_; }
   std::size_t unsent() const { return stream_->unsent(); }
 
@@ -123,6 +127,7 @@
   void Refuse(int status, std::string_view reason);
   void FinishAnswer();
   void ArmTimer(MonoTime now);
+  void StartTimer(MonoTime due);
   void OnTimer(MonoTime now);
   void EndConnection();
   void Shut();
--- a/lib/forward/client_session.cc
+++ b/lib/forward/client_session.cc
@@ -15,6 +15,10 @@
 /// How long the caller may take to close after the last answer.
 constexpr Duration kLingerTime = std::chrono::seconds(2);
 
+/// How often a caller that is not read is asked whether it is there: work for
+/// one that has left ends within half a second.
+constexpr Duration kLeaveCheckInterval = std::chrono::milliseconds(200);
+
 constexpr std::string_view kContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /// An answer with this status has no body, whatever was asked.
@@ -62,13 +66,17 @@
 }
 
 void ClientSession::ArmTimer(MonoTime now) {
-  timers_.Cancel(timer_);
   Duration wait = limits_.idle_timeout + kIdleSlack;
   if (ending_ && stream_->unsent() == 0)
     wait = kLingerTime;
   else if (parser_.started() && !parser_.head_complete())
     wait = limits_.head_timeout;
-  timer_ = timers_.Add(now + wait, [weak = weak_from_this()](MonoTime due) {
+  StartTimer(now + wait);
+}
+
+void ClientSession::StartTimer(MonoTime due) {
+  timers_.Cancel(timer_);
+  timer_ = timers_.Add(due, [weak = weak_from_this()](MonoTime due) {
     if (const auto self = weak.lock())
       self->OnTimer(due);
   });
@@ -76,8 +84,11 @@
 
 void ClientSession::OnTimer(MonoTime now) {
   timer_ = TimerQueue::kNoTicket;
-  if (busy_)
+  if (busy_) {
+    if (!CloseIfCallerLeft() && ahead_.size() > kMaxAheadBytes)
+      StartTimer(now + kLeaveCheckInterval);
     return;
+  }
   // The answer is still leaving, or has just left.
   if (std::exchange(unsent_before_, stream_->unsent()) != stream_->unsent()) {
     ArmTimer(now);
@@ -105,8 +116,10 @@
     Parse();
     return;
   }
-  if (ahead_.size() > kMaxAheadBytes)
-    stream_->SetReading(false);
+  if (ahead_.size() <= kMaxAheadBytes)
+    return;
+  stream_->SetReading(false);
+  StartTimer(Now() + kLeaveCheckInterval);
 }
 
 void ClientSession::Parse() {
@@ -309,6 +322,12 @@
   ArmTimer(Now());
 }
 
+bool ClientSession::CloseIfCallerLeft() {
+  if (!closed_ && stream_->PeerHasClosed())
+    Shut();
+  return closed_;
+}
+
 bool ClientSession::CloseIfIdle() {
   // After its last answer a connection is closed by its timer.
   if (busy_ || ending_ || parser_.started() || !ahead_.empty() ||
--- a/unittests/process/callers_that_leave_test.cc
+++ b/unittests/process/callers_that_leave_test.cc
@@ -66,6 +66,14 @@
   ExpectEnded(Request("/read/run") + Request("/read/next"), "/read/run");
 }
 
+// So much was sent ahead that the host has stopped reading.
+Test(caller_leaves, behind_more_than_is_read_ahead, .timeout = 60) {
+  const std::string next =
+      "POST /read/next HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" +
+      std::string(100000, 'a');
+  ExpectEnded(Request("/read/run") + next, "/read/run");
+}
+
 Test(caller_leaves, before_its_request_is_whole, .timeout = 60) {
   ScriptedFleet fleet(RunWithoutEnd);
   const std::string request = Request("/read/run");
