Nothing is sent for a caller that has left meanwhile

Seen: a request reaches a server after its caller has left (GONE), where the host stood still or was late: at a second attempt, at the end of a wait for a copy, as a connection is made for it or for an attempt that is to take over.

Cause: a caller's close was noticed when its socket's turn came. What came first, a refusal of the first server or a connection that is ready, sent the request on; the close lay in the system already.

The system is now asked before each send but the first, which follows the reading of the request at once, and when a new connection has been made.

--- a/include/mangoport/forward/http_connection.h
+++ b/include/mangoport/forward/http_connection.h
@@ -46,6 +46,9 @@
   std::function<void(std::string_view piece)> on_body;
   std::function<void()> on_complete;
   std::function<void(const HttpFailure& failure)> on_failed;
+  /// Asked when a new connection has been made, before anything is sent on it.
+  /// False if the exchange has been cancelled in the call. Optional.
+  std::function<bool()> may_send = {};
 };
 
 /// One HTTP/1.1 client connection, used for one exchange at a time.
--- a/lib/forward/http_connection.cc
+++ b/lib/forward/http_connection.cc
@@ -100,6 +100,9 @@
     Fail(HttpFailure::Kind::kConnect);
     return;
   }
+  const std::shared_ptr<HttpExchangeHooks> hooks = hooks_;
+  if (hooks->may_send && !hooks->may_send())
+    return;
   state_ = State::kBusy;
   const std::weak_ptr<HttpConnection> weak = weak_from_this();
   stream_->Start({.on_data =
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -80,6 +80,8 @@
     return;
   }
   // The wait may have been long, or the machine may have stood still.
+  if ((sends_ > 0 || waiting_) && session_->CloseIfCallerLeft())
+    return;
   if (account_ && !host_.parts_.key_evidence.MayAcceptKeys(BootClock::now())) {
     Refuse(now, {.status = 503, .reason = "key_evidence_old"});
     return;
@@ -230,6 +232,11 @@
                   self->OnSuccessorFailed(failure);
                 else
                   self->OnFailed(failure);
+              },
+          .may_send =
+              [weak] {
+                const auto self = weak.lock();
+                return self && !self->session_->CloseIfCallerLeft();
               }};
 }
 
--- a/unittests/process/callers_that_leave_test.cc
+++ b/unittests/process/callers_that_leave_test.cc
@@ -1,6 +1,8 @@
 // Callers that leave at each stage of their request: its servers are told, and
 // no server gets it afterwards.
+#include <atomic>
 #include <chrono>
+#include <csignal>
 #include <cstddef>
 #include <string>
 #include <thread>
@@ -86,6 +88,57 @@
   cr_assert(fleet.Sends("/read/run").empty());
 }
 
+// The host stands still while a server refuses the request and its caller
+// leaves; another server must not get it.
+Test(caller_leaves, before_the_second_attempt, .timeout = 60) {
+  std::atomic<int> sends = 0;
+  ScriptedFleet fleet([&sends](const SeenRequest&, int) {
+    if (sends++ > 0)
+      return ScriptedAnswer{.pieces = {ScriptedFleet::GoodAnswer()}};
+    return ScriptedAnswer{
+        .pieces = {"",
+                   "HTTP/1.1 503 Full\r\nX-Attempt-Id: id1\r\n"
+                   "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"},
+        .pause = milliseconds(300)};
+  });
+  RawConnection caller(fleet.host().callers_);
+  caller.Send(Request("/once/x"));
+  cr_assert(EdgeFixture::Within(
+      seconds(2), [&] { return fleet.Sends("/once/x").size() == 1; }));
+  fleet.host().process_->Signal(SIGSTOP);
+  std::this_thread::sleep_for(milliseconds(500));
+  caller.Close();
+  std::this_thread::sleep_for(milliseconds(50));
+  fleet.host().process_->Signal(SIGCONT);
+  std::this_thread::sleep_for(kNoticeTime);
+  cr_assert_eq(fleet.Sends("/once/x").size(), 1, "sent again");
+}
+
+// The host stands still while a connection is made and the caller leaves.
+Test(caller_leaves, while_a_connection_is_made, .timeout = 60) {
+  EdgeFixture it;
+  FullListener server;
+  it.Unlist(it.a_.id());
+  it.Unlist(it.b_.id());
+  it.store_.Put("keyed.servers", "i-full",
+                BackendEntry("s", server.address(), "ready"));
+  cr_assert(EdgeFixture::Within(seconds(5), [&it] {
+    return it.Log().find("server=i-full") != std::string::npos;
+  }));
+  RawConnection caller(it.callers_);
+  caller.Send(Request("/read/x"));
+  std::this_thread::sleep_for(milliseconds(100));
+  it.process_->Signal(SIGSTOP);
+  // The system tries to connect again after a second.
+  server.TakeFor(milliseconds(1300));
+  caller.Close();
+  std::this_thread::sleep_for(milliseconds(50));
+  it.process_->Signal(SIGCONT);
+  const std::string got = server.TakeFor(kNoticeTime);
+  cr_assert_eq(got.find("POST"), std::string::npos,
+               "sent for a caller that has left: %s", got.c_str());
+}
+
 // No byte has left for a server: the request has not run, and its account gets
 // back what it was charged.
 Test(caller_leaves, what_has_not_run_is_not_charged, .timeout = 60) {
