--- a/include/mangoport/forward/http_connection.h
+++ b/include/mangoport/forward/http_connection.h
@@ -46,6 +46,9 @@
   std::function<void(std::string_view piece)> on_body;
   std::function<void()> on_complete;
   std::function<void(const HttpFailure& failure)> on_failed;
+  /// Asked when a new connection has been made, before anything is sent on it.
+  /// False if the exchange has been cancelled in the call. Optional.
+  std::function<bool()> may_send = {};
 };
 
 /// One HTTP/1.1 client connection, used for one exchange at a time.
@@ -70,13 +73,14 @@
   /// body follows the answer's head.
   void Exchange(std::string request, bool bodyless, HttpExchangeHooks hooks);
 
-  /// Gives the exchange up and closes the connection.
+  /// Gives the exchange up and resets the connection, so that what the system
+  /// still holds of the request does not reach the peer.
   void Cancel();
 
   /// Stops and resumes reading, for back-pressure.
   void SetReading(bool reading);
 
-  void Close();
+  void Close(bool reset = false);
 
   /// True if another request may be sent on this idle connection: the peer's
   /// idle limit is not near, and nothing has arrived since the last answer.
--- a/lib/forward/backend_table.cc
+++ b/lib/forward/backend_table.cc
@@ -41,6 +41,15 @@
          a.started_at_ms == b.started_at_ms;
 }
 
+/// Appends the models and adapters that the entry lists.
+void AppendItems(const ServerEntry& entry, std::vector<ModelId>& items) {
+  for (const ResidentModel& it : entry.models) {
+    items.push_back(it.model);
+    for (const AdapterId& adapter : it.adapters)
+      items.emplace_back(it.model.value() + "/" + adapter.value());
+  }
+}
+
 }  // namespace
 
 std::vector<ModelId> BackendTable::ModelsOf(MonoTime now,
@@ -49,11 +58,9 @@
   std::set<ModelId> held;
   // A plain service's requests name no model.
   held.emplace();
-  for (const ResidentModel& it : entry.models) {
-    held.insert(it.model);
-    for (const AdapterId& adapter : it.adapters)
-      held.insert(ModelId(it.model.value() + "/" + adapter.value()));
-  }
+  std::vector<ModelId> listed;
+  AppendItems(entry, listed);
+  held.insert(listed.begin(), listed.end());
   for (const auto& [item, told] : backend.told) {
     if (now - told.heard_at > kToldLifetime)
       continue;
@@ -140,12 +147,11 @@
       touched.insert(old->second.service);
     backend.service = entry.service;
     backend.address = *address;
-    if (old != servers_.end() &&
-        old->second.started_at_ms != entry.started_at_ms)
+    if (std::exchange(backend.started_at_ms, entry.started_at_ms) !=
+        entry.started_at_ms)
       backend.told.clear();
     backend.denied.clear();
-    for (const ResidentModel& model : entry.models)
-      appeared.push_back(model.model);
+    AppendItems(entry, appeared);
   }
   servers_ = std::move(servers);
   std::erase_if(backends_, [this](const auto& it) {
@@ -347,6 +353,7 @@
 }
 
 void BackendTable::OnDispatched(MonoTime now,
+                                const ServiceId& service,
                                 const ServerId& server,
                                 std::int64_t prompt_tokens) {
   const auto it = backends_.find(server);
@@ -354,7 +361,7 @@
     return;
   if (it->second.own_running++ == 0)
     it->second.last_activity = now;
-  routers_[it->second.service].OnDispatched(now, server, prompt_tokens);
+  routers_[service].OnDispatched(now, server, prompt_tokens);
 }
 
 void BackendTable::OnActivity(MonoTime now, const ServerId& server) {
@@ -364,17 +371,16 @@
 }
 
 void BackendTable::OnFirstToken(MonoTime now,
+                                const ServiceId& service,
                                 const ServerId& server,
                                 std::int64_t prompt_tokens,
                                 Duration time,
                                 std::uint32_t urgency) {
-  const auto it = backends_.find(server);
-  if (it != backends_.end())
-    routers_[it->second.service].OnFirstToken(now, server, prompt_tokens, time,
-                                              urgency);
+  routers_[service].OnFirstToken(now, server, prompt_tokens, time, urgency);
 }
 
 void BackendTable::OnFinished(MonoTime now,
+                              const ServiceId& service,
                               const ServerId& server,
                               AttemptOutcome outcome,
                               Duration ran_for) {
@@ -383,7 +389,7 @@
     return;
   if (it->second.own_running > 0)
     --it->second.own_running;
-  routers_[it->second.service].OnFinished(now, server, outcome, ran_for);
+  routers_[service].OnFinished(now, server, outcome, ran_for);
 }
 
 Duration BackendTable::SilentFor(MonoTime now, const ServerId& server) const {
--- a/lib/forward/http_connection.cc
+++ b/lib/forward/http_connection.cc
@@ -100,6 +100,9 @@
     Fail(HttpFailure::Kind::kConnect);
     return;
   }
+  const std::shared_ptr<HttpExchangeHooks> hooks = hooks_;
+  if (hooks->may_send && !hooks->may_send())
+    return;
   state_ = State::kBusy;
   const std::weak_ptr<HttpConnection> weak = weak_from_this();
   stream_->Start({.on_data =
@@ -229,7 +232,7 @@
 
 void HttpConnection::Cancel() {
   hooks_.reset();
-  Close();
+  Close(/*reset=*/true);
 }
 
 void HttpConnection::SetReading(bool reading) {
@@ -237,12 +240,12 @@
     stream_->SetReading(reading);
 }
 
-void HttpConnection::Close() {
+void HttpConnection::Close(bool reset) {
   if (state_ == State::kClosed)
     return;
   state_ = State::kClosed;
   timers_.Cancel(connect_timer_);
-  stream_->Close();
+  stream_->Close(reset);
   on_state_(shared_from_this(), /*reusable=*/false);
 }
 
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -84,6 +84,8 @@
     return;
   }
   // The wait may have been long, or the machine may have stood still.
+  if ((sends_ > 0 || waiting_) && session_->CloseIfCallerLeft())
+    return;
   if (account_ && !host_.parts_.key_evidence.MayAcceptKeys(BootClock::now())) {
     Refuse(now, {.status = 503, .reason = "key_evidence_old"});
     return;
@@ -198,7 +200,7 @@
     host_.StateOf(service_).budget.OnRequest(now, AccountId());
   if (use_)
     ++use_->running;
-  host_.parts_.backends.OnDispatched(now, server, prompt_tokens_);
+  host_.parts_.backends.OnDispatched(now, service_, server, prompt_tokens_);
   HttpConnection::Ptr connection =
       host_.parts_.pool.Acquire(now, server.value(), address,
                                 /*fresh=*/runs_ > 0 || connection_);
@@ -238,6 +240,11 @@
                   self->OnSuccessorFailed(failure);
                 else
                   self->OnFailed(failure);
+              },
+          .may_send =
+              [weak] {
+                const auto self = weak.lock();
+                return self && !self->session_->CloseIfCallerLeft();
               }};
 }
 
@@ -363,7 +370,8 @@
                                AttemptOutcome outcome) {
   if (use_)
     --use_->running;
-  host_.parts_.backends.OnFinished(now, server, outcome, now - sent_at);
+  host_.parts_.backends.OnFinished(now, service_, server, outcome,
+                                   now - sent_at);
   host_.parts_.metrics.OnAttempt(
       outcome == AttemptOutcome::kCompleted   ? "completed"
       : outcome == AttemptOutcome::kCancelled ? "cancelled"
