forward: log lines of silent attempts hold the ages that decide

New lines `successor_offered` and `successor_adopted`, one for each decision (a request makes at most two offers). They, `attempt_ended`, `successor_dropped` and `request` of what was not served hold the age of the last byte and of the last event that was passed on, and what is left until the caller gives up. `attempt_ended` is written before the attempt is taken out of its server's counts: an attempt that was the only one there had `server_silent_ms=0`.

--- a/lib/forward/request_answer.cc
+++ b/lib/forward/request_answer.cc
@@ -90,6 +90,7 @@
 
 void RequestExchange::OnEvents(MonoTime now) {
   NoteAnswerBegun(now);
+  last_event_at_ = now;
   if (first_event_at_)
     return;
   first_event_at_ = now;
--- a/lib/forward/request_ending.cc
+++ b/lib/forward/request_ending.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "lib/forward/request_exchange.h"
+#include "mangoport/forward/wait_policy.h"
 
 namespace mangoport {
 namespace {
@@ -102,8 +103,8 @@
     if (connection_->request_sent())
       ++runs_;
     std::exchange(connection_, nullptr)->Cancel();
-    FinishAttempt(now, AttemptOutcome::kCancelled);
     LogAttempt(now, reason);
+    FinishAttempt(now, AttemptOutcome::kCancelled);
   }
   if (answer_begun_) {
     Break(now, reason);
@@ -173,22 +174,34 @@
 void RequestExchange::AddCircumstances(MonoTime now, LogLine& line) const {
   line.Add("stopping", host_.refuses_new_)
       .Add("config_age_ms", now - host_.config_since_);
-  if (sends_ > 0)
-    line.Add("silent_ms", now - last_byte_at_)
-        .Add("server_silent_ms", host_.parts_.backends.SilentFor(now, server_));
+  if (sends_ == 0)
+    return;
+  line.Add("server_silent_ms", host_.parts_.backends.SilentFor(now, server_));
+  AddAges(now, line);
+}
+
+MonoTime RequestExchange::CallerLeaves() const {
+  return CallerLeavesAt(deadline_, last_event_at_, route_->stall_limit);
+}
+
+void RequestExchange::AddAges(MonoTime now, LogLine& line) const {
+  line.Add("silent_ms", now - last_byte_at_)
+      .Add("event_age_ms", now - last_event_at_)
+      .Add("caller_left_ms", CallerLeaves() - now);
 }
 
 void RequestExchange::LogAttempt(MonoTime now, std::string_view end) const {
-  host_.parts_.log.Write(LogLine("attempt_ended")
-                             .Add("id", request_id_)
-                             .Add("end", end)
-                             .Add("server", server_.value())
-                             .Add("status", answer_.status)
-                             .Add("events", events_passed_)
-                             .Add("after_ms", now - sent_at_)
-                             .Add("server_silent_ms",
-                                  host_.parts_.backends.SilentFor(now, server_))
-                             .Add("left_ms", deadline_ - now));
+  LogLine line("attempt_ended");
+  line.Add("id", request_id_)
+      .Add("end", end)
+      .Add("server", server_.value())
+      .Add("status", answer_.status)
+      .Add("events", events_passed_)
+      .Add("after_ms", now - sent_at_)
+      .Add("server_silent_ms", host_.parts_.backends.SilentFor(now, server_))
+      .Add("left_ms", deadline_ - now);
+  AddAges(now, line);
+  host_.parts_.log.Write(line);
 }
 
 void RequestExchange::LogStaleAnswer(const HttpHead& head,
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -35,6 +35,7 @@
 
 void RequestExchange::Start() {
   const MonoTime now = request_.arrived;
+  last_event_at_ = now;
   if (const std::string* id =
           FindField(request_.head.fields, host_.dialect_.request_id))
     request_id_ = *id;
@@ -310,9 +311,9 @@
   const auto self = shared_from_this();
   if (connection_)
     std::exchange(connection_, nullptr)->Cancel();
-  FinishAttempt(now, OutcomeOf(end));
   last_end_ = AttemptEndName(end);
   LogAttempt(now, last_end_);
+  FinishAttempt(now, OutcomeOf(end));
   if (!ProvesNotRun(end))
     ++runs_;
   if (successor_.connection) {
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -125,6 +125,10 @@
   void DropSuccessor(MonoTime now,
                      std::string_view end,
                      AttemptOutcome outcome);
+  /// Adds which servers are concerned, and the ages that decide.
+  void AddSuccessor(MonoTime now,
+                    const Successor& successor,
+                    LogLine& line) const;
   /// Gives the silent attempt up for the successor.
   void TakeOver(MonoTime now);
   /// The successor becomes the attempt under way.
@@ -164,6 +168,11 @@
   bool MayPassOn(const HttpHead& head) const;
   HttpFields EndToEndFields(const HttpHead& head) const;
   void LogAttempt(MonoTime now, std::string_view end) const;
+  /// When the caller gives the request up if it gets no further event.
+  MonoTime CallerLeaves() const;
+  /// Adds the age of the server's last byte and of the last event that was
+  /// passed on, and what is left of the caller's patience.
+  void AddAges(MonoTime now, LogLine& line) const;
   /// Adds what tells the causes of a lost request apart.
   void AddCircumstances(MonoTime now, LogLine& line) const;
   void LogStaleAnswer(const HttpHead& head, const ServerId& server) const;
@@ -216,6 +225,8 @@
   bool done_ = false;
   std::string_view last_end_;
   std::optional<MonoTime> first_event_at_;
+  /// When the last event was passed on; the arrival before the first one.
+  MonoTime last_event_at_;
 
   TimerQueue::Ticket deadline_timer_ = TimerQueue::kNoTicket;
   TimerQueue::Ticket silence_timer_ = TimerQueue::kNoTicket;
--- a/lib/forward/request_handover.cc
+++ b/lib/forward/request_handover.cc
@@ -88,6 +88,10 @@
                 .server = *server,
                 .start = host_.parts_.backends.StartOf(*server),
                 .sent_at = now};
+  LogLine line("successor_offered");
+  AddSuccessor(now, successor_, line);
+  line.Add("server_silent_ms", host_.parts_.backends.SilentFor(now, server_));
+  host_.parts_.log.Write(line);
   handover_timer_ = host_.parts_.timers.Add(
       now + kHandoverTime, [weak = weak_from_this()](MonoTime due) {
         const auto self = weak.lock();
@@ -174,18 +178,26 @@
     ++runs_;
   dropped.connection->Cancel();
   CountEnd(now, dropped.server, dropped.sent_at, outcome);
-  host_.parts_.log.Write(LogLine("successor_dropped")
-                             .Add("id", request_id_)
-                             .Add("end", end)
-                             .Add("server", dropped.server.value())
-                             .Add("silent_server", server_.value())
-                             .Add("after_ms", now - dropped.sent_at)
-                             .Add("silent_ms", now - last_byte_at_)
-                             .Add("left_ms", deadline_ - now));
+  LogLine line("successor_dropped");
+  line.Add("end", end);
+  AddSuccessor(now, dropped, line);
+  host_.parts_.log.Write(line);
   if (!done_)
     ArmSilenceCheck(now);
 }
 
+void RequestExchange::AddSuccessor(MonoTime now,
+                                   const Successor& successor,
+                                   LogLine& line) const {
+  line.Add("id", request_id_)
+      .Add("server", successor.server.value())
+      .Add("silent_server", server_.value())
+      .Add("events", events_passed_)
+      .Add("after_ms", now - successor.sent_at)
+      .Add("left_ms", deadline_ - now);
+  AddAges(now, line);
+}
+
 void RequestExchange::TakeOver(MonoTime now) {
   EndAttempt(now, AttemptEnd::kSilent);
 }
@@ -194,6 +206,10 @@
   host_.parts_.timers.Cancel(handover_timer_);
   routing_.excluded.push_back(server_);
   Successor successor = std::exchange(successor_, {});
+  LogLine line("successor_adopted");
+  line.Add("end", last_end_);
+  AddSuccessor(now, successor, line);
+  host_.parts_.log.Write(line);
   connection_ = std::move(successor.connection);
   server_ = successor.server;
   server_start_ = successor.start;
