A silent stream is given up only for a server that has gone on with it

Cause: the attempt under way was ended at the head of another server's answer, or 350 ms after the offer whatever that server did. A successor that then broke off behind its head, began with an error or at another event, or refused late had already cost the live attempt, and the route's attempts were used up.

The successor's answer is now read beside the live attempt and held back. It takes over with its first event that goes on with the stream, or with its whole answer. The time for which both may work stays bounded by 350 ms; at its end `PrefersSuccessor` decides: a successor that has begun a fitting answer is kept; one that has not is kept only if the other server is silent on all its requests, and, for a stream that has begun, if the successor's server has been heard since. Otherwise the offer is dropped, as is one that is refused.

--- /dev/null
+++ b/include/mangoport/forward/handover_policy.h
@@ -0,0 +1,32 @@
+#ifndef MANGOPORT_FORWARD_HANDOVER_POLICY_H_
+#define MANGOPORT_FORWARD_HANDOVER_POLICY_H_
+
+#include "mangoport/core/time.h"
+
+namespace mangoport {
+
+/// Two servers work on a request for no longer than this. Longer than it takes
+/// to make a connection or to refuse a request.
+constexpr Duration kHandoverTime = std::chrono::milliseconds(350);
+
+/// What is known at the end of the time for which two servers may work.
+struct HandoverState {
+  /// The successor has begun a success that fits.
+  bool accepted = false;
+  /// The successor's server has sent this host something since the offer.
+  bool successor_heard = false;
+  /// Since the server of the attempt under way sent this host anything.
+  Duration server_silence{};
+  /// Since it sent any host anything.
+  Duration server_silence_to_all{};
+  /// Events have been passed on.
+  bool answer_begun = false;
+};
+
+/// True if the successor is kept and the attempt under way given up, false for
+/// the contrary.
+bool PrefersSuccessor(const HandoverState& state);
+
+}  // namespace mangoport
+
+#endif  // MANGOPORT_FORWARD_HANDOVER_POLICY_H_
--- a/include/mangoport/http/event_splitter.h
+++ b/include/mangoport/http/event_splitter.h
@@ -50,6 +50,11 @@
   /// incomplete event.
   void Restart(std::string_view source = {});
 
+  /// Remembers the run that `other`, a copy of this, has refused for its step.
+  void NoteRefusal(const EventSplitter& other) {
+    wide_join_ = other.wide_join_;
+  }
+
  private:
   /// False if the event does not go on with the stream.
   bool Accept(std::string_view event);
--- a/lib/forward/request_answer.cc
+++ b/lib/forward/request_answer.cc
@@ -28,22 +28,28 @@
     LogStaleAnswer(head, server_);
     return false;
   }
-  answer_.status = head.status;
-  answer_.reason = head.reason;
+  answer_ = AnswerOf(head);
   if (owner == AnswerOwner::kUnknown || !MayPassOn(head)) {
     EndAttempt(now, AttemptEnd::kBroken);
     return true;
   }
   if (head.status / 100 == 2)
     DropSuccessor(now, "overtaken", AttemptOutcome::kCancelled);
-  answer_.fields = EndToEndFields(head);
-  answer_.streaming =
-      FormOf(head, route_->kind, answer_begun_) == AnswerForm::kEvents;
-  answer_.framed = head.chunked || head.content_length || head.status == 204 ||
-                   request_.head.method == "HEAD";
   return true;
 }
 
+RequestExchange::Answer RequestExchange::AnswerOf(const HttpHead& head) const {
+  Answer out;
+  out.status = head.status;
+  out.reason = head.reason;
+  out.fields = EndToEndFields(head);
+  out.streaming =
+      FormOf(head, route_->kind, answer_begun_) == AnswerForm::kEvents;
+  out.framed = head.chunked || head.content_length || head.status == 204 ||
+               request_.head.method == "HEAD";
+  return out;
+}
+
 bool RequestExchange::MayPassOn(const HttpHead& head) const {
   if (head.status / 100 != 2)
     return true;
@@ -76,6 +82,12 @@
   }
   std::string whole;
   const std::size_t n = events_.Feed(piece, whole);
+  PassOnEvents(now, n, whole);
+}
+
+void RequestExchange::PassOnEvents(MonoTime now,
+                                   std::size_t n,
+                                   std::string_view whole) {
   if (n > 0) {
     answer_.events += n;
     events_passed_ += n;
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -213,13 +213,23 @@
                            : self->OnHead(head);
               },
           .on_body =
-              [weak](std::string_view piece) {
-                if (const auto self = weak.lock())
+              [weak, connection](std::string_view piece) {
+                const auto self = weak.lock();
+                if (!self)
+                  return;
+                if (self->IsSuccessor(connection))
+                  self->OnSuccessorBody(piece);
+                else
                   self->OnBody(piece);
               },
           .on_complete =
-              [weak] {
-                if (const auto self = weak.lock())
+              [weak, connection] {
+                const auto self = weak.lock();
+                if (!self)
+                  return;
+                if (self->IsSuccessor(connection))
+                  self->OnSuccessorComplete();
+                else
                   self->OnComplete();
               },
           .on_failed =
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -60,13 +60,19 @@
     std::size_t events = 0;
   };
 
-  /// An attempt that takes over from one whose server is silent, if its server
-  /// accepts the request.
+  /// An attempt that takes over from one whose server is silent, once it has
+  /// gone on with the answer.
   struct Successor {
     HttpConnection::Ptr connection;
     ServerId server;
     ServerStart start;
     MonoTime sent_at;
+    /// With a status once a success that fits has begun.
+    Answer answer;
+    /// The caller's stream as it would go on.
+    EventSplitter events;
+    /// What the caller gets of it at the takeover.
+    std::string held;
   };
 
   // Admission.
@@ -87,6 +93,7 @@
   HttpExchangeHooks HooksFor(const HttpConnection* connection);
   std::string BuildRequest(MonoTime now, const ServerId& server) const;
   bool OnHead(const HttpHead& head);
+  Answer AnswerOf(const HttpHead& head) const;
   void OnBody(std::string_view piece);
   void OnComplete();
   /// True if a stream that has ended in order has all that its server sent.
@@ -119,7 +126,11 @@
     return successor_.connection.get() == connection;
   }
   bool OnSuccessorHead(const HttpHead& head);
+  void OnSuccessorBody(std::string_view piece);
+  void OnSuccessorComplete();
   void OnSuccessorFailed(const HttpFailure& failure);
+  /// Two servers have worked on the request for long enough.
+  void OnHandoverTime(MonoTime now);
   /// The successor has failed; the attempt under way goes on.
   void RejectSuccessor(MonoTime now, AttemptEnd end);
   void DropSuccessor(MonoTime now,
@@ -148,6 +159,8 @@
                 const HttpFailure& failure);
 
   // Answers.
+  /// Passes on what `events_` has let through: `n` events and comments.
+  void PassOnEvents(MonoTime now, std::size_t n, std::string_view whole);
   void OnEvents(MonoTime now);
   /// Passes on whole events and comments of a stream.
   void PassOnPiece(std::string_view whole);
--- a/lib/forward/request_handover.cc
+++ b/lib/forward/request_handover.cc
@@ -1,11 +1,12 @@
 // What becomes of a request whose server is silent. It may still answer, so it
-// is given up only for a server that has taken the request.
+// is given up only for a server that has gone on with the answer.
 #include <optional>
 #include <string_view>
 #include <utility>
 
 #include "lib/forward/request_exchange.h"
 #include "mangoport/forward/answer_policy.h"
+#include "mangoport/forward/handover_policy.h"
 #include "mangoport/forward/wait_policy.h"
 
 namespace mangoport {
@@ -22,10 +23,6 @@
 constexpr Duration kStreamSilence = std::chrono::milliseconds(1400);
 constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(300);
 
-/// Two servers work on a request for no longer than this. Longer than it takes
-/// to make a connection or to refuse a request.
-constexpr Duration kHandoverTime = std::chrono::milliseconds(350);
-
 MonoTime Now() {
   return std::chrono::steady_clock::now();
 }
@@ -87,7 +84,11 @@
   successor_ = {.connection = OpenAttempt(now, *server, *address),
                 .server = *server,
                 .start = host_.parts_.backends.StartOf(*server),
-                .sent_at = now};
+                .sent_at = now,
+                .answer = {},
+                .events = events_,
+                .held = {}};
+  successor_.events.Restart(server->value());
   LogLine line("successor_offered");
   AddSuccessor(now, successor_, line);
   line.Add("server_silent_ms", host_.parts_.backends.SilentFor(now, server_));
@@ -98,7 +99,7 @@
         if (!self || !self->successor_.connection)
           return;
         self->handover_timer_ = TimerQueue::kNoTicket;
-        self->TakeOver(due);
+        self->OnHandoverTime(due);
       });
 }
 
@@ -137,8 +138,8 @@
   const bool own = owner == AnswerOwner::kThisRequest;
   const bool success = head.status / 100 == 2;
   if (own && success && MayPassOn(head)) {
-    TakeOver(now);
-    return OnHead(head);
+    successor_.answer = AnswerOf(head);
+    return true;
   }
   const AttemptEnd end =
       own && !success ? EndOf(head.status, head.fields) : AttemptEnd::kBroken;
@@ -148,6 +149,58 @@
   return true;
 }
 
+void RequestExchange::OnSuccessorBody(std::string_view piece) {
+  const MonoTime now = Now();
+  const auto self = shared_from_this();
+  host_.parts_.backends.OnActivity(now, successor_.server);
+  Answer& answer = successor_.answer;
+  if (!answer.streaming) {
+    answer.body.append(piece);
+    return;
+  }
+  answer.events += successor_.events.Feed(piece, successor_.held);
+  if (answer.events > 0)
+    TakeOver(now);
+  else if (successor_.events.out_of_order())
+    RejectSuccessor(now, AttemptEnd::kBroken);
+}
+
+void RequestExchange::OnSuccessorComplete() {
+  const MonoTime now = Now();
+  const auto self = shared_from_this();
+  const bool whole =
+      !successor_.answer.streaming ||
+      (successor_.answer.framed && !successor_.events.inside_event());
+  if (whole) {
+    TakeOver(now);
+    OnComplete();
+    return;
+  }
+  if (successor_.answer.framed) {
+    RejectSuccessor(now, AttemptEnd::kBroken);
+    return;
+  }
+  // The server closed the connection, as its process does when it ends.
+  OnSuccessorFailed({.kind = HttpFailure::Kind::kBrokenAnswer,
+                     .request_sent = true,
+                     .by_peer = true});
+}
+
+void RequestExchange::OnHandoverTime(MonoTime now) {
+  const BackendTable& backends = host_.parts_.backends;
+  const HandoverState state = {
+      .accepted = successor_.answer.status != 0,
+      .successor_heard = backends.SilentToAllFor(now, successor_.server) <
+                         now - successor_.sent_at,
+      .server_silence = backends.SilentFor(now, server_),
+      .server_silence_to_all = backends.SilentToAllFor(now, server_),
+      .answer_begun = answer_begun_};
+  if (PrefersSuccessor(state))
+    TakeOver(now);
+  else
+    RejectSuccessor(now, AttemptEnd::kSilent);
+}
+
 void RequestExchange::OnSuccessorFailed(const HttpFailure& failure) {
   const MonoTime now = Now();
   if (failure.request_sent)
@@ -159,6 +212,8 @@
 
 void RequestExchange::RejectSuccessor(MonoTime now, AttemptEnd end) {
   routing_.excluded.push_back(successor_.server);
+  if (successor_.events.out_of_order())
+    events_.NoteRefusal(successor_.events);
   successor_paid_ = !CountsAsRepeat(end);
   if (!ProvesNotRun(end))
     ++runs_;
@@ -215,10 +270,12 @@
   server_start_ = successor.start;
   sent_at_ = successor.sent_at;
   last_byte_at_ = now;
-  answer_ = Answer();
+  answer_ = std::move(successor.answer);
+  events_ = std::move(successor.events);
   reading_paused_ = false;
-  events_.Restart(server_.value());
   ArmSilenceCheck(now);
+  if (answer_.streaming)
+    PassOnEvents(now, std::exchange(answer_.events, 0), successor.held);
 }
 
 }  // namespace mangoport
