--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -35,6 +35,7 @@
 
 void RequestExchange::Start() {
   const MonoTime now = request_.arrived;
+  last_event_at_ = now;
   if (const std::string* id =
           FindField(request_.head.fields, host_.dialect_.request_id))
     request_id_ = *id;
@@ -222,13 +223,23 @@
                            : self->OnHead(head);
               },
           .on_body =
-              [weak](std::string_view piece) {
-                if (const auto self = weak.lock())
+              [weak, connection](std::string_view piece) {
+                const auto self = weak.lock();
+                if (!self)
+                  return;
+                if (self->IsSuccessor(connection))
+                  self->OnSuccessorBody(piece);
+                else
                   self->OnBody(piece);
               },
           .on_complete =
-              [weak] {
-                if (const auto self = weak.lock())
+              [weak, connection] {
+                const auto self = weak.lock();
+                if (!self)
+                  return;
+                if (self->IsSuccessor(connection))
+                  self->OnSuccessorComplete();
+                else
                   self->OnComplete();
               },
           .on_failed =
@@ -325,9 +336,9 @@
   const auto self = shared_from_this();
   if (connection_)
     std::exchange(connection_, nullptr)->Cancel();
-  FinishAttempt(now, OutcomeOf(end));
   last_end_ = AttemptEndName(end);
   LogAttempt(now, last_end_);
+  FinishAttempt(now, OutcomeOf(end));
   if (!ProvesNotRun(end))
     ++runs_;
   if (successor_.connection) {
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -60,13 +60,19 @@
     std::size_t events = 0;
   };
 
-  /// An attempt that takes over from one whose server is silent, if its server
-  /// accepts the request.
+  /// An attempt that takes over from one whose server is silent, once it has
+  /// gone on with the answer.
   struct Successor {
     HttpConnection::Ptr connection;
     ServerId server;
     ServerStart start;
     MonoTime sent_at;
+    /// With a status once a success that fits has begun.
+    Answer answer;
+    /// The caller's stream as it would go on.
+    EventSplitter events;
+    /// What the caller gets of it at the takeover.
+    std::string held;
   };
 
   // Admission.
@@ -90,6 +96,7 @@
   HttpExchangeHooks HooksFor(const HttpConnection* connection);
   std::string BuildRequest(MonoTime now, const ServerId& server) const;
   bool OnHead(const HttpHead& head);
+  Answer AnswerOf(const HttpHead& head) const;
   void OnBody(std::string_view piece);
   void OnComplete();
   /// True if a stream that has ended in order has all that its server sent.
@@ -122,12 +129,20 @@
     return successor_.connection.get() == connection;
   }
   bool OnSuccessorHead(const HttpHead& head);
+  void OnSuccessorBody(std::string_view piece);
+  void OnSuccessorComplete();
   void OnSuccessorFailed(const HttpFailure& failure);
+  /// Two servers have worked on the request for long enough.
+  void OnHandoverTime(MonoTime now);
   /// The successor has failed; the attempt under way goes on.
   void RejectSuccessor(MonoTime now, AttemptEnd end);
   void DropSuccessor(MonoTime now,
                      std::string_view end,
                      AttemptOutcome outcome);
+  /// Adds which servers are concerned, and the ages that decide.
+  void AddSuccessor(MonoTime now,
+                    const Successor& successor,
+                    LogLine& line) const;
   /// Gives the silent attempt up for the successor.
   void TakeOver(MonoTime now);
   /// The successor becomes the attempt under way.
@@ -147,6 +162,8 @@
                 const HttpFailure& failure);
 
   // Answers.
+  /// Passes on what `events_` has let through: `n` events and comments.
+  void PassOnEvents(MonoTime now, std::size_t n, std::string_view whole);
   void OnEvents(MonoTime now);
   /// Passes on whole events and comments of a stream.
   void PassOnPiece(std::string_view whole);
@@ -169,6 +186,11 @@
   bool MayPassOn(const HttpHead& head) const;
   HttpFields EndToEndFields(const HttpHead& head) const;
   void LogAttempt(MonoTime now, std::string_view end) const;
+  /// When the caller gives the request up if it gets no further event.
+  MonoTime CallerLeaves() const;
+  /// Adds the age of the server's last byte and of the last event that was
+  /// passed on, and what is left of the caller's patience.
+  void AddAges(MonoTime now, LogLine& line) const;
   /// Adds what tells the causes of a lost request apart.
   void AddCircumstances(MonoTime now, LogLine& line) const;
   void LogStaleAnswer(const HttpHead& head, const ServerId& server) const;
@@ -221,6 +243,8 @@
   bool done_ = false;
   std::string_view last_end_;
   std::optional<MonoTime> first_event_at_;
+  /// When the last event was passed on; the arrival before the first one.
+  MonoTime last_event_at_;
 
   TimerQueue::Ticket deadline_timer_ = TimerQueue::kNoTicket;
   TimerQueue::Ticket silence_timer_ = TimerQueue::kNoTicket;
--- a/lib/forward/request_handover.cc
+++ b/lib/forward/request_handover.cc
@@ -1,11 +1,12 @@
 // What becomes of a request whose server is silent. It may still answer, so it
-// is given up only for a server that has taken the request.
+// is given up only for a server that has gone on with the answer.
 #include <optional>
 #include <string_view>
 #include <utility>
 
 #include "lib/forward/request_exchange.h"
 #include "mangoport/forward/answer_policy.h"
+#include "mangoport/forward/handover_policy.h"
 #include "mangoport/forward/wait_policy.h"
 
 namespace mangoport {
@@ -22,10 +23,6 @@
 constexpr Duration kStreamSilence = std::chrono::milliseconds(1400);
 constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(300);
 
-/// Two servers work on a request for no longer than this. Longer than it takes
-/// to make a connection or to refuse a request.
-constexpr Duration kHandoverTime = std::chrono::milliseconds(350);
-
 MonoTime Now() {
   return std::chrono::steady_clock::now();
 }
@@ -87,14 +84,22 @@
   successor_ = {.connection = OpenAttempt(now, *server, *address),
                 .server = *server,
                 .start = host_.parts_.backends.StartOf(*server),
-                .sent_at = now};
+                .sent_at = now,
+                .answer = {},
+                .events = events_,
+                .held = {}};
+  successor_.events.Restart(server->value());
+  LogLine line("successor_offered");
+  AddSuccessor(now, successor_, line);
+  line.Add("server_silent_ms", host_.parts_.backends.SilentFor(now, server_));
+  host_.parts_.log.Write(line);
   handover_timer_ = host_.parts_.timers.Add(
       now + kHandoverTime, [weak = weak_from_this()](MonoTime due) {
         const auto self = weak.lock();
         if (!self || !self->successor_.connection)
           return;
         self->handover_timer_ = TimerQueue::kNoTicket;
-        self->TakeOver(due);
+        self->OnHandoverTime(due);
       });
 }
 
@@ -133,8 +138,8 @@
   const bool own = owner == AnswerOwner::kThisRequest;
   const bool success = head.status / 100 == 2;
   if (own && success && MayPassOn(head)) {
-    TakeOver(now);
-    return OnHead(head);
+    successor_.answer = AnswerOf(head);
+    return true;
   }
   const AttemptEnd end =
       own && !success ? EndOf(head.status, head.fields) : AttemptEnd::kBroken;
@@ -144,6 +149,58 @@
   return true;
 }
 
+void RequestExchange::OnSuccessorBody(std::string_view piece) {
+  const MonoTime now = Now();
+  const auto self = shared_from_this();
+  host_.parts_.backends.OnActivity(now, successor_.server);
+  Answer& answer = successor_.answer;
+  if (!answer.streaming) {
+    answer.body.append(piece);
+    return;
+  }
+  answer.events += successor_.events.Feed(piece, successor_.held);
+  if (answer.events > 0)
+    TakeOver(now);
+  else if (successor_.events.out_of_order())
+    RejectSuccessor(now, AttemptEnd::kBroken);
+}
+
+void RequestExchange::OnSuccessorComplete() {
+  const MonoTime now = Now();
+  const auto self = shared_from_this();
+  const bool whole =
+      !successor_.answer.streaming ||
+      (successor_.answer.framed && !successor_.events.inside_event());
+  if (whole) {
+    TakeOver(now);
+    OnComplete();
+    return;
+  }
+  if (successor_.answer.framed) {
+    RejectSuccessor(now, AttemptEnd::kBroken);
+    return;
+  }
+  // The server closed the connection, as its process does when it ends.
+  OnSuccessorFailed({.kind = HttpFailure::Kind::kBrokenAnswer,
+                     .request_sent = true,
+                     .by_peer = true});
+}
+
+void RequestExchange::OnHandoverTime(MonoTime now) {
+  const BackendTable& backends = host_.parts_.backends;
+  const HandoverState state = {
+      .accepted = successor_.answer.status != 0,
+      .successor_heard = backends.SilentToAllFor(now, successor_.server) <
+                         now - successor_.sent_at,
+      .server_silence = backends.SilentFor(now, server_),
+      .server_silence_to_all = backends.SilentToAllFor(now, server_),
+      .answer_begun = answer_begun_};
+  if (PrefersSuccessor(state))
+    TakeOver(now);
+  else
+    RejectSuccessor(now, AttemptEnd::kSilent);
+}
+
 void RequestExchange::OnSuccessorFailed(const HttpFailure& failure) {
   const MonoTime now = Now();
   if (failure.request_sent)
@@ -155,6 +212,8 @@
 
 void RequestExchange::RejectSuccessor(MonoTime now, AttemptEnd end) {
   routing_.excluded.push_back(successor_.server);
+  if (successor_.events.out_of_order())
+    events_.NoteRefusal(successor_.events);
   successor_paid_ = !CountsAsRepeat(end);
   if (!ProvesNotRun(end))
     ++runs_;
@@ -174,18 +233,26 @@
     ++runs_;
   dropped.connection->Cancel();
   CountEnd(now, dropped.server, dropped.sent_at, outcome);
-  host_.parts_.log.Write(LogLine("successor_dropped")
-                             .Add("id", request_id_)
-                             .Add("end", end)
-                             .Add("server", dropped.server.value())
-                             .Add("silent_server", server_.value())
-                             .Add("after_ms", now - dropped.sent_at)
-                             .Add("silent_ms", now - last_byte_at_)
-                             .Add("left_ms", deadline_ - now));
+  LogLine line("successor_dropped");
+  line.Add("end", end);
+  AddSuccessor(now, dropped, line);
+  host_.parts_.log.Write(line);
   if (!done_)
     ArmSilenceCheck(now);
 }
 
+void RequestExchange::AddSuccessor(MonoTime now,
+                                   const Successor& successor,
+                                   LogLine& line) const {
+  line.Add("id", request_id_)
+      .Add("server", successor.server.value())
+      .Add("silent_server", server_.value())
+      .Add("events", events_passed_)
+      .Add("after_ms", now - successor.sent_at)
+      .Add("left_ms", deadline_ - now);
+  AddAges(now, line);
+}
+
 void RequestExchange::TakeOver(MonoTime now) {
   EndAttempt(now, AttemptEnd::kSilent);
 }
@@ -194,15 +261,21 @@
   host_.parts_.timers.Cancel(handover_timer_);
   routing_.excluded.push_back(server_);
   Successor successor = std::exchange(successor_, {});
+  LogLine line("successor_adopted");
+  line.Add("end", last_end_);
+  AddSuccessor(now, successor, line);
+  host_.parts_.log.Write(line);
   connection_ = std::move(successor.connection);
   server_ = successor.server;
   server_start_ = successor.start;
   sent_at_ = successor.sent_at;
   last_byte_at_ = now;
-  answer_ = Answer();
+  answer_ = std::move(successor.answer);
+  events_ = std::move(successor.events);
   reading_paused_ = false;
-  events_.Restart(server_.value());
   ArmSilenceCheck(now);
+  if (answer_.streaming)
+    PassOnEvents(now, std::exchange(answer_.events, 0), successor.held);
 }
 
 }  // namespace mangoport
