--- a/unittests/process/stop_test.cc
+++ b/unittests/process/stop_test.cc
@@ -176,11 +176,11 @@
   it.List(slow, "ready");
   RequireLogged(it, "server=i-b change=removed");
   RequireLogged(it, "server=i-slow change=added");
-  const Connection half(it.callers_);
+  const RawConnection half(it.callers_);
   half.Send(kRequest.substr(0, 30));
-  const Connection slow_body(it.callers_);
+  const RawConnection slow_body(it.callers_);
   slow_body.Send(std::string(kPost) + "bo");
-  const Connection pipelined(it.callers_);
+  const RawConnection pipelined(it.callers_);
   pipelined.Send(std::string(kPost) + "body" + std::string(kRequest));
   cr_assert(
       EdgeFixture::Within(seconds(1), [&] { return !slow.seen().empty(); }));
@@ -192,7 +192,7 @@
   RequireRefused(slow_body.Receive());
   // The end of the answers is after 3.67 s.
   for (int i = 0; i < 14; ++i) {
-    const Connection late(it.callers_);
+    const RawConnection late(it.callers_);
     late.Send(kRequest);
     RequireRefused(late.Receive());
     std::this_thread::sleep_for(milliseconds(100));
