A host whose configuration was never confirmed denies no route

Seen: a host that starts just after a restore of the store answers 404 for a route that the store has lost and that is written again a moment later (DENIED, CONFIG).

Cause: the first configuration that it read was taken for the one in force. Keys were refused with 503 meanwhile, but the route is looked up first.

Evidence, `restored_keys_test` without the change:

restored_keys_test.cc:75: Within(1500 ms, 404 for "/lost/x") holds [FAIL] host_that_starts_after_a_restore_does_not_deny_a_lost_route (3.26s) Tested: 4 | Passing: 3 | Failing: 1

Why this works: until the first proof the host answers 503, as it does without a configuration; it is not ready then either.

--- a/lib/forward/request_admission.cc
+++ b/lib/forward/request_admission.cc
@@ -97,6 +97,11 @@
     Refuse(now, {.status = 503, .reason = "no_configuration"});
     return false;
   }
+  // What has never been confirmed may lack routes that a restored store lost.
+  if (!host_.parts_.key_evidence.Age(BootClock::now())) {
+    Refuse(now, {.status = 503, .reason = "configuration_unconfirmed"});
+    return false;
+  }
   const HttpFields& fields = request_.head.fields;
   const std::string_view target = request_.head.target;
   route_ = config_->FindRoute(FieldText(fields, "host"),
--- a/unittests/process/restored_keys_test.cc
+++ b/unittests/process/restored_keys_test.cc
@@ -33,6 +33,14 @@
                              [&] { return StatusOf(it, key) == status; });
 }
 
+/// Ends the host and starts it anew.
+void Restart(EdgeFixture& it) {
+  it.process_.reset();
+  const std::vector<std::string> command{MANGOPORT_EDGE_BINARY, "--settings",
+                                         it.settings_};
+  it.process_ = std::make_unique<Process>(command, it.settings_ + ".log");
+}
+
 Test(restored_keys,
      host_that_starts_after_a_restore_does_not_take_a_withdrawn_key,
      .timeout = 60) {
@@ -42,11 +50,8 @@
   it.store_.TakeBackup();
   Publish(it, 3, R"("k1")");
   cr_assert(StatusBecomes(it, "k2", 401));
-  it.process_.reset();
   it.store_.Restore();
-  const std::vector<std::string> command{MANGOPORT_EDGE_BINARY, "--settings",
-                                         it.settings_};
-  it.process_ = std::make_unique<Process>(command, it.settings_ + ".log");
+  Restart(it);
   // The operator writes the lost version again within two seconds.
   cr_assert_not(EdgeFixture::Within(milliseconds(1500),
                                     [&] { return StatusOf(it, "k2") == 200; }));
@@ -55,6 +60,22 @@
   cr_assert_eq(StatusOf(it, "k2"), 401);
 }
 
+Test(restored_keys,
+     host_that_starts_after_a_restore_does_not_deny_a_lost_route,
+     .timeout = 60) {
+  EdgeFixture it;
+  it.store_.TakeBackup();
+  it.store_.Restore();
+  Restart(it);
+  // Any route may be a lost one that the operator will write again.
+  const auto denied = [&it] {
+    const auto reply = it.Ask("/lost/x");
+    return reply && reply->status == 404;
+  };
+  cr_assert_not(EdgeFixture::Within(milliseconds(1500), denied));
+  cr_assert(EdgeFixture::Within(seconds(4), denied));
+}
+
 Test(restored_keys,
      read_just_after_a_restore_does_not_prove_a_key,
      .timeout = 60) {
