A host announces itself again after the store has lost that

Seen: hosts that were added shortly before a restore are missing in the store's list of hosts for good; a host that starts later does not learn of them from it.

Cause: a host announced itself once in its run.

Evidence, `restored_hosts_test` on the code before:

[FAIL] restored_hosts::each_of_several_restores_is_noticed: (10.65s) [FAIL] restored_hosts::host_announces_itself_again: (7.26s) Tested: 2 | Passing: 0 | Failing: 2

Why this works: each read of the list that lacks this host makes it announce itself again, whatever the reason, and a later timeline of the store brings the next read forward, by a random part of 10 ms for each listed host: some 100 reads a second, and writes only from hosts that are missing. A shorter list forgets nobody and lowers no count: peers that are heard count, and the list counts once, at the start.

--- a/include/mangoport/edge/feed_service.h
+++ b/include/mangoport/edge/feed_service.h
@@ -29,6 +29,9 @@
   Duration config_patience = std::chrono::milliseconds(1500);
   Duration servers_patience = std::chrono::milliseconds(1500);
   Duration hosts_interval = std::chrono::seconds(30);
+  /// After a restore of the store, the hosts read their list anew, spread over
+  /// this time for each host of it.
+  Duration hosts_spread = std::chrono::milliseconds(10);
   /// The delay after a failed call doubles from the first to the longest.
   Duration first_backoff = std::chrono::milliseconds(150);
   Duration longest_backoff = std::chrono::milliseconds(800);
@@ -98,6 +101,10 @@
     return server_feed_.position().value_or(0);
   }
 
+  /// Reads the list of hosts soon if the store is of a later timeline: this
+  /// host's announcement may be lost.
+  void CheckAnnouncement(StoreTimeline timeline);
+
   /// Processes what another host, `peer`, has read.
   void OnPeerUpdates(MonoTime now,
                      const HostId& peer,
@@ -138,6 +145,10 @@
   void ExpireServers(MonoTime now);
   void Announce();
   void ReadHosts();
+  void OnHosts(const CallReply<std::vector<HostAddress>>& reply);
+  bool IsListed(const std::vector<HostAddress>& hosts) const;
+  /// Draws a delay, so that the hosts do not all read their list at once.
+  Duration DrawHostsDelay();
   /// Runs the step after `wait`; replaces the feed's pending step.
   void StepAfter(Feed& feed, Duration wait, Step step);
   /// Returns the delay before the next call; logs the first of several
@@ -161,6 +172,10 @@
   std::uint64_t config_changed_at_ = 0;
   FeedTracker config_track_;
   ServerFeed server_feed_;
+  /// The highest timeline of the store known; the list of hosts has
+  /// `listed_hosts_` entries.
+  std::optional<StoreTimeline> hosts_timeline_;
+  std::size_t listed_hosts_ = 1;
   TimerQueue::Ticket expiry_timer_ = TimerQueue::kNoTicket;
   bool stopped_ = false;
   std::mt19937_64 random_;
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -212,6 +212,7 @@
     return;
   orders_.OnStoreTimeline(timeline, known_since);
   key_evidence_.OnTimeline(timeline, known_since);
+  feeds_.CheckAnnouncement(timeline);
 }
 
 void EdgeHost::Run() {
