--- a/include/mangoport/edge/feed_service.h
+++ b/include/mangoport/edge/feed_service.h
@@ -33,6 +33,9 @@
   /// random times within this time.
   Duration restart_spread = std::chrono::milliseconds(400);
   Duration hosts_interval = std::chrono::seconds(30);
+  /// After a restore of the store, the hosts read their list anew, spread over
+  /// this time for each host of it.
+  Duration hosts_spread = std::chrono::milliseconds(10);
   /// The delay after a failed call doubles from the first to the longest.
   Duration first_backoff = std::chrono::milliseconds(150);
   Duration longest_backoff = std::chrono::milliseconds(800);
@@ -106,6 +109,9 @@
   /// Processes a timeline of the store that an answer of the store or another
   /// host named. If it is a later one, both feeds are read anew.
   void OnStoreTimeline(StoreTimeline timeline, TimelineSource source);
+  /// Reads the list of hosts soon if the store is of a later timeline: this
+  /// host's announcement may be lost.
+  void CheckAnnouncement(StoreTimeline timeline);
 
   /// Processes what another host, `peer`, has read.
   void OnPeerUpdates(MonoTime now,
@@ -148,6 +154,10 @@
   void ExpireServers(MonoTime now);
   void Announce();
   void ReadHosts();
+  void OnHosts(const CallReply<std::vector<HostAddress>>& reply);
+  bool IsListed(const std::vector<HostAddress>& hosts) const;
+  /// Draws a delay, so that the hosts do not all read their list at once.
+  Duration DrawHostsDelay();
   /// Runs the step after `wait`; replaces the feed's pending step.
   void StepAfter(Feed& feed, Duration wait, Step step);
   /// Returns the delay before the next call; logs the first of several
@@ -177,6 +187,10 @@
   std::mt19937_64 random_;
   ConfigFeed config_feed_;
   ServerFeed server_feed_;
+  /// The highest timeline of the store known; the list of hosts has
+  /// `listed_hosts_` entries.
+  std::optional<StoreTimeline> hosts_timeline_;
+  std::size_t listed_hosts_ = 1;
   TimerQueue::Ticket expiry_timer_ = TimerQueue::kNoTicket;
   bool stopped_ = false;
 };
