A key that is withdrawn while its request waits is not used any more

Seen: a request that waits for a copy is sent to a server with its account's name after its key has been taken away, as late as its deadline.

Cause: the key was looked up when the request arrived; the send after the wait checked the age of the evidence only, against the configuration of the arrival.

Evidence, on the code before:

HTTP/1.1 200 Answer [FAIL] changes_beside_requests::a_key_that_is_withdrawn_while_its_request_waits

A request whose key the newest configuration no longer has is refused with 401 before a send, also before a second attempt, and requests that wait are looked at when a configuration comes. What is at work goes on. A key that went to another account goes on as before. Offers to a server that is to take over from a silent one are not checked (request_handover).

--- a/lib/forward/forwarder.cc
+++ b/lib/forward/forwarder.cc
@@ -39,6 +39,8 @@
                       .burst_tokens = it.burst});
   parts_.quota.SetLimits(now, limits);
   parts_.metrics.SetConfigVersion(config_->version());
+  // What waits may have lost its key.
+  WakeAllWaiting();
 }
 
 RetryBudgetSettings Forwarder::BudgetSettingsFor(std::size_t hosts) const {
--- a/lib/forward/request_admission.cc
+++ b/lib/forward/request_admission.cc
@@ -124,15 +124,27 @@
     Refuse(now, {.status = 503, .reason = "key_evidence_old"});
     return false;
   }
-  const std::string* value = FindField(request_.head.fields, "authorization");
-  if (value && value->starts_with(kBearer))
-    account_ = config_->FindAccountByKey(value->substr(kBearer.size()));
+  account_ = AccountOfKey(*config_);
   if (account_)
     return true;
   Refuse(now, {.status = 401, .reason = "unknown_key"});
   return false;
 }
 
+const AccountSpec* RequestExchange::AccountOfKey(
+    const FleetConfigView& config) const {
+  const std::string* value = FindField(request_.head.fields, "authorization");
+  if (!value || !value->starts_with(kBearer))
+    return nullptr;
+  return config.FindAccountByKey(value->substr(kBearer.size()));
+}
+
+bool RequestExchange::KeyIsWithdrawn() const {
+  const FleetConfigPtr& newest = host_.config_;
+  return account_ && newest != config_ && !newest->config().accounts.empty() &&
+         !AccountOfKey(*newest);
+}
+
 const ServiceId& RequestExchange::PickTarget() {
   assert(!route_->targets.empty() && "parsed routes have a target");
   std::uint64_t total = 0;
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -58,6 +58,10 @@
     OnDeadline(now);
     return;
   }
+  if (KeyIsWithdrawn()) {
+    Refuse(now, {.status = 401, .reason = "key_withdrawn"});
+    return;
+  }
   if (host_.crash_suspects_.IsQuarantined(now, fingerprint_)) {
     Refuse(now, {.status = 503,
                  .reason = "quarantined",
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -72,6 +72,11 @@
   // Admission.
   bool Admit(MonoTime now);
   bool AdmitKey(MonoTime now);
+  /// The account of the caller's key by `config`, or null.
+  const AccountSpec* AccountOfKey(const FleetConfigView& config) const;
+  /// True if the newest configuration no longer has the caller's key. What is
+  /// at work goes on, but nothing more is sent.
+  bool KeyIsWithdrawn() const;
   bool AdmitQuota(MonoTime now);
   void ParseRouting();
   const ServiceId& PickTarget();
--- a/unittests/process/config_changes_test.cc
+++ b/unittests/process/config_changes_test.cc
@@ -114,22 +114,6 @@
       Check(name, Stages()[i], answers[i].get());
   }
 
-  /// True if a change has been applied since the log had `from` bytes.
-  bool HasApplied(std::size_t from) const {
-    const std::string log = it_.Log();
-    return log.find("config_applied", from) != std::string::npos ||
-           log.find("server_list", from) != std::string::npos;
-  }
-
-  bool Logged(const std::string& text) const {
-    return it_.Log().find(text) != std::string::npos;
-  }
-
-  EdgeFixture it_;
-  ScriptedBackend x_;
-  ScriptedBackend y_;
-
- private:
   std::string Ask(const Stage& stage) {
     std::string request = "POST " + stage.path +
                           " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id1\r\n"
@@ -146,6 +130,22 @@
     return connection.ReceiveAll();
   }
 
+  /// True if a change has been applied since the log had `from` bytes.
+  bool HasApplied(std::size_t from) const {
+    const std::string log = it_.Log();
+    return log.find("config_applied", from) != std::string::npos ||
+           log.find("server_list", from) != std::string::npos;
+  }
+
+  bool Logged(const std::string& text) const {
+    return it_.Log().find(text) != std::string::npos;
+  }
+
+  EdgeFixture it_;
+  ScriptedBackend x_;
+  ScriptedBackend y_;
+
+ private:
   static void Check(const std::string& change,
                     const Stage& stage,
                     const std::string& answer) {
@@ -159,7 +159,7 @@
     const std::size_t body = answer.find("\r\n\r\n");
     if (!answer.starts_with("HTTP/1.1 ") || body == std::string::npos)
       return false;
-    const std::string_view kLength = "Content-Length: ";
+    constexpr std::string_view kLength = "Content-Length: ";
     const std::size_t at = answer.find(kLength);
     if (at == std::string::npos || at > body)
       return answer.ends_with("0\r\n\r\n");
@@ -236,6 +236,12 @@
   };
 }
 
+/// A server's entry with the model that no server holds at first.
+std::string WithModel(const std::string& entry) {
+  return Replaced(entry, R"("Seq":1)",
+                  R"("Seq":2,"Models":[{"Name":"m1","Version":1}])");
+}
+
 // NOLINTBEGIN: Criterion's macros
 Test(changes_beside_requests, of_the_configuration, .timeout = 120) {
   for (const ConfigChange& it : ConfigChanges()) {
@@ -246,6 +252,26 @@
   }
 }
 
+// The request was sent once its copy was there, with the key that was gone.
+Test(changes_beside_requests,
+     a_key_that_is_withdrawn_while_its_request_waits,
+     .timeout = 60) {
+  Day day;
+  const Stage waits{
+      .name = "", .path = "/stream/wait", .more = "X-Model: m1\r\n"};
+  std::future<std::string> answer =
+      std::async(std::launch::async, [&] { return day.Ask(waits); });
+  std::this_thread::sleep_for(milliseconds(250));
+  day.it_.store_.Put("keyed.op", "config",
+                     Replaced(Day::BaseConfig(3), R"("k1")", R"("k2")"));
+  cr_assert(EdgeFixture::Within(
+      seconds(2), [&] { return day.Logged("config_applied version=3"); }));
+  day.ListServers(WithModel(day.x_.Entry("s", "ready")),
+                  WithModel(day.y_.Entry("s", "ready")));
+  const std::string text = answer.get();
+  cr_assert(text.starts_with("HTTP/1.1 401"), "%s", text.c_str());
+}
+
 Test(changes_beside_requests, in_quick_succession, .timeout = 60) {
   Day day;
   day.Run("all", [](Day& on) {
@@ -260,14 +286,9 @@
 }
 
 Test(changes_beside_requests, of_the_servers, .timeout = 120) {
-  const std::string x = "i-x";
   const auto born = [](const std::string& entry) {
     return Replaced(entry, R"("born":1)", R"("born":2)");
   };
-  const auto models = [](const std::string& entry) {
-    return Replaced(entry, R"("Seq":1)",
-                    R"("Seq":2,"Models":[{"Name":"m1","Version":1}])");
-  };
   using Change = std::function<void(Day&)>;
   const std::vector<std::pair<std::string, Change>> changes = {
       {"service",
@@ -284,9 +305,9 @@
                         born(on.y_.Entry("s", "ready")));
        }},
       {"models",
-       [&models](Day& on) {
-         on.ListServers(models(on.x_.Entry("s", "ready")),
-                        models(on.y_.Entry("s", "ready")));
+       [](Day& on) {
+         on.ListServers(WithModel(on.x_.Entry("s", "ready")),
+                        WithModel(on.y_.Entry("s", "ready")));
        }},
       {"drain",
        [](Day& on) {
