--- a/unittests/support/full_listener.h
+++ b/unittests/support/full_listener.h
@@ -30,7 +30,7 @@
     constexpr int kMoreThanFit = 4;
     for (int i = 0; i < kMoreThanFit; ++i) {
       open_.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-      ::connect(open_.back(), raw, length);
+      static_cast<void>(::connect(open_.back(), raw, length));
     }
   }
   ~FullListener() {
