A body that keeps arriving is not idle

Seen: a request whose body takes longer than the idle time is refused with 408 while its bytes keep coming, the sooner the shorter a new configuration makes that time.

Cause: the timer was set when the head was complete and not again.

Evidence, on the code before:

refused as idle [FAIL] client_session_close::a_body_that_keeps_arriving_is_not_idle

Each piece of a body now starts the idle time anew; the head still has one time for all of it.

--- a/lib/forward/client_session.cc
+++ b/lib/forward/client_session.cc
@@ -141,7 +141,6 @@
 
 void ClientSession::ParseNext() {
   const bool had_started = parser_.started();
-  const bool had_head = parser_.head_complete();
   const std::size_t used = parser_.Feed(ahead_, body_);
   ahead_.erase(0, used);
   if (parser_.error() == HttpParseError::kHeadTooLarge) {
@@ -169,7 +168,8 @@
       continue_sent_ = true;
       stream_->Send(kContinueAnswer);
     }
-    if (parser_.started() != had_started || parser_.head_complete() != had_head)
+    // A head has one time for all of it, a body for each piece.
+    if (parser_.started() != had_started || parser_.head_complete())
       ArmTimer(Now());
     return;
   }
--- a/unittests/forward/client_session_close_test.cc
+++ b/unittests/forward/client_session_close_test.cc
@@ -212,6 +212,19 @@
   cr_assert(call.RunUntilRequest(1), "the connection was closed as idle");
 }
 
+// A body that arrived for longer than the idle time was refused with 408 while
+// its bytes kept coming.
+Test(client_session_close, a_body_that_keeps_arriving_is_not_idle) {
+  Call call(ShortIdle());
+  call.Send(
+      "POST /a/ HTTP/1.1\r\nHost: a.example\r\nContent-Length: 6\r\n\r\n");
+  for (int i = 0; i < 6; ++i) {
+    call.Run(milliseconds(300));
+    call.Send("a");
+  }
+  cr_assert(call.RunUntilRequest(1), "refused as idle");
+}
+
 // Callers keep connections for as long as the newest configuration allows.
 Test(client_session_close, a_kept_connection_follows_a_longer_idle_time) {
   Call call(ShortIdle());
