--- a/unittests/support/scripted_fleet.h
+++ b/unittests/support/scripted_fleet.h
@@ -67,15 +67,14 @@
     return out;
   }
 
-  /// True if the host has closed a connection behind a request for `target`.
-  bool HasGivenUp(const std::string& target) const {
+  /// How many connections the host has closed behind a request for `target`.
+  std::size_t GivenUp(const std::string& target) const {
+    std::size_t n = 0;
     for (const ScriptedBackend* server : {&x_, &y_}) {
-      for (const SeenRequest& it : server->given_up()) {
-        if (it.target == target)
-          return true;
-      }
+      for (const SeenRequest& it : server->given_up())
+        n += it.target == target ? 1 : 0;
     }
-    return false;
+    return n;
   }
 
   EdgeFixture& host() { return it_; }
