A silent stream goes on elsewhere before its caller leaves

Callers of streams leave after two seconds without an event; some had no event until then although another server could have gone on: the offer to it came after 1,400 ms of silence, at the next check (each 300 ms), and had 350 ms, which is 2,050 ms.

Evidence: silent_streams_test/go_on_elsewhere_before_their_callers_leave, three runs on the code before:

2083 ms without an event 2081 ms without an event 2078 ms without an event

The same run passes three times with the fix.

`OfferDueAt` derives the moment from when the caller leaves (its last event, or its arrival, plus the pause that it bears) and from the time that two offers take, so that one that is refused can be followed by another. Judged by both outcomes: if the silence ends by itself, the server under way keeps the stream, as an offer costs it nothing until the successor has begun; to bound the work done twice, a stream is not offered for its own silence within the second for which a sound server may be so. If it doesn't end, the caller has its next event in time. Patient callers' streams are offered after 1,400 ms as before. A timer for that moment replaces the check each 300 ms. Streams without a first event are judged by their arrival.

The caller's patience now counts from the last event passed on. After a takeover it counted from the takeover, so that servers were chosen by time that the caller did not have.

--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -67,9 +67,7 @@
   }
   if (!AdmitParts(now))
     return;
-  routing_.deadline = CallerLeavesAt(
-      deadline_, answer_begun_ ? last_byte_at_ : request_.arrived,
-      route_->stall_limit);
+  routing_.deadline = CallerLeaves();
   RouteChoice choice = host_.parts_.backends.Choose(now, service_, routing_);
   if (!choice.server && !routing_.excluded.empty() && runs_ > 0) {
     // Better the same server again than none.
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -10,6 +10,7 @@
 
 #include "mangoport/forward/attempt_policy.h"
 #include "mangoport/forward/forwarder.h"
+#include "mangoport/forward/handover_policy.h"
 #include "mangoport/http/event_splitter.h"
 
 namespace mangoport {
@@ -116,7 +117,7 @@
   // Silent servers.
   void ArmSilenceCheck(MonoTime now);
   void CheckSilence(MonoTime now);
-  bool IsSilent(MonoTime now) const;
+  AttemptSilence SilenceOfAttempt(MonoTime now) const;
   /// Offers the request to another server, while the attempt under way goes on.
   void OfferToSuccessor(MonoTime now);
   /// A server other than `server_` that may take the request over, or that one
--- a/lib/forward/request_handover.cc
+++ b/lib/forward/request_handover.cc
@@ -1,5 +1,6 @@
 // What becomes of a request whose server is silent. It may still answer, so it
 // is given up only for a server that has gone on with the answer.
+#include <algorithm>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -7,21 +8,12 @@
 #include "lib/forward/request_exchange.h"
 #include "mangoport/forward/answer_policy.h"
 #include "mangoport/forward/handover_policy.h"
-#include "mangoport/forward/wait_policy.h"
 
 namespace mangoport {
 namespace {
 
-/// A server that has work and sends no host anything for so long is taken for
-/// dead, as far as a request may run elsewhere.
-constexpr Duration kServerSilence = std::chrono::milliseconds(700);
-/// The same for a server that other hosts hear, if it sends this one nothing:
-/// the way to it may be cut.
-constexpr Duration kPathSilence = std::chrono::milliseconds(1400);
-/// A stream without an event for so long goes on elsewhere even if its server
-/// answers others.
-constexpr Duration kStreamSilence = std::chrono::milliseconds(1400);
-constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(300);
+/// Until a server is looked for again if none could take the request.
+constexpr Duration kOfferInterval = std::chrono::milliseconds(300);
 
 MonoTime Now() {
   return std::chrono::steady_clock::now();
@@ -31,40 +23,44 @@
 
 void RequestExchange::ArmSilenceCheck(MonoTime now) {
   host_.parts_.timers.Cancel(silence_timer_);
-  silence_timer_ = host_.parts_.timers.Add(
-      now + kSilenceCheckInterval, [weak = weak_from_this()](MonoTime due) {
+  const MonoTime due =
+      std::max(OfferDueAt(now, SilenceOfAttempt(now)), next_offer_at_);
+  silence_timer_ =
+      host_.parts_.timers.Add(due, [weak = weak_from_this()](MonoTime at) {
         const auto self = weak.lock();
         if (!self || self->done_)
           return;
         self->silence_timer_ = TimerQueue::kNoTicket;
-        self->CheckSilence(due);
+        self->CheckSilence(at);
       });
 }
 
 void RequestExchange::CheckSilence(MonoTime now) {
   if (!connection_ || successor_.connection)
     return;
-  if (IsSilent(now))
+  if (reading_paused_) {
+    next_offer_at_ = now + kOfferInterval;
+  } else if (OfferDueAt(now, SilenceOfAttempt(now)) <= now) {
+    next_offer_at_ = now + kOfferInterval;
     OfferToSuccessor(now);
+  }
   if (!successor_.connection)
     ArmSilenceCheck(now);
 }
 
-bool RequestExchange::IsSilent(MonoTime now) const {
-  if (reading_paused_)
-    return false;
-  const Duration silence = now - last_byte_at_;
+AttemptSilence RequestExchange::SilenceOfAttempt(MonoTime now) const {
   const BackendTable& backends = host_.parts_.backends;
-  const bool to_all = silence > kServerSilence &&
-                      backends.SilentToAllFor(now, server_) > kServerSilence;
-  const bool to_this_host =
-      silence > kPathSilence && backends.SilentFor(now, server_) > kPathSilence;
-  return to_all || to_this_host || (answer_begun_ && silence > kStreamSilence);
+  AttemptSilence out;
+  out.last_byte_at = last_byte_at_;
+  out.server_silence = backends.SilentFor(now, server_);
+  out.server_silence_to_all = backends.SilentToAllFor(now, server_);
+  out.answer_begun = answer_begun_;
+  if (route_->stall_limit > Duration::zero())
+    out.caller_leaves_at = last_event_at_ + route_->stall_limit;
+  return out;
 }
 
 void RequestExchange::OfferToSuccessor(MonoTime now) {
-  if (now < next_offer_at_)
-    return;
   RequestProgress progress = Progress(now);
   ++progress.runs;
   // The last send is kept for when the live attempt ends.
@@ -111,9 +107,7 @@
     return std::nullopt;
   RouteRequest routing = routing_;
   routing.excluded.push_back(server_);
-  routing.deadline = CallerLeavesAt(
-      deadline_, answer_begun_ ? last_byte_at_ : request_.arrived,
-      route_->stall_limit);
+  routing.deadline = CallerLeaves();
   BackendTable& backends = host_.parts_.backends;
   RouteChoice choice = backends.Choose(now, service_, routing);
   if (!choice.server) {
@@ -217,7 +211,7 @@
   successor_paid_ = !CountsAsRepeat(end);
   if (!ProvesNotRun(end))
     ++runs_;
-  next_offer_at_ = now + kSilenceCheckInterval * (1U << ++failed_offers_);
+  next_offer_at_ = now + kOfferInterval * (1U << failed_offers_++);
   DropSuccessor(now, AttemptEndName(end), OutcomeOf(end));
 }
 
--- a/unittests/process/silent_streams_test.cc
+++ b/unittests/process/silent_streams_test.cc
@@ -1,10 +1,11 @@
 // Backend servers whose streams fall silent for a second or so and go on, while
 // another server is asked to go on in their place.
-#include <atomic>
+#include <algorithm>
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <thread>
-#include <utility>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -43,6 +44,24 @@
           .pause = pause};
 }
 
+/// A stream of an event each 110 ms for four seconds.
+ScriptedAnswer BusyStream() {
+  ScriptedAnswer out{.pieces = {Head("200", kEvents)},
+                     .pause = milliseconds(110)};
+  for (int id = 1; id <= 36; ++id)
+    out.pieces.push_back(Chunk(Events(id, id)));
+  out.pieces.emplace_back("0\r\n\r\n");
+  return out;
+}
+
+/// A stream whose one event comes after 150 ms and which then is silent.
+ScriptedAnswer LateStream() {
+  ScriptedAnswer out{.pieces = {"", Head("200", kEvents) + Chunk(Events(1, 1))},
+                     .pause = milliseconds(150)};
+  out.pieces.resize(30);
+  return out;
+}
+
 /// Expects a whole stream from a server that is silent for `pause`, beside one
 /// that answers `successor`.
 void ExpectWhole(milliseconds pause, const ScriptedAnswer& successor) {
@@ -62,6 +81,36 @@
                 "silent for %d ms: no other server was asked", ms);
 }
 
+httplib::Request StreamRequest(const std::string& path) {
+  httplib::Request out;
+  out.method = "POST";
+  out.path = path;
+  out.headers = {{"Host", "h"},
+                 {"X-Attempt-Id", "id1"},
+                 {"X-Deadline-Ms", "4900"},
+                 {"Authorization", "Bearer k1"}};
+  return out;
+}
+
+/// The longest wait between two pieces of the answer to a caller.
+Duration LongestGap(const ScriptedFleet& fleet, const std::string& path) {
+  httplib::Client client("127.0.0.1", fleet.callers());
+  client.set_read_timeout(8);
+  Duration longest{};
+  auto last = MonoTime::max();
+  httplib::Request request = StreamRequest(path);
+  request.content_receiver = [&](const char*, std::size_t, std::uint64_t,
+                                 std::uint64_t) {
+    const MonoTime now = std::chrono::steady_clock::now();
+    longest = std::max<Duration>(longest, now - std::min(last, now));
+    last = now;
+    return true;
+  };
+  const auto reply = client.send(request);
+  Require(reply && reply->status == 200, "the stream was cut");
+  return longest;
+}
+
 // NOLINTBEGIN: Criterion's macros
 Test(silent_streams, are_not_cut_beside_a_full_server, .timeout = 60) {
   for (const int pause : {1400, 1900})
@@ -102,6 +151,35 @@
   ExpectWhole(milliseconds(1900),
               {.pieces = {"", NotRun()}, .pause = milliseconds(500)});
 }
+
+// The server goes on with another stream; the successor needs 400 ms for its
+// first event.
+Test(silent_streams,
+     go_on_elsewhere_before_their_callers_leave,
+     .timeout = 60) {
+  ScriptedFleet fleet(
+      [&](const SeenRequest& request, int) {
+        if (request.target == "/stream/busy")
+          return BusyStream();
+        if (request.Field("Last-Event-Id").empty())
+          return LateStream();
+        return ScriptedAnswer{
+            .pieces = {Head("200", kEvents), Chunk(Events(2, 2)) + "0\r\n\r\n"},
+            .pause = milliseconds(400)};
+      },
+      kBounds);
+  std::vector<std::thread> others(2);
+  for (std::thread& it : others)
+    it = std::thread([&] { fleet.Ask("/stream/busy"); });
+  cr_assert(EdgeFixture::Within(milliseconds(3000), [&] {
+    return fleet.Sends("/stream/busy").size() == 2;
+  }));
+  const Duration gap = LongestGap(fleet, "/stream/x");
+  for (std::thread& it : others)
+    it.join();
+  const auto ms = static_cast<int>(gap / milliseconds(1));
+  cr_assert_lt(ms, 2000, "%d ms without an event", ms);
+}
 // NOLINTEND
 
 }  // namespace
--- a/unittests/support/scripted_fleet.h
+++ b/unittests/support/scripted_fleet.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -68,6 +69,7 @@
   }
 
   EdgeFixture& host() { return it_; }
+  std::uint16_t callers() const { return it_.callers_; }
 
   /// A whole good answer with the body "ok".
   static std::string GoodAnswer() {
