silent_streams_test: both servers of a handover are told that the caller left

It stays as a guard, as two runs now live side by side for longer.

`ScriptedBackend` waits on its connection in place of sleeping, and remembers answers whose connection was closed before they were out.

--- a/unittests/process/silent_streams_test.cc
+++ b/unittests/process/silent_streams_test.cc
@@ -180,6 +180,40 @@
   const auto ms = static_cast<int>(gap / milliseconds(1));
   cr_assert_lt(ms, 2000, "%d ms without an event", ms);
 }
+
+// Both servers work on the request: the silent one and the one it is offered
+// to.
+Test(silent_streams,
+     are_taken_back_from_both_servers_when_the_caller_leaves,
+     .timeout = 60) {
+  ScriptedFleet fleet(
+      [](const SeenRequest& request, int) {
+        if (request.Field("Last-Event-Id").empty())
+          return SilentStream(milliseconds(4000));
+        return ScriptedAnswer{.pieces = {"", ""}, .pause = milliseconds(4000)};
+      },
+      kBounds);
+  std::thread caller([&] {
+    httplib::Client client("127.0.0.1", fleet.callers());
+    httplib::Request request = StreamRequest("/stream/x");
+    request.content_receiver = [&](const char*, std::size_t, std::uint64_t,
+                                   std::uint64_t) { return true; };
+    client.set_read_timeout(milliseconds(8000));
+    std::thread leaves([&] {
+      Require(EdgeFixture::Within(
+                  milliseconds(3000),
+                  [&] { return fleet.Sends("/stream/x").size() == 2; }),
+              "no other server was asked");
+      client.stop();
+    });
+    client.send(request);
+    leaves.join();
+  });
+  caller.join();
+  cr_assert(EdgeFixture::Within(milliseconds(500),
+                                [&] { return fleet.Abandoned() == 2; }),
+            "%zu of two servers were told", fleet.Abandoned());
+}
 // NOLINTEND
 
 }  // namespace
--- a/unittests/support/scripted_backend.cc
+++ b/unittests/support/scripted_backend.cc
@@ -1,6 +1,7 @@
 #include "unittests/support/scripted_backend.h"
 
 #include <arpa/inet.h>
+#include <poll.h>
 #include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -42,6 +43,12 @@
   return out;
 }
 
+/// Waits for `time`, or until the peer closes the connection.
+bool IsClosedWithin(int fd, std::chrono::milliseconds time) {
+  pollfd it{.fd = fd, .events = POLLRDHUP, .revents = 0};
+  return ::poll(&it, 1, static_cast<int>(time.count())) > 0;
+}
+
 /// The field's value whatever the case of its name, or an empty text.
 std::string FieldOf(const SeenRequest& request, const char* name) {
   for (const auto& [it, value] : request.fields) {
@@ -124,6 +131,11 @@
   return BackendEntry(service, address(), state);
 }
 
+std::vector<std::string> ScriptedBackend::abandoned() const {
+  const std::lock_guard lock(mutex_);
+  return abandoned_;
+}
+
 void ScriptedBackend::Accept() {
   while (!stopping_) {
     const int fd = ::accept(listener_, nullptr, nullptr);
@@ -159,8 +171,11 @@
   }
   const ScriptedAnswer answer = script_(request, number);
   for (std::size_t i = 0; i < answer.pieces.size() && !stopping_; ++i) {
-    if (i > 0)
-      std::this_thread::sleep_for(answer.pause);
+    if (i > 0 && IsClosedWithin(fd, answer.pause)) {
+      const std::lock_guard lock(mutex_);
+      abandoned_.push_back(request.target);
+      return false;
+    }
     const std::string& piece = answer.pieces[i];
     if (::send(fd, piece.data(), piece.size(), MSG_NOSIGNAL) < 0)
       return false;
--- a/unittests/support/scripted_backend.h
+++ b/unittests/support/scripted_backend.h
@@ -52,6 +52,8 @@
   std::string address() const;
   /// All that it was sent but queries for reports.
   std::vector<SeenRequest> seen() const;
+  /// Targets of requests whose connection was closed before the answer was out.
+  std::vector<std::string> abandoned() const;
   /// How often it was asked for a report.
   int report_queries() const { return report_queries_; }
   /// Its entry in the store's list of servers.
@@ -70,6 +72,7 @@
   std::atomic<int> report_queries_{0};
   mutable std::mutex mutex_;
   std::vector<SeenRequest> seen_;
+  std::vector<std::string> abandoned_;
   std::vector<int> open_;
   std::list<std::thread> connections_;
   std::thread acceptor_;
--- a/unittests/support/scripted_fleet.h
+++ b/unittests/support/scripted_fleet.h
@@ -68,6 +68,12 @@
     return out;
   }
 
+  /// Answers of both servers whose connections were closed before they were
+  /// out.
+  std::size_t Abandoned() const {
+    return x_.abandoned().size() + y_.abandoned().size();
+  }
+
   EdgeFixture& host() { return it_; }
   std::uint16_t callers() const { return it_.callers_; }
 
