A server's second of silence moves none of its streams

Since "a sound server may fall silent for a second or so and go on", a silence of 700 ms of all that a server sends says little: all its streams were then offered to other servers at once, which queued behind them, though they were to go on by themselves. It costs the retry budget and prefills that are thrown away, when load is highest.

Evidence: handover_policy_test on the code before:

The expression ((due - kEventAt) / milliseconds(1)) >= (1000) is false. [FAIL] handover_policy::a_servers_second_of_silence_moves_no_stream

By what callers lose: a stream that pauses for 700 ms is late either way (its longest pause in time is 250 ms), and its caller stays for two seconds or more, so that a stream of a dead server loses 300 ms of lateness, and still has time for two offers. Whole answers keep 700 ms: their deadlines are as short as a second, and nothing of them has been passed on that could be cut.

--- a/lib/forward/handover_policy.cc
+++ b/lib/forward/handover_policy.cc
@@ -6,7 +6,7 @@
 namespace {
 
 /// A server that has work and sends no host anything for so long is taken for
-/// dead, as far as a request may run elsewhere.
+/// dead, as far as a whole request may run elsewhere.
 constexpr Duration kServerSilence = std::chrono::milliseconds(700);
 
 /// The same for a server that other hosts hear, if it sends this one nothing
@@ -14,8 +14,8 @@
 /// answers others.
 constexpr Duration kPathSilence = std::chrono::milliseconds(1400);
 
-/// A sound server may be silent for a second; no stream moves sooner for its
-/// own silence alone.
+/// A sound server may be silent for a second. Its streams bear that, and no
+/// stream moves sooner.
 constexpr Duration kSoundSilence = std::chrono::seconds(1);
 
 /// For an offer that is not taken, one that is, and the way to the caller.
@@ -40,9 +40,11 @@
   const Duration path_silence = path_due - attempt.last_byte_at;
   const MonoTime to_this_host =
       std::max(path_due, now - attempt.server_silence + path_silence);
+  const Duration server_silence =
+      attempt.caller_leaves_at ? kSoundSilence : kServerSilence;
   const MonoTime to_all =
-      std::max(attempt.last_byte_at + kServerSilence,
-               now - attempt.server_silence_to_all + kServerSilence);
+      std::max(attempt.last_byte_at + server_silence,
+               now - attempt.server_silence_to_all + server_silence);
   const MonoTime due = std::min(to_this_host, to_all);
   return attempt.answer_begun ? std::min(due, path_due) : due;
 }
--- a/unittests/forward/handover_policy_test.cc
+++ b/unittests/forward/handover_policy_test.cc
@@ -75,6 +75,25 @@
   cr_assert_geq(OfferAfterMs(attempt), 1600);
 }
 
+// All streams of a server that is silent for 0.7 s were offered elsewhere.
+Test(handover_policy, a_servers_second_of_silence_moves_no_stream) {
+  AttemptSilence attempt = SilentStream();
+  attempt.server_silence = milliseconds(800);
+  attempt.server_silence_to_all = milliseconds(800);
+  const MonoTime due = OfferDueAt(kEventAt + milliseconds(800), attempt);
+  cr_assert_geq((due - kEventAt) / milliseconds(1), 1000);
+}
+
+// Deadlines of whole answers are shorter, and nothing of them has been passed
+// on that could be cut.
+Test(handover_policy, a_whole_answer_leaves_a_silent_server_sooner) {
+  const AttemptSilence attempt = {.last_byte_at = kEventAt,
+                                  .server_silence = seconds(1),
+                                  .server_silence_to_all = seconds(1),
+                                  .caller_leaves_at = std::nullopt};
+  cr_assert_eq(OfferAfterMs(attempt), 700);
+}
+
 Test(handover_policy, a_server_silent_to_all_is_left_sooner) {
   AttemptSilence attempt = SilentStream();
   attempt.answer_begun = false;
