--- a/unittests/process/silent_streams_test.cc
+++ b/unittests/process/silent_streams_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -111,6 +112,28 @@
   return longest;
 }
 
+/// Expects a whole stream from a silent server beside a full one, though
+/// `change` is called while the server is silent.
+void ExpectWholeBeside(const std::function<void(ScriptedFleet&)>& change) {
+  ScriptedFleet fleet(
+      [](const SeenRequest& request, int) {
+        return request.Field("Last-Event-Id").empty()
+                   ? SilentStream(milliseconds(1900))
+                   : ScriptedAnswer{.pieces = {NotRun()}};
+      },
+      kBounds);
+  std::thread operation([&] {
+    EdgeFixture::Within(milliseconds(3000),
+                        [&] { return !fleet.Sends("/stream/x").empty(); });
+    std::this_thread::sleep_for(milliseconds(300));
+    change(fleet);
+  });
+  const auto reply = fleet.Ask("/stream/x");
+  operation.join();
+  cr_assert(reply, "cut");
+  cr_assert_eq(reply->body, Events(1, 2));
+}
+
 // NOLINTBEGIN: Criterion's macros
 Test(silent_streams, are_not_cut_beside_a_full_server, .timeout = 60) {
   for (const int pause : {1400, 1900})
@@ -181,6 +204,44 @@
   cr_assert_lt(ms, 2000, "%d ms without an event", ms);
 }
 
+Test(silent_streams, are_not_cut_beside_a_withdrawn_key, .timeout = 60) {
+  ExpectWholeBeside([](ScriptedFleet& fleet) {
+    StoreStandin& store = fleet.host().store_;
+    store.Put("keyed.op", "config", Config(2, R"("k1","k2")"));
+    std::this_thread::sleep_for(milliseconds(200));
+    store.Put("keyed.op", "config", Config(3, R"("k1")"));
+  });
+}
+
+Test(silent_streams,
+     are_not_cut_when_their_own_key_is_withdrawn,
+     .timeout = 60) {
+  ExpectWholeBeside([](ScriptedFleet& fleet) {
+    fleet.host().store_.Put("keyed.op", "config", Config(2, R"("k2")"));
+  });
+}
+
+Test(silent_streams,
+     are_not_cut_when_their_server_leaves_the_list,
+     .timeout = 60) {
+  ExpectWholeBeside([](ScriptedFleet& fleet) {
+    fleet.host().Unlist("i-x");
+    fleet.host().Unlist("i-y");
+  });
+}
+
+Test(silent_streams, are_not_cut_when_their_server_drains, .timeout = 60) {
+  ExpectWholeBeside(
+      [](ScriptedFleet& fleet) { fleet.ListBoth("s", "draining"); });
+}
+
+Test(silent_streams,
+     are_not_cut_when_their_server_changes_its_service,
+     .timeout = 60) {
+  ExpectWholeBeside(
+      [](ScriptedFleet& fleet) { fleet.ListBoth("other", "ready"); });
+}
+
 // Both servers work on the request: the silent one and the one it is offered
 // to.
 Test(silent_streams,
--- a/unittests/support/scripted_fleet.h
+++ b/unittests/support/scripted_fleet.h
@@ -74,6 +74,12 @@
     return x_.abandoned().size() + y_.abandoned().size();
   }
 
+  /// Writes both servers' entries anew.
+  void ListBoth(const std::string& service, const std::string& state) {
+    for (const ScriptedBackend* it : {&x_, &y_})
+      it_.store_.Put("keyed.servers", it->id(), it->Entry(service, state));
+  }
+
   EdgeFixture& host() { return it_; }
   std::uint16_t callers() const { return it_.callers_; }
 
