--- a/unittests/support/scripted_backend.h
+++ b/unittests/support/scripted_backend.h
@@ -54,6 +54,8 @@
   std::vector<SeenRequest> seen() const;
   /// The last requests of connections that were closed by the other side.
   std::vector<SeenRequest> given_up() const;
+  /// Targets of requests whose connection was closed before the answer was out.
+  std::vector<std::string> abandoned() const;
   /// How often it was asked for a report.
   int report_queries() const { return report_queries_; }
   /// Its entry in the store's list of servers.
@@ -73,6 +75,7 @@
   mutable std::mutex mutex_;
   std::vector<SeenRequest> seen_;
   std::vector<SeenRequest> given_up_;
+  std::vector<std::string> abandoned_;
   std::vector<int> open_;
   std::list<std::thread> connections_;
   std::thread acceptor_;
--- a/unittests/support/scripted_fleet.h
+++ b/unittests/support/scripted_fleet.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -77,7 +78,20 @@
     return n;
   }
 
+  /// Answers of both servers whose connections were closed before they were
+  /// out.
+  std::size_t Abandoned() const {
+    return x_.abandoned().size() + y_.abandoned().size();
+  }
+
+  /// Writes both servers' entries anew.
+  void ListBoth(const std::string& service, const std::string& state) {
+    for (const ScriptedBackend* it : {&x_, &y_})
+      it_.store_.Put("keyed.servers", it->id(), it->Entry(service, state));
+  }
+
   EdgeFixture& host() { return it_; }
+  std::uint16_t callers() const { return it_.callers_; }
 
   /// A whole good answer with the body "ok".
   static std::string GoodAnswer() {
