platform: a record among the hosts that is no address is no host

What callers saw: nothing shown. Each odd record counted as a host in the division of the quotas, and got datagrams in vain. Cause: any value was taken for an address. Evidence, with the check left out, as it was before: odd_entries_test: The expression !(ParseHostAddress("edge-1", it, problem)) is false [FAIL] odd_entries::a_record_among_the_hosts_that_is_no_address_is_no_host Why this works: the address is read as a server's is, and what can't be read makes a line record_passed_over feed=hosts.

--- a/include/mangoport/ports/fleet_platform.h
+++ b/include/mangoport/ports/fleet_platform.h
@@ -37,6 +37,13 @@
   std::string address;
 };
 
+/// The hosts that have announced themselves.
+struct HostNews {
+  std::vector<HostAddress> hosts = {};
+  /// Records that were passed over, and why.
+  std::vector<std::string> problems = {};
+};
+
 struct OrderLeaseState {
   std::optional<OrderLeaseRecord> record = std::nullopt;
   std::uint64_t end = 0;
@@ -61,7 +68,7 @@
 
   virtual void AnnounceHost(const HostAddress& address,
                             CallDone<bool> done) = 0;
-  virtual void ReadHosts(CallDone<std::vector<HostAddress>> done) = 0;
+  virtual void ReadHosts(CallDone<HostNews> done) = 0;
 
   virtual void ReadOrderLease(CallDone<OrderLeaseState> done) = 0;
   /// Writes only if the log ends at `expected_end`; the result is its new end.
--- a/lib/edge/feed_service.cc
+++ b/lib/edge/feed_service.cc
@@ -346,7 +346,7 @@
 }
 
 void FeedService::ReadHosts() {
-  platform_.ReadHosts([this](const CallReply<std::vector<HostAddress>>& reply) {
+  platform_.ReadHosts([this](const CallReply<HostNews>& reply) {
     if (stopped_)
       return;
     if (reply.status != CallStatus::kOk) {
@@ -355,7 +355,8 @@
       return;
     }
     NoteSuccess(hosts_);
-    hooks_.on_hosts(reply.value);
+    LogProblems(hosts_, reply.value.problems);
+    hooks_.on_hosts(reply.value.hosts);
     StepAfter(hosts_, settings_.hosts_interval, &FeedService::ReadHosts);
   });
 }
--- a/unittests/platform/odd_entries_test.cc
+++ b/unittests/platform/odd_entries_test.cc
@@ -113,6 +113,22 @@
   cr_assert_not(Parse(std::string(256 * 1024, '\0')));
 }
 
+// Each counted as a host, for which a share of the quotas was set aside.
+Test(odd_entries, a_record_among_the_hosts_that_is_no_address_is_no_host) {
+  std::string problem;
+  cr_assert(ParseHostAddress("edge-1", "10.0.0.9:8080", problem));
+  for (const char* it :
+       {"", "10.0.0.9", "10.0.0.9:0", "10.0.0.9:65536", "{}", "edge:1"}) {
+    problem.clear();
+    cr_assert_not(ParseHostAddress("edge-1", it, problem), "%s", it);
+    cr_assert_not(problem.empty());
+  }
+  cr_assert_not(ParseHostAddress("\xff", "10.0.0.9:8080", problem));
+  cr_assert_not(ParseHostAddress("", "10.0.0.9:8080", problem));
+  cr_assert_not(ParseHostAddress("edge-1", std::string(250000, 'x'), problem));
+  cr_assert_lt(problem.size(), 200);
+}
+
 // Hosts that read the whole list lost it again and again.
 Test(odd_entries, a_page_keeps_its_other_records_beside_an_odd_item) {
   for (const char* odd :
