--- a/include/mangoport/edge/feed_service.h
+++ b/include/mangoport/edge/feed_service.h
@@ -154,7 +154,7 @@
   void ExpireServers(MonoTime now);
   void Announce();
   void ReadHosts();
-  void OnHosts(const CallReply<std::vector<HostAddress>>& reply);
+  void OnHosts(const CallReply<HostNews>& reply);
   bool IsListed(const std::vector<HostAddress>& hosts) const;
   /// Draws a delay, so that the hosts do not all read their list at once.
   Duration DrawHostsDelay();
--- a/lib/edge/feed_service.cc
+++ b/lib/edge/feed_service.cc
@@ -451,24 +451,26 @@
 }
 
 void FeedService::ReadHosts() {
-  platform_.ReadHosts([this](const CallReply<std::vector<HostAddress>>& reply) {
+  platform_.ReadHosts([this](const CallReply<HostNews>& reply) {
     if (!stopped_)
       OnHosts(reply);
   });
 }
 
-void FeedService::OnHosts(const CallReply<std::vector<HostAddress>>& reply) {
+void FeedService::OnHosts(const CallReply<HostNews>& reply) {
   if (reply.status != CallStatus::kOk) {
     StepAfter(hosts_, NoteFailure(hosts_, reply.status, reply.error),
               &FeedService::ReadHosts);
     return;
   }
   NoteSuccess(hosts_);
-  hooks_.on_hosts(reply.value);
-  listed_hosts_ = std::max(listed_hosts_, reply.value.size());
-  if (!IsListed(reply.value)) {
+  LogProblems(hosts_, reply.value.problems);
+  const std::vector<HostAddress>& hosts = reply.value.hosts;
+  hooks_.on_hosts(hosts);
+  listed_hosts_ = std::max(listed_hosts_, hosts.size());
+  if (!IsListed(hosts)) {
     log_.Write(LogLine("announcement_lost")
-                   .Add("listed", reply.value.size())
+                   .Add("listed", hosts.size())
                    .Add("timeline", reply.timeline.value_or(0)));
     StepAfter(hosts_, settings_.longest_backoff, &FeedService::Announce);
     return;
--- a/unittests/process/config_changes_test.cc
+++ b/unittests/process/config_changes_test.cc
@@ -105,8 +105,8 @@
       answers.push_back(
           std::async(std::launch::async, [this, stage] { return Ask(stage); }));
     std::this_thread::sleep_for(milliseconds(250));
-    change(*this);
     const std::string before = it_.Log();
+    change(*this);
     cr_expect(EdgeFixture::Within(kRunTime - milliseconds(250),
                                   [&] { return HasApplied(before.size()); }),
               "%s: not applied", name.c_str());
@@ -283,6 +283,7 @@
       std::this_thread::sleep_for(milliseconds(100));
     }
   });
+  cr_expect(day.Logged("config_applied version=12 "));
 }
 
 Test(changes_beside_requests, of_the_servers, .timeout = 120) {
