A host announces itself again also after a store's very first restore

A store whose first timeline is zero: the host took the first restore for its first sight of the store, and restored_hosts/host_announces_itself_again failed.

--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -213,11 +213,11 @@
 }
 
 void EdgeHost::OnTimelineAge(StoreTimeline timeline, BootTime known_since) {
+  feeds_.CheckAnnouncement(timeline);
   if (!timeline_age_.Note(timeline, known_since))
     return;
   orders_.OnStoreTimeline(timeline, known_since);
   key_evidence_.OnTimeline(timeline, known_since);
-  feeds_.CheckAnnouncement(timeline);
 }
 
 void EdgeHost::Run() {
