A server that has not begun an offered request has not failed

A busy server that had not begun a stream 350 ms after it was offered counted as failed when the offer was dropped, and was avoided by other requests, just when servers were short.

Evidence: silent_streams_test/whose_successor_has_not_begun_blame_no_server on the code before:

mangoport_forward_attempts_total{outcome="failed"} 1 [FAIL] silent_streams::whose_successor_has_not_begun_blame_no_server

The end of the handover time cancels the offer; the server's record is untouched.

--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -134,6 +134,8 @@
   void OnHandoverTime(MonoTime now);
   /// The successor has failed; the attempt under way goes on.
   void RejectSuccessor(MonoTime now, AttemptEnd end);
+  /// The next offer goes to another server than this successor's, later.
+  void PostponeOffer(MonoTime now);
   void DropSuccessor(MonoTime now,
                      std::string_view end,
                      AttemptOutcome outcome);
--- a/lib/forward/request_handover.cc
+++ b/lib/forward/request_handover.cc
@@ -189,10 +189,18 @@
       .server_silence = backends.SilentFor(now, server_),
       .server_silence_to_all = backends.SilentToAllFor(now, server_),
       .answer_begun = answer_begun_};
-  if (PrefersSuccessor(state))
+  if (PrefersSuccessor(state)) {
     TakeOver(now);
-  else
-    RejectSuccessor(now, AttemptEnd::kSilent);
+    return;
+  }
+  // It may only be busy, which is no failure of its server.
+  PostponeOffer(now);
+  DropSuccessor(now, "not_begun", AttemptOutcome::kCancelled);
+}
+
+void RequestExchange::PostponeOffer(MonoTime now) {
+  routing_.excluded.push_back(successor_.server);
+  next_offer_at_ = now + kOfferInterval * (1U << failed_offers_++);
 }
 
 void RequestExchange::OnSuccessorFailed(const HttpFailure& failure) {
@@ -205,13 +213,12 @@
 }
 
 void RequestExchange::RejectSuccessor(MonoTime now, AttemptEnd end) {
-  routing_.excluded.push_back(successor_.server);
+  PostponeOffer(now);
   if (successor_.events.out_of_order())
     events_.NoteRefusal(successor_.events);
   successor_paid_ = !CountsAsRepeat(end);
   if (!ProvesNotRun(end))
     ++runs_;
-  next_offer_at_ = now + kOfferInterval * (1U << failed_offers_++);
   DropSuccessor(now, AttemptEndName(end), OutcomeOf(end));
 }
 
--- a/unittests/process/silent_streams_test.cc
+++ b/unittests/process/silent_streams_test.cc
@@ -175,6 +175,27 @@
               {.pieces = {"", NotRun()}, .pause = milliseconds(500)});
 }
 
+// It may only be busy; a failure would keep other requests from it.
+Test(silent_streams,
+     whose_successor_has_not_begun_blame_no_server,
+     .timeout = 60) {
+  ScriptedFleet fleet(
+      [](const SeenRequest& request, int) {
+        return request.Field("Last-Event-Id").empty()
+                   ? SilentStream(milliseconds(1900))
+                   : ScriptedAnswer{.pieces = {"", NotRun()},
+                                    .pause = milliseconds(500)};
+      },
+      kBounds);
+  const auto reply = fleet.Ask("/stream/x");
+  cr_assert(reply);
+  httplib::Client client("127.0.0.1", fleet.host().readiness_);
+  const auto metrics = client.Get("/metrics");
+  cr_assert(metrics);
+  cr_assert_neq(metrics->body.find(R"(attempts_total{outcome="cancelled"} 1)"),
+                std::string::npos, "%s", metrics->body.c_str());
+}
+
 // The server goes on with another stream; the successor needs 400 ms for its
 // first event.
 Test(silent_streams,
