A stream that has begun is not given up for a queue

Callers saw streams stop in the middle when the server of theirs was silent and the one that it was offered to was too busy to begin: at the end of the handover time (350 ms) that one was kept if its server was heard on other requests.

Cause: to be heard says that a server lives, not that it has a place. Evidence: silent_streams_test/are_not_cut_by_a_busy_successor, twice on the code before:

cut [FAIL] silent_streams::are_not_cut_by_a_busy_successor

An answer that has begun is now given up only for one that has begun, too. The price: a stream whose server is dead and whose successor needs more than 350 ms to begin is offered again, if its route's attempts allow, or ends with its server.

--- a/include/mangoport/forward/handover_policy.h
+++ b/include/mangoport/forward/handover_policy.h
@@ -34,8 +34,6 @@
 struct HandoverState {
   /// The successor has begun a success that fits.
   bool accepted = false;
-  /// The successor's server has sent this host something since the offer.
-  bool successor_heard = false;
   /// Since the server of the attempt under way sent this host anything.
   Duration server_silence{};
   /// Since it sent any host anything.
--- a/lib/forward/handover_policy.cc
+++ b/lib/forward/handover_policy.cc
@@ -52,13 +52,11 @@
 bool PrefersSuccessor(const HandoverState& state) {
   if (state.accepted)
     return true;
-  // Neither has shown that it goes on: what has begun is not given up unless
-  // only the other server lives.
-  const bool server_silent = state.server_silence_to_all > kServerSilence ||
-                             state.server_silence > kPathSilence;
-  if (!server_silent)
+  // An answer that has begun is given up only for one that has begun.
+  if (state.answer_begun)
     return false;
-  return state.successor_heard || !state.answer_begun;
+  return state.server_silence_to_all > kServerSilence ||
+         state.server_silence > kPathSilence;
 }
 
 }  // namespace mangoport
--- a/lib/forward/request_handover.cc
+++ b/lib/forward/request_handover.cc
@@ -184,8 +184,6 @@
   const BackendTable& backends = host_.parts_.backends;
   const HandoverState state = {
       .accepted = successor_.answer.status != 0,
-      .successor_heard = backends.SilentToAllFor(now, successor_.server) <
-                         now - successor_.sent_at,
       .server_silence = backends.SilentFor(now, server_),
       .server_silence_to_all = backends.SilentToAllFor(now, server_),
       .answer_begun = answer_begun_};
--- a/unittests/process/silent_streams_test.cc
+++ b/unittests/process/silent_streams_test.cc
@@ -175,6 +175,28 @@
               {.pieces = {"", NotRun()}, .pause = milliseconds(500)});
 }
 
+// The other server is heard on its own stream, but is too busy for this one.
+Test(silent_streams, are_not_cut_by_a_busy_successor, .timeout = 60) {
+  ScriptedFleet fleet(
+      [](const SeenRequest& request, int) {
+        if (request.target == "/stream/busy")
+          return BusyStream();
+        return request.Field("Last-Event-Id").empty()
+                   ? SilentStream(milliseconds(1900))
+                   : ScriptedAnswer{.pieces = {"", NotRun()},
+                                    .pause = milliseconds(500)};
+      },
+      kBounds);
+  std::thread caller([&] { fleet.Ask("/stream/busy"); });
+  cr_assert(EdgeFixture::Within(milliseconds(3000), [&] {
+    return !fleet.Sends("/stream/busy").empty();
+  }));
+  const auto reply = fleet.Ask("/stream/x");
+  caller.join();
+  cr_assert(reply, "cut");
+  cr_assert_eq(reply->body, Events(1, 2));
+}
+
 // It may only be busy; a failure would keep other requests from it.
 Test(silent_streams,
      whose_successor_has_not_begun_blame_no_server,
