A close is looked for behind unread bytes only if there are some

Where nothing is unread, the end of the stream is what a read would find, as before: the call that every request makes stays the one that it was, and only callers that have sent ahead cost a second one.

--- a/lib/forward/tcp_stream.cc
+++ b/lib/forward/tcp_stream.cc
@@ -120,6 +120,10 @@
 }
 
 bool TcpStream::PeerHasClosed() {
+  const asio::error_code ec = Peek();
+  if (ec)
+    return ec == asio::error::eof || ec == asio::error::connection_reset;
+  // Bytes that have not been read lie before the end.
   pollfd it{.fd = socket_.native_handle(), .events = POLLRDHUP, .revents = 0};
   return ::poll(&it, /*nfds=*/1, /*timeout=*/0) > 0;
 }
