The order lease's holder writes at once when it learns of a restore

Seen: after a restore with the store away for 0.3 s the holder resigned, and no engine got an order for seconds though the holder was sound.

Cause: its renewal had failed while the store was away, and the retry came after the time at which a holder without renewals resigns.

The test without the change:

[FAIL] order_lease_restore::valid_holder_does_not_wait_for_its_next_retry Tested: 14 | Passing: 13 | Failing: 1

Why this works: a new timeline shows that the store answers again, so the retry's delay ends with it. Other hosts call only if they hear no holder.

--- a/lib/membership/order_lease.cc
+++ b/lib/membership/order_lease.cc
@@ -54,8 +54,10 @@
 }
 
 void OrderLease::OnTimeline(StoreTimeline timeline, BootTime known_since) {
-  if (timeline > timeline_.timeline)
+  if (timeline > timeline_.timeline) {
     store_state_known_ = false;
+    next_call_at_ = BootTime();
+  }
   timeline_.Note(timeline, known_since);
 }
 
--- a/unittests/membership/order_lease_restore_test.cc
+++ b/unittests/membership/order_lease_restore_test.cc
@@ -167,6 +167,22 @@
   cr_assert_gt(a.MayOrder(now - kStep).value_or(0), term);
 }
 
+// Its renewal failed while the store was away, and it resigned before the
+// retry.
+Test(order_lease_restore, valid_holder_does_not_wait_for_its_next_retry) {
+  LeaseStore store = MakeStore();
+  OrderLease a = MakeHost("a");
+  const BootTime held = MakeHolder(a, store);
+  const BootTime renewed = held + milliseconds(1050);
+  cr_assert_eq(a.Next(renewed).kind, OrderLeaseStep::Kind::kWrite);
+  a.OnWriteUnknown(renewed);
+  store.Restore(store);
+  const BootTime seen = renewed + milliseconds(100);
+  a.OnTimeline(store.end.timeline, seen);
+  RunSteps(a, store, seen);
+  cr_assert(a.MayOrder(held + milliseconds(2600)));
+}
+
 Test(order_lease_restore, holder_that_does_not_know_stops_before_others_begin) {
   LeaseStore store = MakeStore();
   const LeaseStore copy = store;
