Keys are accepted as soon as a read can prove them after a restore

Callers with keys were refused longer than needed by hosts that start in a later timeline of the store, and by all hosts after a restore: a read proves keys only if it was sent two seconds after the restore was seen, but the store holds reads for 800 ms. One that was sent just before proved nothing, and the next proved them 800 ms later.

A read now ends when the first proof is due, and the next is not held.

--- a/include/mangoport/edge/feed_service.h
+++ b/include/mangoport/edge/feed_service.h
@@ -141,6 +141,8 @@
   void FollowServers();
   void Follow(Feed& feed, Duration wait, Step follow, Step read);
   void ReadConfig();
+  /// Returns for how long the store may hold a read of the configuration.
+  Duration ConfigWait(BootTime now) const;
   void OnConfig(CallReply<ConfigNews> reply);
   void ApplyConfig(FleetConfig config);
   void ReadServers();
--- a/include/mangoport/fleet/key_evidence.h
+++ b/include/mangoport/fleet/key_evidence.h
@@ -42,6 +42,11 @@
   /// Records that a read sent at `sent` showed nothing newer.
   void OnCurrentRead(BootTime sent);
 
+  /// Returns the time until a read can be sent that proves the keys for the
+  /// first time in this timeline of the store; zero if it is due. None if one
+  /// has been sent, or if any read proves them.
+  std::optional<Duration> FirstProofDueIn(BootTime now) const;
+
   /// Returns true if a request with a key may be forwarded at `now`.
   bool MayAcceptKeys(BootTime now) const {
     return confirmed_at_ && now - *confirmed_at_ < max_age_ - kForwardingMargin;
@@ -69,6 +74,10 @@
   /// The time in which the users write again what a restored store has lost.
   static constexpr Duration kRewriteTime = std::chrono::seconds(2);
 
+  /// The earliest sending time of a read that can be evidence. None if it is
+  /// any time, since nothing was restored before the first timeline.
+  std::optional<BootTime> TrustedFrom() const;
+
   /// Uses the newest read as evidence if it was sent late enough.
   void Confirm();
 
--- a/lib/edge/feed_service.cc
+++ b/lib/edge/feed_service.cc
@@ -223,16 +223,22 @@
   config_.in_flight = true;
   config_.sent_at = BootClock::now();
   config_.asked = config_feed_.tracker().position();
-  const bool regular =
-      config_feed_.tracker().ReadsFeedDirectly(config_.sent_at);
-  platform_.ReadConfig(config_.asked,
-                       regular ? settings_.config_wait : Duration::zero(),
+  platform_.ReadConfig(config_.asked, ConfigWait(config_.sent_at),
                        [this](CallReply<ConfigNews> reply) {
                          if (!stopped_)
                            OnConfig(std::move(reply));
                        });
 }
 
+Duration FeedService::ConfigWait(BootTime now) const {
+  if (!config_feed_.tracker().ReadsFeedDirectly(now))
+    return Duration::zero();
+  // A call that is held proves the keys only as of its sending.
+  return std::min(
+      settings_.config_wait,
+      key_evidence_.FirstProofDueIn(now).value_or(settings_.config_wait));
+}
+
 void FeedService::OnConfig(CallReply<ConfigNews> reply) {
   if (reply.status != CallStatus::kOk) {
     StepAfter(config_, NoteFailure(config_, reply.status, reply.error),
--- a/lib/fleet/key_evidence.cc
+++ b/lib/fleet/key_evidence.cc
@@ -18,11 +18,22 @@
   Confirm();
 }
 
+std::optional<BootTime> KeyEvidence::TrustedFrom() const {
+  if (timeline_.timeline == 0)
+    return std::nullopt;
+  return timeline_.known_since + kRewriteTime;
+}
+
+std::optional<Duration> KeyEvidence::FirstProofDueIn(BootTime now) const {
+  const std::optional<BootTime> trusted_from = TrustedFrom();
+  if (!trusted_from || (contact_at_ && *contact_at_ >= *trusted_from))
+    return std::nullopt;
+  return std::max(*trusted_from - now, Duration::zero());
+}
+
 void KeyEvidence::Confirm() {
-  // Nothing was restored before the first timeline.
-  const bool is_first = timeline_.timeline == 0;
-  const BootTime trusted_from = timeline_.known_since + kRewriteTime;
-  if (!newest_read_ || (!is_first && *newest_read_ < trusted_from))
+  const std::optional<BootTime> trusted_from = TrustedFrom();
+  if (!newest_read_ || (trusted_from && *newest_read_ < *trusted_from))
     return;
   confirmed_at_ =
       std::max(confirmed_at_.value_or(*newest_read_), *newest_read_);
--- a/unittests/process/restored_keys_test.cc
+++ b/unittests/process/restored_keys_test.cc
@@ -99,6 +99,21 @@
   cr_assert_eq(StatusOf(it, "k1"), 401);
 }
 
+// The keys were refused until a call that the store held had ended, and one
+// more.
+Test(restored_keys,
+     host_that_starts_after_a_restore_takes_keys_without_delay,
+     .timeout = 60) {
+  constexpr Duration kRewriteTime = seconds(2);
+  constexpr Duration kStartAndRead = milliseconds(500);
+  EdgeFixture it;
+  it.store_.TakeBackup();
+  it.store_.Restore();
+  Restart(it);
+  cr_assert(EdgeFixture::Within(kRewriteTime + kStartAndRead,
+                                [&] { return StatusOf(it, "k1") == 200; }));
+}
+
 // Each host would leave the readiness check at the same time.
 Test(restored_keys, hosts_stay_ready_after_a_restore, .timeout = 60) {
   EdgeFixture it;
