A store that names no timeline is not read again and again

Hosts' datagrams name timeline zero where the store names none, and an answer without one counted as earlier than zero, so as outdated.

peer_signals/a_store_without_timelines_is_not_read_again_and_again failed before: more than 3 reads of the list in two seconds.

--- a/lib/edge/feed_service.cc
+++ b/lib/edge/feed_service.cc
@@ -485,7 +485,8 @@
     StepAfter(hosts_, settings_.longest_backoff, &FeedService::Announce);
     return;
   }
-  const bool is_outdated = reply.timeline < hosts_timeline_;
+  const bool is_outdated =
+      reply.timeline.value_or(0) < hosts_timeline_.value_or(0);
   StepAfter(hosts_, is_outdated ? DrawHostsDelay() : settings_.hosts_interval,
             &FeedService::ReadHosts);
 }
--- a/unittests/process/peer_signals_test.cc
+++ b/unittests/process/peer_signals_test.cc
@@ -7,9 +7,11 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -234,6 +236,28 @@
   }));
   cr_assert_eq(it.Log().find("so_far=7"), std::string::npos);
 }
+// Two hosts that heard each other read the list of hosts without a pause.
+Test(peer_signals,
+     a_store_without_timelines_is_not_read_again_and_again,
+     .timeout = 60) {
+  constexpr int kMostReads = 3;
+  constexpr int kDatagrams = 200;
+  EdgeFixture it;
+  PeerStandin peer;
+  it.store_.set_names_timeline(false);
+  it.process_.reset();
+  const int before = it.store_.NewestReads("keyed.hosts");
+  it.process_ = std::make_unique<Process>(
+      std::vector<std::string>{MANGOPORT_EDGE_BINARY, "--settings",
+                               it.settings_},
+      it.settings_ + ".log");
+  for (int i = 0; i < kDatagrams; ++i) {
+    peer.Tell(PeerPort(it), 0, "");
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  cr_assert_leq(it.store_.NewestReads("keyed.hosts") - before, kMostReads);
+}
+
 // NOLINTEND
 
 }  // namespace
--- a/unittests/support/platform_standin.cc
+++ b/unittests/support/platform_standin.cc
@@ -110,7 +110,14 @@
 }
 
 void StoreStandin::NameTimeline(httplib::Response& response) const {
-  response.set_header("Store-Era", std::to_string(timeline_));
+  if (names_timeline_)
+    response.set_header("Store-Era", std::to_string(timeline_));
+}
+
+int StoreStandin::NewestReads(const std::string& topic) const {
+  const std::lock_guard lock(mutex_);
+  const auto it = newest_reads_.find(topic);
+  return it == newest_reads_.end() ? 0 : it->second;
 }
 
 void StoreStandin::TakeBackup() {
@@ -186,6 +193,7 @@
                           httplib::Response& response) {
   const std::lock_guard lock(mutex_);
   NameTimeline(response);
+  ++newest_reads_[request.get_param_value("Topic")];
   const Topic& topic = topics_[request.get_param_value("Topic")];
   std::string items;
   for (const auto& [key, value] : topic.newest) {
--- a/unittests/support/platform_standin.h
+++ b/unittests/support/platform_standin.h
@@ -61,6 +61,11 @@
   void TakeBackup();
   /// Replaces all topics by the last copy and begins a new timeline.
   void Restore();
+  /// A store that names no timeline says nothing of restores.
+  void set_names_timeline(bool names) { names_timeline_ = names; }
+
+  /// How often the newest records of `topic` have been read.
+  int NewestReads(const std::string& topic) const;
 
  private:
   struct Record {
@@ -80,10 +85,12 @@
   void Read(const httplib::Request& request, httplib::Response& response);
   void Newest(const httplib::Request& request, httplib::Response& response);
 
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   std::map<std::string, Topic> topics_;
   std::map<std::string, Topic> backup_;
   std::uint64_t timeline_ = 0;
+  std::map<std::string, int> newest_reads_;
+  std::atomic<bool> names_timeline_{true};
   std::atomic<bool> down_{false};
   std::atomic<bool> stopping_{false};
 };
