config_changes_test: a change is made once the servers have the requests

The change was made 250 ms after the requests were started; beside load one had not reached the host by then, and was rightly refused by the new configuration. That the answer names the moved route's service without servers shows it; its log was not kept.

--- a/unittests/process/config_changes_test.cc
+++ b/unittests/process/config_changes_test.cc
@@ -26,6 +26,10 @@
 /// once a second.
 constexpr milliseconds kRunTime{1700};
 
+/// Requests of `Stages` that servers have before a change: those at work and
+/// the one that is tried again.
+constexpr std::size_t kSentBeforeChange = 4;
+
 constexpr char kStreamHead[] =
     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
 constexpr char kNotRunHead[] = "X-Not-Executed: 1\r\nContent-Length: 0\r\n";
@@ -105,6 +109,9 @@
       answers.push_back(
           std::async(std::launch::async, [this, stage] { return Ask(stage); }));
     std::this_thread::sleep_for(milliseconds(250));
+    Require(EdgeFixture::Within(kRunTime - milliseconds(300),
+                                [this] { return AllAreAtWork(); }),
+            "the requests do not reach the servers");
     const std::string before = it_.Log();
     change(*this);
     cr_expect(EdgeFixture::Within(kRunTime - milliseconds(250),
@@ -130,6 +137,16 @@
     return connection.ReceiveAll();
   }
 
+  /// True if the servers have the requests that must be there before a change.
+  bool AllAreAtWork() const {
+    std::size_t n = 0;
+    for (const ScriptedBackend* server : {&x_, &y_}) {
+      for (const SeenRequest& it : server->seen())
+        n += it.target.ends_with("/run") || it.target == "/read/again" ? 1 : 0;
+    }
+    return n >= kSentBeforeChange;
+  }
+
   /// True if a change has been applied since the log had `from` bytes.
   bool HasApplied(std::size_t from) const {
     const std::string log = it_.Log();
