--- a/include/mangoport/edge/edge_host.h
+++ b/include/mangoport/edge/edge_host.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "mangoport/edge/feed_service.h"
@@ -76,6 +77,8 @@
   FeedHooks MakeFeedHooks();
   /// A backend server said that it leaves.
   void OnServerLeaving(const ServerId& server);
+  /// The store's answer or the peer `source` named a timeline of the store.
+  void OnStoreTimeline(StoreTimeline timeline, std::string_view source);
   void AnswerStatus(const std::shared_ptr<ClientSession>& session,
                     const HttpRequest& request);
   bool IsReady() const;
@@ -130,6 +133,8 @@
   std::vector<std::unique_ptr<Listener>> listeners_;
   SessionSet caller_sessions_;
   SessionSet status_sessions_;
+  /// The highest timeline of the store that this host knows.
+  std::optional<StoreTimeline> store_timeline_;
   std::optional<HostId> holder_;
   MonoTime holder_heard_at_;
   Duration holder_lifetime_{};
--- a/include/mangoport/fleet/engine_calls.h
+++ b/include/mangoport/fleet/engine_calls.h
@@ -3,11 +3,13 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "mangoport/core/ids.h"
+#include "mangoport/core/store_position.h"
 #include "mangoport/fleet/server_directory.h"
 
 namespace mangoport {
@@ -58,6 +60,9 @@
   /// Describes the error for the log.
   std::string error = {};
   T value = {};
+  /// The timeline that the store named in its answer. None if there was no
+  /// answer, or if it is not from the store.
+  std::optional<StoreTimeline> timeline = std::nullopt;
 };
 
 /// Called with the result of an asynchronous call.
--- a/include/mangoport/ports/fleet_platform.h
+++ b/include/mangoport/ports/fleet_platform.h
@@ -49,6 +49,10 @@
  public:
   virtual ~FleetPlatform() = default;
 
+  /// Sets a hook that is called for each answer of the store with the timeline
+  /// that it names, before the result of the call.
+  virtual void set_on_timeline(std::function<void(StoreTimeline)> hook) = 0;
+
   /// Answers as soon as there is news, or with none after `wait`.
   virtual void ReadConfig(FeedPosition from,
                           Duration wait,
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -135,6 +135,8 @@
               LeaseSettingsFor(settings_.bounds),
               DrawClaimDelay()),
       signals_(io_, SIGTERM, SIGINT, SIGHUP) {
+  platform_->set_on_timeline(
+      [this](StoreTimeline timeline) { OnStoreTimeline(timeline, "store"); });
   quota_.AwaitHostList();
   caller_.set_on_head([this](const std::string& peer, const HttpHead& head) {
     forwarder_.NoteServerSignals(Now(), backends_.StartOf(ServerId(peer)),
@@ -189,6 +191,17 @@
   pool_.Forget(server.value());
 }
 
+void EdgeHost::OnStoreTimeline(StoreTimeline timeline,
+                               std::string_view source) {
+  if (store_timeline_ && timeline <= *store_timeline_)
+    return;
+  log_.Write(LogLine("store_timeline")
+                 .Add("timeline", timeline)
+                 .Add("earlier", store_timeline_.value_or(0))
+                 .Add("source", source));
+  store_timeline_ = timeline;
+}
+
 void EdgeHost::Run() {
   log_.Write(LogLine("start")
                  .Add("host", settings_.host.value())
--- a/lib/edge/edge_peers.cc
+++ b/lib/edge/edge_peers.cc
@@ -53,6 +53,7 @@
                          wire::HostState& message) {
   const BootTime boot_now = BootClock::now();
   message.set_servers_position(feeds_.servers_position());
+  message.set_store_timeline(store_timeline_.value_or(0));
   // Each zone has a reader, so changes are not sent across zones.
   if (peer.zone == settings_.zone)
     WriteFeeds(boot_now,
@@ -118,6 +119,8 @@
 void EdgeHost::OnPeerState(MonoTime now,
                            std::optional<BootTime> sent_after,
                            const wire::HostState& message) {
+  if (message.store_timeline() != 0)
+    OnStoreTimeline(message.store_timeline(), message.host());
   if (!message.leaving())
     feeds_.OnPeerUpdates(now, HostId(message.host()),
                          ReadFeeds(sent_after, message));
--- a/unittests/support/platform_standin.h
+++ b/unittests/support/platform_standin.h
@@ -57,6 +57,10 @@
   void set_down(bool down) { down_ = down; }
   /// Forgets all records but the newest of each key.
   void Compact();
+  /// Keeps a copy of all topics, for `Restore`.
+  void TakeBackup();
+  /// Replaces all topics by the last copy and begins a new timeline.
+  void Restore();
 
  private:
   struct Record {
@@ -70,12 +74,16 @@
     std::uint64_t end() const { return first + records.size(); }
   };
 
+  /// Says in an answer which timeline it is from. Needs the lock.
+  void NameTimeline(httplib::Response& response) const;
   void Append(const httplib::Request& request, httplib::Response& response);
   void Read(const httplib::Request& request, httplib::Response& response);
   void Newest(const httplib::Request& request, httplib::Response& response);
 
   std::mutex mutex_;
   std::map<std::string, Topic> topics_;
+  std::map<std::string, Topic> backup_;
+  std::uint64_t timeline_ = 1;
   std::atomic<bool> down_{false};
   std::atomic<bool> stopping_{false};
 };
--- a/utils/check_names.sh
+++ b/utils/check_names.sh
@@ -4,7 +4,7 @@
 # planted name first.
 set -eu
 cd "$(dirname "$0")/.."
-names='X-(Attempt-Id|Deadline-Ms|Model|Token-Usage|Prompt-Prefix|Tenant|Expect-Instance|Request-Urgency|Not-Executed|Server-Seal|Hold|Pin-Ms|Kv-Backup)\b|/mangoport/|keyed\.|MANGOPORT_NODE_FILE|log-(append|read|newest|join)|fleetbench'
+names='X-(Attempt-Id|Deadline-Ms|Model|Token-Usage|Prompt-Prefix|Tenant|Expect-Instance|Request-Urgency|Not-Executed|Server-Seal|Hold|Pin-Ms|Kv-Backup)\b|/mangoport/|Store-Era|keyed\.|MANGOPORT_NODE_FILE|log-(append|read|newest|join)|fleetbench'
 planted=$(mktemp)
 trap 'rm -f "$planted"' EXIT
 echo 'out.field = "X-Tenant";' >"$planted"
