--- a/review/support/standins.py
+++ b/review/support/standins.py
@@ -11,6 +11,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -585,7 +586,7 @@
         if keep:
             os.makedirs(keep, exist_ok=True)
             for it in self.hosts:
-                os.system(f"cp '{it.log}' '{keep}/'")
+                shutil.copy(it.log, keep)
         self.temporary.cleanup()
 
 
@@ -654,14 +655,19 @@
 
 def main(case, folder):
     """Runs `case(deployment)`, which returns HELD or BROKEN."""
-    random.seed()
-    if not os.path.exists(os.path.join(ROOT, "target/tools/mangoport-edge/mangoport-edge")):
+
+    def stop(number, frame):
+        raise KeyboardInterrupt  # So that all processes are ended.
+
+    signal.signal(signal.SIGTERM, stop)
+    if not os.path.exists(
+            os.path.join(ROOT, "target/tools/mangoport-edge/mangoport-edge")):
         print("the program isn't built")
         sys.exit(CANNOT_RUN)
     deployment = Deployment(folder)
     try:
         result = case(deployment)
-    except Exception as error:  # The case could not be played.
+    except (Exception, KeyboardInterrupt) as error:  # The case could not be played.
         deployment.record.write(f"the case failed to run: {error!r}")
         result = CANNOT_RUN
     finally:
