review/2: the engine is at fault for 5.5 s, as long as the site's disruption lasts

The case spoilt answers for 40 s; the site file has 5.5 s and 0.02 of the answers. Claimed: LOST, by one spoilt answer of 50 or more.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,10 +10,14 @@
 
 MEMORY_MB = 182
 LINK_BYTES_PER_S = 700e6 / 8
-# One answer of so many that the faulty engine gives is spoilt (0.02).
-SPOILT_OF = 50
-PLAY_S = 40
-PAYERS = 12
+# One answer of the faulty engine is spoilt, of 50 or more (0.02) that it gives while it
+# is at fault.
+SPOILT = 20
+LEAST_ANSWERS = 50
+FAULTY_FROM_S, FAULTY_FOR_S = 6, 5.5
+PLAY_S = 16
+STREAM_GAP_S = 0.018
+PAYERS = 16
 PAY_S = 0.2
 # Callers leave a stream after a gap of so long (the longest of 2 s, four times the
 # objective of 250 ms and eight times the pause of 250 ms).
@@ -98,6 +102,12 @@
                 for it in ("scribe", "ledger")]
     deployment.store.put("keyed.op", "config", config(1, [draft, pay], services))
     started = {}
+    faulty_at = [None]
+    answers = [0]
+
+    def is_faulty():
+        return (faulty_at[0] is not None and
+                0 <= record.now() - faulty_at[0] < FAULTY_FOR_S)
 
     def serve_payment(engine):
         def serve(run):
@@ -110,18 +120,19 @@
         return serve
 
     def serve_stream(engine, faulty):
-        answers = [0]
-
         def serve(run):
             if run.target.startswith("/mangoport/"):
                 run.answer(404, b"")
                 return
-            answers[0] += 1
+            spoilt = False
+            if faulty and is_faulty():
+                answers[0] += 1
+                spoilt = trouble() and answers[0] == SPOILT
             run.connection.sendall(
                 f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {run.id}\r\n"
                 f"X-Server-Seal: {engine.id}\r\n"
                 "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n".encode())
-            if faulty and trouble() and answers[0] % SPOILT_OF == 0:
+            if spoilt:
                 record.write(f"engine {engine.id} spoils its answer to {run.id}")
                 send_without_end(run.connection)
                 return
@@ -149,6 +160,7 @@
     for it in payers:
         threading.Thread(target=it.pay, args=(over,), daemon=True).start()
     begin = record.now()
+    faulty_at[0] = begin + FAULTY_FROM_S
     i = 0
     while record.now() - begin < PLAY_S:
         i += 1
@@ -156,14 +168,17 @@
             record, deployment.hosts[i % 2], "POST", "/draft/x"),
             kwargs={"body": b"prompt %d" % i, "deadline_ms": 15000, "gap_s": GAP_S,
                     "quiet": True}).start()
-        time.sleep(0.04)
+        time.sleep(STREAM_GAP_S)
     over.set()
     time.sleep(1.5)
     platform.over.set()
+    record.write(f"the faulty engine gave {answers[0]} answers in {FAULTY_FOR_S} s")
     lost = [id for it in payers for id in it.lost]
     record.write(f"{len(platform.ends)} times a host was killed for its memory (most "
                  f"seen: {platform.peak_mb:.0f} MB); {len(lost)} payments that sound "
                  f"engines ran on kept connections got no answer")
+    if answers[0] < LEAST_ANSWERS:
+        return CANNOT_RUN
     return BROKEN if len(lost) > MOST_LOST else HELD
 
 
