A begun answer acquits no part that its server's end accuses

Cause: PartSuspects took the first event of an answer for proof that its parts are sound, and RequestExchange did not count the loss behind it. In the log each lost_with_server said begun=yes; no part was suspected.

Now evidence has a weight: a loss is refuted by another answer that is whole, or goes on for twice as long as the lost one had (a second at least). All losses within four seconds of the first event blame the parts. Both travel to the other hosts. A begun stream with a held part isn't resumed. The log names answered_for_ms and sound_ms.

Tests: in deadly_part_test three new ones fail with the program of ('the deadly request is not refused') and pass now; part_suspects_test simulates 12 hosts with answers of 0.5 to 60 s, and crashes for other reasons. In the older tests of PartSuspects an answer that had begun now is one that is whole, since that is what acquits; bounds are unchanged.

--- a/include/mangoport/routing/part_suspects.h
+++ b/include/mangoport/routing/part_suspects.h
@@ -1,6 +1,7 @@
 #ifndef MANGOPORT_ROUTING_PART_SUSPECTS_H_
 #define MANGOPORT_ROUTING_PART_SUSPECTS_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -14,6 +15,7 @@
 
 #include "mangoport/core/ids.h"
 #include "mangoport/core/time.h"
+#include "mangoport/routing/answer_grade.h"
 #include "mangoport/routing/probe_schedule.h"
 
 namespace mangoport {
@@ -21,8 +23,7 @@
 /// Hash of the id of one part of a prompt.
 using PartHash = std::uint64_t;
 
-/// A part of a request that was at a server when that server was lost, and to
-/// which no answer had begun.
+/// A part of a request that was at a server when that server was lost.
 struct PartLoss {
   PartHash part = 0;
   /// Hash of the request's content; equal for a resent request.
@@ -32,6 +33,8 @@
   std::uint64_t server_started_at_ms = 0;
   /// Time since the server was lost.
   Duration age{};
+  /// For how long the answer had gone on by then; zero if it had not begun.
+  Duration answered_for{};
 };
 
 /// What one host tells the others about a part that was blamed for crashes.
@@ -43,8 +46,9 @@
   Duration crash_age{};
   /// Probes of the quarantined part that crashed a server.
   std::uint32_t probes = 0;
-  /// Time since an answer to a request with the part last began, if known.
-  std::optional<Duration> begun_age = std::nullopt;
+  /// Times since answers to requests with the part last reached each grade, if
+  /// known.
+  std::array<std::optional<Duration>, kAnswerGrades> grade_ages = {};
 };
 
 /// A decision about a part, with the evidence for it.
@@ -57,23 +61,26 @@
   std::uint32_t requests = 0;
   Duration first_crash_age{};
   Duration last_crash_age{};
-  /// Negative if no answer has begun.
-  Duration begun_age{};
+  /// Time since an answer proved the part sound; negative if none has.
+  Duration sound_age{};
 };
 
 /// Finds the part of a prompt that crashes each server that begins to write an
 /// answer on it, and keeps requests with it from the servers.
 ///
-/// A crash blames all parts of the requests that were at the server without an
-/// answer begun, over all hosts. An answer that begins clears the parts of its
-/// request from all blame before it. A crash that one part explains blames no
-/// other, so that the parts which its requests share with sound ones are not
-/// convicted along with it. Not synchronised.
+/// A crash blames all parts of the requests that were at the server, over all
+/// hosts, but those of answers that had gone on for longer than
+/// `kAnswerTrial`. An answer that is whole, or goes on for longer than the lost
+/// ones did, clears the parts of its request from all such blame before it; one
+/// that has only begun clears nothing, since the crash may be right behind it.
+/// A crash that one part explains blames no other, so that the parts which its
+/// requests share with sound ones are not convicted along with it. Not
+/// synchronised.
 class PartSuspects {
  public:
   struct Settings {
-    /// Crashes after which a part is quarantined if no answer to a request with
-    /// it has begun within `evidence_lifetime`, and if one has, but not since.
+    /// Crashes after which a part is quarantined if no answer has proved it
+    /// sound within `evidence_lifetime`, and if one has, but not since.
     std::uint32_t min_crashes = 3;
     std::uint32_t min_crashes_once_sound = 5;
     /// Crashes after which a part is quarantined if all are of one server. A
@@ -96,8 +103,8 @@
   explicit PartSuspects(const Settings& settings) : settings_(settings) {}
   PartSuspects() : PartSuspects(Settings{}) {}
 
-  /// Records that this host lost a server with a request to which no answer had
-  /// begun. `loss.part` is ignored.
+  /// Records that this host lost a server with a request. `loss.part` is
+  /// ignored.
   void OnLost(MonoTime now,
               const PartLoss& loss,
               const std::vector<PartHash>& parts);
@@ -106,8 +113,10 @@
   /// Takes in what another host knows of a part.
   void OnPeerState(MonoTime now, const PartState& state);
 
-  /// Records that the answer to a request with these parts has begun.
-  void OnBegun(MonoTime now, const std::vector<PartHash>& parts);
+  /// Records how far the answer to a request with these parts has come.
+  void OnAnswer(MonoTime now,
+                const std::vector<PartHash>& parts,
+                AnswerGrade grade);
 
   /// Returns none if a request with these parts may be sent, or else the time
   /// after which one may be. `repeat` says that the request has been lost with
@@ -134,13 +143,20 @@
   }
 
  private:
+  /// The requests with one part that were at a server when it was lost.
+  struct Lost {
+    /// At most a few.
+    std::set<std::uint64_t> requests;
+    /// The answer that had gone on for longest. If the part were the cause, it
+    /// would be that one's.
+    Duration answered_for{};
+  };
   struct Crash {
     ServerId server;
     std::uint64_t server_started_at_ms = 0;
     MonoTime at;
     MonoTime heard_at;
-    /// The requests that carried each part, at most a few.
-    std::map<PartHash, std::set<std::uint64_t>> parts;
+    std::map<PartHash, Lost> parts;
   };
   struct OwnLoss {
     PartLoss loss;
@@ -166,13 +182,24 @@
   using Tallies = std::map<PartHash, Tally>;
 
   void AddLoss(MonoTime now, const PartLoss& loss);
+  /// Keeps a loss of this host's, to tell others.
+  void AddOwnLoss(MonoTime at, const PartLoss& loss);
+  /// What to tell of the answers to requests with the part.
+  PartState AnswersOf(MonoTime now, PartHash part) const;
   Crash& FindOrAddCrash(MonoTime now, const PartLoss& loss);
   /// Makes room for a crash. Quarantines that rest on the oldest one become
   /// final, since they could not be convicted again.
   void ForgetOldestCrash();
-  void NoteBegun(MonoTime at, PartHash part);
-  std::optional<MonoTime> BegunAt(PartHash part) const;
-  bool BegunRecently(MonoTime now, PartHash part) const;
+  void NoteAnswer(MonoTime at, PartHash part, AnswerGrade grade);
+  /// When an answer of this grade at least was last known.
+  std::optional<MonoTime> AnsweredAt(PartHash part, AnswerGrade grade) const;
+  /// When an answer last proved the part sound.
+  std::optional<MonoTime> SoundAt(PartHash part) const;
+  bool SoundRecently(MonoTime now, PartHash part) const;
+  /// True if an answer after `at` refutes the loss of a server with the part.
+  bool IsRefuted(PartHash part, Duration answered_for, MonoTime at) const;
+  /// True if the part was at the server in a way that may have crashed it.
+  static bool Blames(const Crash& crash, PartHash part);
   void Update(MonoTime now);
   void RemoveExpired(MonoTime now);
   Tallies CountCrashes(MonoTime now,
@@ -199,7 +226,7 @@
   Settings settings_;
   std::deque<Crash> crashes_;
   std::deque<OwnLoss> own_losses_;
-  std::unordered_map<PartHash, MonoTime> begun_;
+  std::unordered_map<PartHash, GradeTimes> answers_;
   std::map<PartHash, Quarantine> quarantined_;
   std::set<PartHash> suspects_;
   ProbeSchedule schedule_;
--- a/lib/forward/request_answer.cc
+++ b/lib/forward/request_answer.cc
@@ -75,6 +75,8 @@
   if (answer_.status / 100 == 2)
     DropSuccessor(now, "overtaken", AttemptOutcome::kCancelled);
   if (answer_.in_pieces) {
+    if (answer_.begun_at)
+      NoteAnswerGoesOn(now);
     PassOnPiece(piece);
     return;
   }
@@ -105,7 +107,7 @@
 }
 
 void RequestExchange::OnEvents(MonoTime now) {
-  NoteAnswerBegun(now);
+  NoteAnswerGoesOn(now);
   last_event_at_ = now;
   if (first_event_at_)
     return;
@@ -146,7 +148,7 @@
   }
   DropSuccessor(now, "overtaken", AttemptOutcome::kCancelled);
   if (success)
-    NoteAnswerBegun(now);
+    NoteAnswerGoesOn(now);
   answer_.in_pieces = true;
   PassOnPiece(std::exchange(answer_.body, {}));
 }
@@ -189,7 +191,6 @@
   }
   const int status = answer_.status;
   if (status / 100 == 2) {
-    NoteAnswerBegun(now);
     NoteWholeAnswer(now);
     FinishAttempt(now, AttemptOutcome::kCompleted);
     if (!answer_.streaming) {
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -267,7 +267,7 @@
 void RequestExchange::OnFailed(const HttpFailure& failure) {
   const auto self = shared_from_this();
   connection_.reset();
-  NoteLoss(Now(), server_start_, failure);
+  NoteLoss(Now(), server_start_, answer_, failure);
   EndAttempt(Now(), EndOf(failure));
 }
 
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -63,6 +63,10 @@
     /// The body is larger than is gathered, and the caller has its beginning.
     bool in_pieces = false;
     std::size_t events = 0;
+    /// When the first event or, of a large answer, the first bytes came.
+    std::optional<MonoTime> begun_at;
+    /// How far the answer is known to have come.
+    std::optional<AnswerGrade> grade;
   };
 
   /// An attempt that takes over from one whose server is silent, once it has
@@ -176,14 +180,19 @@
   /// False if a part of the prompt keeps the request from being sent; it has
   /// been answered then.
   bool AdmitParts(MonoTime now);
-  void NoteAnswerBegun(MonoTime now);
+  /// The answer of the attempt under way has begun or goes on.
+  void NoteAnswerGoesOn(MonoTime now);
+  /// For how long `answer` has gone on; zero if it has not begun.
+  static Duration AnsweredFor(MonoTime now, const Answer& answer);
   /// A connection was lost, perhaps because the server's process has ended.
   void NoteLoss(MonoTime now,
                 const ServerStart& start,
+                const Answer& answer,
                 const HttpFailure& failure);
   /// Returns true if the loss counts against the parts of the prompt.
   bool NotePartLoss(MonoTime now,
                     const ServerStart& start,
+                    Duration answered_for,
                     const HttpFailure& failure);
 
   // Answers.
@@ -243,7 +252,6 @@
   bool is_probe_ = false;
   /// The parts of the prompt that other requests may share.
   std::vector<PartHash> shared_parts_;
-  bool begun_noted_ = false;
   /// Lost with a server whose process may have ended.
   bool lost_ = false;
   /// Tokens of the prompt that no other request shares.
--- a/lib/forward/request_handover.cc
+++ b/lib/forward/request_handover.cc
@@ -210,7 +210,7 @@
 
 void RequestExchange::OnSuccessorFailed(const HttpFailure& failure) {
   const MonoTime now = Now();
-  NoteLoss(now, successor_.start, failure);
+  NoteLoss(now, successor_.start, successor_.answer, failure);
   RejectSuccessor(now, EndOf(failure));
 }
 
--- a/lib/forward/request_parts.cc
+++ b/lib/forward/request_parts.cc
@@ -71,12 +71,15 @@
 }
 
 void RequestExchange::NoteWholeAnswer(MonoTime now) {
-  if (answer_.status / 100 == 2)
-    host_.crash_suspects_.OnAnswered(now, fingerprint_);
+  if (answer_.status / 100 != 2)
+    return;
+  answer_.grade = AnswerGrade::kWhole;
+  host_.crash_suspects_.OnAnswered(now, fingerprint_);
+  host_.part_suspects_.OnAnswer(now, shared_parts_, AnswerGrade::kWhole);
 }
 
 std::optional<Duration> RequestExchange::PartRefusal(MonoTime now) {
-  if (shared_parts_.empty() || begun_noted_)
+  if (shared_parts_.empty())
     return std::nullopt;
   return host_.part_suspects_.Refusal(now, shared_parts_, lost_);
 }
@@ -90,13 +93,23 @@
   return false;
 }
 
-void RequestExchange::NoteAnswerBegun(MonoTime now) {
-  if (!std::exchange(begun_noted_, true))
-    host_.part_suspects_.OnBegun(now, shared_parts_);
+void RequestExchange::NoteAnswerGoesOn(MonoTime now) {
+  if (!answer_.begun_at)
+    answer_.begun_at = now;
+  const auto grade = GradeAfter(AnsweredFor(now, answer_));
+  if (!grade || grade <= answer_.grade)
+    return;
+  answer_.grade = grade;
+  host_.part_suspects_.OnAnswer(now, shared_parts_, *grade);
+}
+
+Duration RequestExchange::AnsweredFor(MonoTime now, const Answer& answer) {
+  return answer.begun_at ? now - *answer.begun_at : Duration::zero();
 }
 
 void RequestExchange::NoteLoss(MonoTime now,
                                const ServerStart& start,
+                               const Answer& answer,
                                const HttpFailure& failure) {
   if (!failure.request_sent)
     return;
@@ -104,7 +117,8 @@
       now, {.fingerprint = fingerprint_,
             .server = start.server,
             .server_started_at_ms = start.started_at_ms});
-  const bool is_part_loss = NotePartLoss(now, start, failure);
+  const bool is_part_loss =
+      NotePartLoss(now, start, AnsweredFor(now, answer), failure);
   // One crash says nothing of a request yet, and many are lost in it.
   if (host_.on_loss_ && (is_part_loss || crashes > 1))
     host_.on_loss_();
@@ -112,6 +126,7 @@
 
 bool RequestExchange::NotePartLoss(MonoTime now,
                                    const ServerStart& start,
+                                   Duration answered_for,
                                    const HttpFailure& failure) {
   if (!failure.by_peer || shared_parts_.empty())
     return false;
@@ -119,22 +134,21 @@
                              .Add("id", request_id_)
                              .Add("server", start.server.value())
                              .Add("server_started_at_ms", start.started_at_ms)
-                             .Add("begun", begun_noted_)
+                             .Add("answered_for_ms", answered_for)
                              .Add("parts", ToHex(shared_parts_)));
-  // A server that has begun to answer this request can answer it.
-  if (begun_noted_)
-    return false;
-  lost_ = true;
+  const bool blames = answered_for <= kAnswerTrial;
+  lost_ |= blames;
   host_.part_suspects_.OnLost(now,
                               {.fingerprint = fingerprint_,
                                .server = start.server,
-                               .server_started_at_ms = start.started_at_ms},
+                               .server_started_at_ms = start.started_at_ms,
+                               .answered_for = answered_for},
                               shared_parts_);
-  return true;
+  return blames;
 }
 
 void RequestExchange::OnPartQuarantined(MonoTime now, PartHash part) {
-  if (done_ || !connection_ || begun_noted_)
+  if (done_ || !connection_ || answer_.begun_at)
     return;
   if (std::find(shared_parts_.begin(), shared_parts_.end(), part) !=
       shared_parts_.end())
@@ -156,7 +170,7 @@
                        .Add("requests", decision.requests)
                        .Add("first_crash_ms", decision.first_crash_age)
                        .Add("last_crash_ms", decision.last_crash_age)
-                       .Add("begun_ms", decision.begun_age));
+                       .Add("sound_ms", decision.sound_age));
   if (decision.kind != PartDecision::Kind::kQuarantined)
     return;
   // The decision may fall while a request is being dispatched.
--- a/lib/routing/part_suspects.cc
+++ b/lib/routing/part_suspects.cc
@@ -14,10 +14,12 @@
 constexpr std::size_t kMaxCrashes = 128;
 constexpr std::size_t kMaxPartsOfCrash = 512;
 constexpr std::size_t kMaxRequestsOfPart = 4;
+/// Two requests tell that not one alone is to blame.
+constexpr std::size_t kMaxToldRequestsOfPart = 2;
 constexpr std::size_t kMaxOwnLosses = 256;
 constexpr std::size_t kMaxToldLosses = 128;
 constexpr std::size_t kMaxToldStates = 128;
-constexpr std::size_t kMaxBegun = 8192;
+constexpr std::size_t kMaxAnswers = 8192;
 constexpr std::size_t kMaxQuarantined = 1024;
 
 /// Two crashes that both a suspect and no sound request was in.
@@ -66,12 +68,27 @@
   for (const PartHash it : parts) {
     out.part = it;
     AddLoss(now, out);
-    if (own_losses_.size() >= kMaxOwnLosses)
-      own_losses_.pop_front();
-    own_losses_.push_back({.loss = out, .at = Before(now, loss.age)});
+    AddOwnLoss(Before(now, loss.age), out);
   }
 }
 
+void PartSuspects::AddOwnLoss(MonoTime at, const PartLoss& loss) {
+  // Many requests that share a part may be lost at once.
+  std::size_t told = 0;
+  for (OwnLoss& it : own_losses_) {
+    if (it.loss.part != loss.part || it.loss.server != loss.server ||
+        it.loss.server_started_at_ms != loss.server_started_at_ms)
+      continue;
+    it.loss.answered_for = std::max(it.loss.answered_for, loss.answered_for);
+    ++told;
+  }
+  if (told >= kMaxToldRequestsOfPart)
+    return;
+  if (own_losses_.size() >= kMaxOwnLosses)
+    own_losses_.pop_front();
+  own_losses_.push_back({.loss = loss, .at = at});
+}
+
 void PartSuspects::OnPeerLoss(MonoTime now, const PartLoss& loss) {
   AddLoss(now, loss);
 }
@@ -85,10 +102,14 @@
   const auto known = crash.parts.find(loss.part);
   if (known == crash.parts.end() && crash.parts.size() >= kMaxPartsOfCrash)
     return;
-  std::set<std::uint64_t>& requests = crash.parts[loss.part];
+  Lost& lost = crash.parts[loss.part];
   bool is_new = known == crash.parts.end();
-  if (requests.size() < kMaxRequestsOfPart)
-    is_new |= requests.insert(loss.fingerprint).second;
+  if (lost.requests.size() < kMaxRequestsOfPart)
+    is_new |= lost.requests.insert(loss.fingerprint).second;
+  if (loss.answered_for > lost.answered_for) {
+    lost.answered_for = loss.answered_for;
+    is_new = true;
+  }
   if (is_new)
     UpdateBy(now);
 }
@@ -114,7 +135,7 @@
 }
 
 void PartSuspects::ForgetOldestCrash() {
-  for (const auto& [part, requests] : crashes_.front().parts) {
+  for (const auto& [part, lost] : crashes_.front().parts) {
     const auto held = quarantined_.find(part);
     if (held != quarantined_.end())
       held->second.first_crash.reset();
@@ -123,13 +144,16 @@
 }
 
 void PartSuspects::OnPeerState(MonoTime now, const PartState& state) {
-  if (state.begun_age)
-    NoteBegun(Before(now, *state.begun_age), state.part);
+  for (std::size_t it = 0; it < kAnswerGrades; ++it) {
+    if (state.grade_ages[it])
+      NoteAnswer(Before(now, *state.grade_ages[it]), state.part,
+                 static_cast<AnswerGrade>(it));
+  }
   if (state.crashes == 0 || quarantined_.size() >= kMaxQuarantined)
     return;
   const MonoTime last = Before(now, state.crash_age);
-  const auto begun = BegunAt(state.part);
-  if ((begun && *begun > last) || IsExplained(state.part))
+  const auto sound = SoundAt(state.part);
+  if ((sound && *sound > last) || IsExplained(state.part))
     return;
   const auto [it, added] = quarantined_.try_emplace(state.part);
   Quarantine& quarantine = it->second;
@@ -143,54 +167,75 @@
          {.crashes = state.crashes, .first = last, .last = last});
 }
 
-void PartSuspects::OnBegun(MonoTime now, const std::vector<PartHash>& parts) {
+void PartSuspects::OnAnswer(MonoTime now,
+                            const std::vector<PartHash>& parts,
+                            AnswerGrade grade) {
   for (const PartHash it : parts)
-    NoteBegun(now, it);
+    NoteAnswer(now, it, grade);
 }
 
-void PartSuspects::NoteBegun(MonoTime at, PartHash part) {
-  const auto known = begun_.find(part);
-  if (known != begun_.end()) {
-    known->second = std::max(known->second, at);
-  } else {
-    if (begun_.size() >= kMaxBegun)
-      std::erase_if(begun_, [&](const auto& it) {
-        return at - it.second > settings_.evidence_lifetime;
-      });
+void PartSuspects::NoteAnswer(MonoTime at, PartHash part, AnswerGrade grade) {
+  if (!answers_.contains(part) && answers_.size() >= kMaxAnswers) {
+    std::erase_if(answers_, [&](const auto& it) {
+      const auto last = it.second.Last(AnswerGrade::kOneSecond);
+      return at - *last > settings_.evidence_lifetime;
+    });
     // With as many parts as that, the oldest evidence is as good as any.
-    if (begun_.size() >= kMaxBegun)
-      begun_.erase(begun_.begin());
-    begun_.emplace(part, at);
+    if (answers_.size() >= kMaxAnswers)
+      answers_.erase(answers_.begin());
   }
+  answers_[part].Note(at, grade);
   const auto held = quarantined_.find(part);
   // An answer between the crashes may leave too few to convict the part.
   if (suspects_.contains(part) || held != quarantined_.end())
     UpdateBy(at);
-  if (held != quarantined_.end() && at > held->second.probes.last_crash)
+  if (held != quarantined_.end() && RefutesAll(grade) &&
+      at > held->second.probes.last_crash)
     Release(at, part);
 }
 
-std::optional<MonoTime> PartSuspects::BegunAt(PartHash part) const {
-  const auto it = begun_.find(part);
-  if (it == begun_.end())
+std::optional<MonoTime> PartSuspects::AnsweredAt(PartHash part,
+                                                 AnswerGrade grade) const {
+  const auto it = answers_.find(part);
+  if (it == answers_.end())
     return std::nullopt;
-  return it->second;
+  return it->second.Last(grade);
+}
+
+std::optional<MonoTime> PartSuspects::SoundAt(PartHash part) const {
+  return AnsweredAt(part, AnswerGrade::kEightSeconds);
+}
+
+bool PartSuspects::SoundRecently(MonoTime now, PartHash part) const {
+  const auto sound = SoundAt(part);
+  return sound && now - *sound <= settings_.evidence_lifetime;
+}
+
+bool PartSuspects::IsRefuted(PartHash part,
+                             Duration answered_for,
+                             MonoTime at) const {
+  const auto grade = RefutingGrade(answered_for);
+  if (!grade)
+    return true;
+  const auto answered = AnsweredAt(part, *grade);
+  return answered && *answered > at;
 }
 
-bool PartSuspects::BegunRecently(MonoTime now, PartHash part) const {
-  const auto begun = BegunAt(part);
-  return begun && now - *begun <= settings_.evidence_lifetime;
+bool PartSuspects::Blames(const Crash& crash, PartHash part) {
+  const auto it = crash.parts.find(part);
+  return it != crash.parts.end() && it->second.answered_for <= kAnswerTrial;
 }
 
 bool PartSuspects::IsExplained(PartHash part) const {
   bool blamed = false;
   for (const Crash& crash : crashes_) {
-    if (!crash.parts.contains(part))
+    if (!Blames(crash, part))
       continue;
     blamed = true;
     if (std::none_of(
             crash.parts.begin(), crash.parts.end(), [&](const auto& it) {
-              return it.first != part && quarantined_.contains(it.first);
+              return it.first != part && quarantined_.contains(it.first) &&
+                     Blames(crash, it.first);
             }))
       return false;
   }
@@ -221,11 +266,10 @@
   for (const Crash& crash : crashes_) {
     if (now - crash.heard_at < settled_for ||
         std::any_of(explaining.begin(), explaining.end(),
-                    [&](PartHash it) { return crash.parts.contains(it); }))
+                    [&](PartHash it) { return Blames(crash, it); }))
       continue;
-    for (const auto& [part, requests] : crash.parts) {
-      const auto begun = BegunAt(part);
-      if (begun && *begun > crash.at)
+    for (const auto& [part, lost] : crash.parts) {
+      if (IsRefuted(part, lost.answered_for, crash.at))
         continue;
       Tally& tally = out[part];
       tally.first =
@@ -233,7 +277,7 @@
       tally.last = std::max(tally.last, crash.at);
       ++tally.crashes;
       tally.servers.insert(crash.server);
-      tally.requests.insert(requests.begin(), requests.end());
+      tally.requests.insert(lost.requests.begin(), lost.requests.end());
     }
   }
   return out;
@@ -242,7 +286,7 @@
 bool PartSuspects::Convicts(MonoTime now,
                             PartHash part,
                             const Tally& tally) const {
-  std::uint32_t least = BegunRecently(now, part)
+  std::uint32_t least = SoundRecently(now, part)
                             ? settings_.min_crashes_once_sound
                             : settings_.min_crashes;
   // One server that crashes again and again may itself be at fault.
@@ -262,7 +306,7 @@
   for (const auto& [part, tally] : tallies) {
     if (!Convicts(now, part, tally))
       continue;
-    const std::pair<bool, std::uint32_t> rank(!BegunRecently(now, part),
+    const std::pair<bool, std::uint32_t> rank(!SoundRecently(now, part),
                                               tally.crashes);
     if (out.empty() || rank > most) {
       out.clear();
@@ -311,7 +355,7 @@
   std::vector<PartHash> explained;
   for (auto& [part, it] : quarantined_) {
     for (const Crash& crash : crashes_) {
-      if (!crash.parts.contains(part) || crash.at <= it.probes.last_crash)
+      if (!Blames(crash, part) || crash.at <= it.probes.last_crash)
         continue;
       it.probes.last_crash = crash.at;
       ++it.crashes;
@@ -344,7 +388,7 @@
        CountCrashes(now, culprits, Duration::zero())) {
     if (tally.crashes < kSuspiciousCrashes ||
         tally.requests.size() < settings_.min_requests ||
-        BegunRecently(now, part))
+        SoundRecently(now, part))
       continue;
     suspects.insert(part);
     if (!suspects_.contains(part))
@@ -368,14 +412,14 @@
                           const Tally& tally) const {
   if (!on_decision_)
     return;
-  const auto begun = BegunAt(part);
+  const auto sound = SoundAt(part);
   on_decision_({.kind = kind,
                 .part = part,
                 .crashes = tally.crashes,
                 .requests = static_cast<std::uint32_t>(tally.requests.size()),
                 .first_crash_age = now - tally.first,
                 .last_crash_age = now - tally.last,
-                .begun_age = begun ? now - *begun : milliseconds(-1)});
+                .sound_age = sound ? now - *sound : milliseconds(-1)});
 }
 
 std::optional<Duration> PartSuspects::HoldLeft(MonoTime now,
@@ -412,8 +456,10 @@
   std::vector<PartLoss> out;
   for (auto it = own_losses_.rbegin();
        it != own_losses_.rend() && out.size() < kMaxToldLosses; ++it) {
-    const auto begun = BegunAt(it->loss.part);
-    if (now - it->at > settings_.report_duration || (begun && *begun > it->at))
+    const PartLoss& loss = it->loss;
+    const bool is_refuted = loss.answered_for <= kAnswerTrial &&
+                            IsRefuted(loss.part, loss.answered_for, it->at);
+    if (now - it->at > settings_.report_duration || is_refuted)
       continue;
     out.push_back(it->loss);
     out.back().age = now - it->at;
@@ -431,18 +477,27 @@
                      .crash_age = now - it.probes.last_crash,
                      .probes = it.probes.failed});
   }
-  // Parts that other hosts may blame, although answers to them begin here.
+  // Parts that other hosts may blame, although they are answered here.
   std::set<PartHash> told;
   for (auto crash = crashes_.rbegin(); crash != crashes_.rend(); ++crash) {
     if (now - crash->at > settings_.report_duration)
       continue;
-    for (const auto& [part, requests] : crash->parts) {
-      const auto begun = BegunAt(part);
-      if (begun && out.size() < kMaxToldStates && told.insert(part).second)
-        out.push_back({.part = part, .begun_age = now - *begun});
+    for (const auto& [part, lost] : crash->parts) {
+      if (answers_.contains(part) && out.size() < kMaxToldStates &&
+          told.insert(part).second)
+        out.push_back(AnswersOf(now, part));
     }
   }
   return out;
 }
 
+PartState PartSuspects::AnswersOf(MonoTime now, PartHash part) const {
+  PartState out{.part = part};
+  for (std::size_t it = 0; it < kAnswerGrades; ++it) {
+    if (const auto at = AnsweredAt(part, static_cast<AnswerGrade>(it)))
+      out.grade_ages[it] = now - *at;
+  }
+  return out;
+}
+
 }  // namespace mangoport
--- a/unittests/edge/crash_wire_test.cc
+++ b/unittests/edge/crash_wire_test.cc
@@ -47,7 +47,7 @@
   cr_assert(a.IsQuarantined(kStart + seconds(2), kPart));
 }
 
-Test(crash_wire, begun_answers_and_quarantines_are_told) {
+Test(crash_wire, answers_and_quarantines_are_told) {
   PartSuspects a;
   PartSuspects b;
   for (int i = 0; i < 4; ++i)
@@ -60,7 +60,7 @@
   PartSuspects c;
   for (int i = 0; i < 4; ++i)
     Lose(c, kStart + milliseconds(200) * i, i);
-  c.OnBegun(kStart + seconds(1), {kPart});
+  c.OnAnswer(kStart + seconds(1), {kPart}, AnswerGrade::kWhole);
   Tell(kStart + seconds(2), c, b);
   cr_assert_not(b.IsQuarantined(kStart + seconds(9), kPart));
 }
--- a/unittests/process/deadly_part_test.cc
+++ b/unittests/process/deadly_part_test.cc
@@ -17,14 +17,20 @@
 
 constexpr const char* kDeadlyPart = "dead";
 
+/// How a server ends while it has a deadly request: the bytes that it writes
+/// before, and the time between them and its end.
+struct Crash {
+  bool head = true;
+  int events = 0;
+  milliseconds pause{0};
+  ScriptedAnswer::End end = ScriptedAnswer::End::kReset;
+};
+
 /// A host with servers that close their connection, as a process that ends
 /// does, instead of answering to a prompt with the deadly part.
 class DeadlyEdge {
  public:
-  /// How a server ends while it has a deadly request.
-  enum class Crash { kNoHead, kBehindHead };
-
-  explicit DeadlyEdge(Crash crash = Crash::kNoHead) {
+  explicit DeadlyEdge(const Crash& crash = {.head = false}) {
     for (const char* id : {"i-c", "i-d", "i-e", "i-f"}) {
       ScriptedBackend*& self = selves_.emplace_back();
       edge_.List(
@@ -73,17 +79,25 @@
            std::string::npos;
   }
 
-  static ScriptedAnswer Answer(Crash crash,
+  static ScriptedAnswer Answer(const Crash& crash,
                                const ScriptedBackend& server,
                                const SeenRequest& request) {
-    if (IsDeadly(request) && crash == Crash::kBehindHead)
-      return {.pieces = {server.Head(request, 200,
-                                     "Content-Type: text/event-stream\r\n")},
-              .end = ScriptedAnswer::End::kClose};
-    if (IsDeadly(request))
-      return {.pieces = {}, .end = ScriptedAnswer::End::kReset};
-    return {
-        .pieces = {server.Head(request, 200, "Content-Length: 2\r\n") + "ok"}};
+    if (!IsDeadly(request)) {
+      return {.pieces = {server.Head(request, 200, "Content-Length: 2\r\n") +
+                         "ok"}};
+    }
+    ScriptedAnswer out{.pieces = {}, .pause = crash.pause, .end = crash.end};
+    if (crash.head)
+      out.pieces = {
+          server.Head(request, 200, "Content-Type: text/event-stream\r\n")};
+    const std::string after = request.Field("Last-Event-Id");
+    const int first = after.empty() ? 1 : std::stoi(after) + 1;
+    for (int id = first; id < first + crash.events; ++id)
+      out.pieces.push_back(Events(id, id));
+    // The last pause lies before the end.
+    if (crash.events > 0)
+      out.pieces.emplace_back();
+    return out;
   }
 
   bool OnlyScripted() {
@@ -98,6 +112,24 @@
   std::list<ScriptedBackend> servers_;
 };
 
+/// Streams with the deadly part end servers like `crash` does, until they are
+/// kept from the servers, and sound requests are served beside them.
+void ExpectHeld(const Crash& crash) {
+  DeadlyEdge it(crash);
+  for (int i = 0; i < 10; ++i) {
+    it.Ask(kDeadlyPart, "/stream/");
+    const auto sound = it.Ask("bbbb");
+    Require(sound && sound->status == 200, "a sound request is not served");
+    std::this_thread::sleep_for(milliseconds(400));
+  }
+  const int seen = it.DeadlySeen();
+  const auto last = it.Ask(kDeadlyPart, "/stream/");
+  Require(last && last->status == 503, "the deadly request is not refused");
+  Require(last->body.find("quarantined_part") != std::string::npos,
+          "it is refused for another reason: " + last->body);
+  Require(it.DeadlySeen() == seen, "it has reached a server");
+}
+
 // NOLINTBEGIN: Criterion's macros
 // Requests with one part crashed server after server, since no two were alike.
 Test(deadly_part,
@@ -128,20 +160,20 @@
 
 // A server that ended behind a head without a length left no evidence.
 Test(deadly_part, a_crash_behind_an_unframed_head_counts, .timeout = 60) {
-  DeadlyEdge it(DeadlyEdge::Crash::kBehindHead);
-  for (int i = 0; i < 10; ++i) {
-    it.Ask(kDeadlyPart, "/stream/");
-    const auto sound = it.Ask("bbbb");
-    cr_assert(sound && sound->status == 200);
-    std::this_thread::sleep_for(milliseconds(400));
-  }
-  const int seen = it.DeadlySeen();
-  const auto last = it.Ask(kDeadlyPart, "/stream/");
-  cr_assert(last);
-  cr_assert_eq(last->status, 503, "%d", last->status);
-  cr_assert_neq(last->body.find("quarantined_part"), std::string::npos, "%s",
-                last->body.c_str());
-  cr_assert_eq(it.DeadlySeen(), seen);
+  ExpectHeld({.end = ScriptedAnswer::End::kClose});
+}
+
+// One event acquitted the part, and the crash right behind it blamed nothing.
+Test(deadly_part, a_crash_behind_the_first_event_counts, .timeout = 60) {
+  ExpectHeld({.events = 1, .pause = milliseconds(20)});
+}
+
+Test(deadly_part, a_crash_behind_five_events_counts, .timeout = 60) {
+  ExpectHeld({.events = 5, .pause = milliseconds(20)});
+}
+
+Test(deadly_part, a_crash_behind_three_slow_events_counts, .timeout = 60) {
+  ExpectHeld({.events = 3, .pause = milliseconds(300)});
 }
 
 // What is asked may stand in the fields alone. Then all requests of a caller on
--- a/unittests/routing/part_suspects_test.cc
+++ b/unittests/routing/part_suspects_test.cc
@@ -1,8 +1,10 @@
 #include "mangoport/routing/part_suspects.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -18,6 +20,8 @@
 using std::chrono::seconds;
 
 constexpr MonoTime kStart{seconds(5000)};
+/// Hosts know after this time what others know (`ContactMs`).
+constexpr Duration kContact = seconds(3);
 constexpr PartHash kShared = 1;
 constexpr PartHash kDeadly = 2;
 constexpr PartHash kSound = 3;
@@ -55,10 +59,12 @@
 Test(part_suspects, part_of_different_requests_is_quarantined_after_3_crashes) {
   PartSuspects suspects;
   LoseServers(suspects, kStart, 2, {kShared, kDeadly});
-  suspects.OnBegun(kStart + milliseconds(900), {kShared, kSound});
+  suspects.OnAnswer(kStart + milliseconds(900), {kShared, kSound},
+                    AnswerGrade::kWhole);
   cr_assert_not(suspects.IsQuarantined(kStart + seconds(1), kDeadly));
   LoseServers(suspects, kStart + seconds(1), 1, {kShared, kDeadly}, 2);
-  suspects.OnBegun(kStart + milliseconds(1100), {kShared, kSound});
+  suspects.OnAnswer(kStart + milliseconds(1100), {kShared, kSound},
+                    AnswerGrade::kWhole);
   const MonoTime now = kStart + milliseconds(1400);
   cr_assert(suspects.IsQuarantined(now, kDeadly));
   cr_assert_not(suspects.IsQuarantined(now, kShared));
@@ -83,7 +89,7 @@
   for (const PartLoss& it : a.RecentLosses(told))
     b.OnPeerLoss(told, it);
   b.OnLost(told + milliseconds(100), Loss(7, 7), {kShared, kDeadly});
-  b.OnBegun(told + milliseconds(110), {kShared});
+  b.OnAnswer(told + milliseconds(110), {kShared}, AnswerGrade::kWhole);
   cr_assert(b.IsQuarantined(told + milliseconds(500), kDeadly));
   cr_assert_not(b.IsQuarantined(told + milliseconds(500), kShared));
 }
@@ -104,7 +110,7 @@
   for (int i = 0; i < 30; ++i) {
     const MonoTime at = kStart + milliseconds(500) * i;
     suspects.OnLost(at, Loss(static_cast<std::uint64_t>(i), i), {kShared});
-    suspects.OnBegun(at + milliseconds(100), {kShared});
+    suspects.OnAnswer(at + milliseconds(100), {kShared}, AnswerGrade::kWhole);
     cr_assert_not(suspects.IsQuarantined(at + milliseconds(400), kShared));
   }
 }
@@ -116,7 +122,7 @@
   cr_assert(a.IsQuarantined(kStart + seconds(2), kSound));
   for (const PartLoss& it : a.RecentLosses(kStart + seconds(2)))
     b.OnPeerLoss(kStart + seconds(2), it);
-  b.OnBegun(kStart + seconds(2), {kSound});
+  b.OnAnswer(kStart + seconds(2), {kSound}, AnswerGrade::kWhole);
   for (const PartState& it : b.States(kStart + seconds(3)))
     a.OnPeerState(kStart + seconds(3), it);
   cr_assert_not(a.IsQuarantined(kStart + seconds(3), kSound));
@@ -197,7 +203,9 @@
   LoseServers(suspects, kStart, 3, {kSound, kDeadly});
   const MonoTime now = kStart + seconds(2);
   cr_assert(suspects.IsQuarantined(now, kSound));
-  suspects.OnPeerState(now, {.part = kSound, .begun_age = milliseconds(1500)});
+  PartState answered{.part = kSound};
+  answered.grade_ages.fill(milliseconds(1500));
+  suspects.OnPeerState(now, answered);
   cr_assert_not(suspects.IsQuarantined(now + milliseconds(100), kSound));
   cr_assert(suspects.IsQuarantined(now + milliseconds(100), kDeadly));
 }
@@ -223,7 +231,7 @@
     const MonoTime at = kStart + seconds(50) * i;
     suspects.OnLost(at, Loss(static_cast<std::uint64_t>(i), i),
                     {kShared, kDeadly});
-    suspects.OnBegun(at + seconds(1), {kShared});
+    suspects.OnAnswer(at + seconds(1), {kShared}, AnswerGrade::kWhole);
   }
   cr_assert(suspects.IsQuarantined(kStart + seconds(210), kDeadly));
   cr_assert_not(suspects.IsQuarantined(kStart + seconds(210), kShared));
@@ -276,20 +284,23 @@
   const MonoTime now = kStart + minutes(2);
   cr_assert_not(suspects.Refusal(now, {kSound}, false));
   cr_assert(suspects.Refusal(now, {kSound}, false));
-  suspects.OnBegun(now + seconds(1), {kSound});
+  suspects.OnAnswer(now + seconds(1), {kSound}, AnswerGrade::kWhole);
   cr_assert_not(suspects.Refusal(now + seconds(2), {kSound}, false));
 }
 
 Test(part_suspects, evidence_of_many_parts_stays_bounded) {
   PartSuspects suspects;
   for (std::uint64_t i = 0; i < 50'000; ++i) {
-    suspects.OnBegun(kStart, {i + 10});
+    suspects.OnAnswer(kStart, {i + 10}, AnswerGrade::kWhole);
     suspects.OnLost(kStart, Loss(i, static_cast<int>(i)), {i + 10});
   }
   cr_assert_leq(suspects.RecentLosses(kStart).size(), 128);
   cr_assert_leq(suspects.States(kStart).size(), 128);
 }
 
+/// Tries of one request, as the whole request is held after so many crashes.
+constexpr int kMostSends = 3;
+
 /// Hosts that send requests to servers; requests with one part crash the server
 /// that begins to answer them, or servers crash for no such reason.
 class Fleet {
@@ -304,6 +315,12 @@
   int deadly_one_in = 0;
   /// A server crashes by itself each so many milliseconds; never if zero.
   int crash_interval_ms = 0;
+  /// The only server that does, or any if negative.
+  int bad_server = -1;
+  /// How long a sound answer goes on.
+  Duration answer_time{};
+  /// How long the answer to a deadly request goes on until its server crashes.
+  Duration crash_delay{};
 
   void Run(Duration time) {
     const MonoTime end = now_ + time;
@@ -312,13 +329,26 @@
         Arrive();
       Answer();
       if (crash_interval_ms > 0 && Draw(crash_interval_ms / 5) == 0)
-        Crash(
-            static_cast<std::size_t>(Draw(static_cast<int>(servers_.size()))));
+        Crash(static_cast<std::size_t>(
+            bad_server >= 0 ? bad_server
+                            : Draw(static_cast<int>(servers_.size()))));
       Gossip();
     }
   }
 
+  /// All servers of an availability zone end at once.
+  void CrashHalf() {
+    for (std::size_t i = 0; i < servers_.size() / 2; ++i)
+      Crash(i);
+  }
+
+  MonoTime now() const { return now_; }
+
   int crashes = 0;
+  /// Deadly requests that reached servers later than `kContact` after the fifth
+  /// crash.
+  int deadly_late = 0;
+  std::optional<MonoTime> fifth_crash_at;
   int deadly_sent = 0;
   int sound_refused = 0;
   int sound_sent = 0;
@@ -330,9 +360,15 @@
     std::vector<PartHash> parts;
     bool deadly = false;
     MonoTime begins;
+    std::optional<AnswerGrade> grade = std::nullopt;
+    int sends = 0;
+
+    Duration AnsweredFor(MonoTime now) const {
+      return std::max(now - begins, Duration::zero());
+    }
   };
   struct Server {
-    std::vector<Request> waiting;
+    std::vector<Request> running;
     std::uint64_t starts = 1;
     MonoTime up_at;
   };
@@ -363,45 +399,63 @@
     if (up.empty())
       return;
     (it.deadly ? deadly_sent : sound_sent) += 1;
+    if (it.deadly && fifth_crash_at && now_ > *fifth_crash_at + kContact)
+      ++deadly_late;
     it.begins = now_ + milliseconds(40 + Draw(160));
+    it.grade.reset();
+    ++it.sends;
     servers_[up[static_cast<std::size_t>(Draw(static_cast<int>(up.size())))]]
-        .waiting.push_back(std::move(it));
+        .running.push_back(std::move(it));
   }
 
   void Answer() {
     for (std::size_t i = 0; i < servers_.size(); ++i) {
-      const std::vector<Request> waiting = std::move(servers_[i].waiting);
-      servers_[i].waiting.clear();
       bool crashes_now = false;
-      for (const Request& it : waiting) {
-        if (it.begins > now_ || it.deadly) {
-          crashes_now |= it.begins <= now_;
-          servers_[i].waiting.push_back(it);
-          continue;
+      std::erase_if(servers_[i].running, [&](Request& it) {
+        if (it.begins > now_)
+          return false;
+        if (it.deadly) {
+          crashes_now |= it.AnsweredFor(now_) >= crash_delay;
+          return false;
         }
-        hosts_[it.host].OnBegun(now_, it.parts);
-      }
+        return GoOn(it);
+      });
       if (crashes_now)
         Crash(i);
     }
   }
 
+  /// Returns true if the answer is whole.
+  bool GoOn(Request& request) {
+    const Duration time = request.AnsweredFor(now_);
+    const bool whole = time >= answer_time;
+    const auto grade = whole ? AnswerGrade::kWhole : GradeAfter(time);
+    if (grade > request.grade)
+      hosts_[request.host].OnAnswer(now_, request.parts, *grade);
+    request.grade = grade;
+    return whole;
+  }
+
   void Crash(std::size_t index) {
     Server& server = servers_[index];
     if (server.up_at > now_)
       return;
-    ++crashes;
-    const std::vector<Request> lost = std::move(server.waiting);
-    server.waiting.clear();
+    if (++crashes == 5)
+      fifth_crash_at = now_;
+    const std::vector<Request> lost = std::move(server.running);
+    server.running.clear();
     server.up_at = now_ + seconds(3);
     const std::uint64_t start = server.starts++;
     for (const Request& it : lost) {
       PartLoss loss = Loss(it.number, static_cast<int>(index));
       loss.server_started_at_ms = start;
+      loss.answered_for = it.AnsweredFor(now_);
       hosts_[it.host].OnLost(now_, loss, it.parts);
     }
-    for (const Request& it : lost)
-      Send(it, /*repeat=*/true);
+    for (const Request& it : lost) {
+      if (it.sends < kMostSends)
+        Send(it, it.AnsweredFor(now_) <= kAnswerTrial);
+    }
   }
 
   /// Each host tells another one, each a fifth of a second.
@@ -461,5 +515,56 @@
   }
 }
 
+constexpr int kAnswerTimesMs[] = {500, 3'000, 10'000, 60'000};
+
+// An answer that had begun acquitted its parts right before its server crashed,
+// and the crash blamed nothing, so that a deadly part was never held.
+Test(part_suspects,
+     a_part_that_crashes_servers_behind_its_first_events_is_held,
+     .timeout = 300) {
+  for (const int answer_ms : kAnswerTimesMs) {
+    for (const int delay_ms : {0, 20, 100, 400, 900, 1'900}) {
+      Fleet fleet(static_cast<std::uint64_t>(answer_ms + delay_ms), 12, 10);
+      fleet.answer_time = milliseconds(answer_ms);
+      fleet.crash_delay = milliseconds(delay_ms);
+      fleet.Run(seconds(20));
+      fleet.deadly_one_in = 100;
+      fleet.Run(seconds(10));
+      fleet.sound_refused = 0;
+      fleet.sound_sent = 0;
+      fleet.Run(seconds(30));
+      cr_expect_leq(fleet.deadly_late, 3, "answers of %d ms, %d ms: %d late",
+                    answer_ms, delay_ms, fleet.deadly_late);
+      cr_expect_leq(fleet.crashes, 20, "answers of %d ms, %d ms: %d crashes",
+                    answer_ms, delay_ms, fleet.crashes);
+      cr_expect_leq(fleet.sound_refused * 20, fleet.sound_sent,
+                    "answers of %d ms, %d ms: %d refused, %d sent", answer_ms,
+                    delay_ms, fleet.sound_refused, fleet.sound_sent);
+    }
+  }
+}
+
+// Answers that had begun when servers crashed for other reasons blame no part
+// for longer than hosts need to hear of other answers.
+Test(part_suspects, lost_streams_quarantine_no_sound_part, .timeout = 300) {
+  for (const int answer_ms : kAnswerTimesMs) {
+    for (const int bad_server : {-1, 0}) {
+      Fleet fleet(static_cast<std::uint64_t>(answer_ms), 12, 10);
+      fleet.answer_time = milliseconds(answer_ms);
+      fleet.Run(seconds(10));
+      fleet.crash_interval_ms = 1'000;
+      fleet.bad_server = bad_server;
+      fleet.Run(seconds(40));
+      fleet.CrashHalf();
+      fleet.Run(seconds(20));
+      cr_expect_geq(fleet.crashes, 10);
+      cr_expect_leq(fleet.sound_refused * 100, fleet.sound_sent,
+                    "answers of %d ms, server %d: %d refused, %d sent",
+                    answer_ms, bad_server, fleet.sound_refused,
+                    fleet.sound_sent);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace mangoport
