--- a/lib/fleet/server_directory.cc
+++ b/lib/fleet/server_directory.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "mangoport/core/mutant.h"
+
 namespace mangoport {
 namespace {
 
@@ -20,7 +22,8 @@
 bool IsOlderRegistration(const ServerEntry& entry, const ServerEntry& known) {
   return entry.started_at_ms == known.started_at_ms &&
          entry.registrations.value != 0 &&
-         entry.registrations.value < known.registrations.value;
+         entry.registrations.value < known.registrations.value &&
+         !MutantEnabled("older_registration_used");
 }
 
 }  // namespace
--- a/unittests/edge/feed_relay_soak.cc
+++ b/unittests/edge/feed_relay_soak.cc
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -51,6 +52,9 @@
 /// Calm steps in which the fleet settles before its calls are counted.
 constexpr std::uint64_t kSettle = 250;
 
+/// The start of a server, and how often it has registered since.
+using Registration = std::pair<std::uint64_t, std::uint64_t>;
+
 struct Datagram {
   int to = 0;
   MonoTime arrives;
@@ -75,6 +79,8 @@
   std::optional<Read> read;
   std::optional<ServerFeed> servers;
   std::optional<Read> servers_read;
+  /// The registration of each server in its list, a step ago.
+  std::map<ServerId, Registration> registrations;
   MonoTime servers_pause_until;
   MonoTime tells_at;
   MonoTime frozen_until;
@@ -147,6 +153,7 @@
                                        .restart_delay = delay},
                            .directory = kDirectory});
     host.servers_read.reset();
+    host.registrations.clear();
     host.servers_pause_until = now_;
     host.tells_at = now_;
     host.frozen_until = now_;
@@ -161,6 +168,8 @@
       store_.ChangeOne(now_);
     if (Chance(200))
       store_.LapseOne(now_);
+    if (Chance(100))
+      store_.WriteLate();
     if (Chance(500)) {
       store_.Forget();
       ++forgotten_;
@@ -171,7 +180,9 @@
       news_.TakeBackup();
       store_.TakeBackup();
     }
-    if (Chance(300) && now_ - restored_at_ >= kRestoreGap)
+    if (Chance(300))
+      ScheduleRestore();
+    if (restore_due_ && now_ >= *restore_due_)
       Restore();
     if (!Chance(400))
       return;
@@ -181,8 +192,21 @@
       Restore();
   }
 
+  /// The store will come back from a copy that lacks its last record, which
+  /// only some hosts have read by then.
+  void ScheduleRestore() {
+    if (restore_due_ || now_ - restored_at_ < kRestoreGap)
+      return;
+    restore_due_ = now_ + milliseconds(random_() % 120);
+    if (Chance(4))
+      return;
+    news_.TakeBackup();
+    news_.Write(now_);
+  }
+
   void Restore() {
     restored_at_ = now_;
+    restore_due_.reset();
     news_.Restore(now_);
     store_.Restore(now_);
     progress_.Note("store restored");
@@ -388,8 +412,25 @@
     return host.config->version().value_or(0);
   }
 
+  /// No host goes back to an earlier registration of a server in its list.
+  void CheckRegistrations(int i) {
+    Host& host = hosts_[i];
+    std::map<ServerId, Registration> present;
+    for (const auto& [id, entry] : host.servers->servers()) {
+      const Registration it(entry.started_at_ms, entry.registrations.value);
+      const auto before = host.registrations.find(id);
+      CheckInvariant(before == host.registrations.end() || it >= before->second,
+                     "an older registration replaces none", [&] {
+                       return Name(i).value() + ", server " + id.value();
+                     });
+      present[id] = it;
+    }
+    host.registrations = std::move(present);
+  }
+
   void CheckHosts() {
     for (int i = 0; i < kHosts; ++i) {
+      CheckRegistrations(i);
       const Host& host = hosts_[i];
       const auto age = host.evidence->Age(Clock(host));
       if (age) {
@@ -454,6 +495,7 @@
   std::deque<Datagram> flying_;
   ConfigStore news_;
   MonoTime restored_at_;
+  std::optional<MonoTime> restore_due_;
   ServerStore store_;
   std::uint64_t calls_ = 0;
   std::uint64_t forgotten_ = 0;
@@ -473,7 +515,8 @@
   return mangoport::SoakMain(
       argc, argv,
       {"digests_not_compared", "echo_of_any_run", "gap_overlooked",
-       "old_copy_believed", "readers_trusted_for_ever", "reads_cross_timelines",
+       "old_copy_believed", "older_registration_used",
+       "readers_trusted_for_ever", "reads_cross_timelines",
        "rewritten_record_ignored", "updates_cross_timelines",
        "unchanged_renewal_dropped"},
       mangoport::Run);
--- a/unittests/edge/server_store.h
+++ b/unittests/edge/server_store.h
@@ -124,6 +124,16 @@
         now + std::chrono::milliseconds(random_() % 3000);
   }
 
+  /// A write of a server that has registered again since is carried out late.
+  void WriteLate() {
+    const auto it =
+        topic_.present.find(Name(static_cast<int>(random_() % kServers)));
+    if (it == topic_.present.end() || it->second.registrations.value < 2)
+      return;
+    --it->second.registrations.value;
+    topic_.log.push_back({it->first, it->second});
+  }
+
   bool IsDown(MonoTime now) const { return now < down_until_; }
   MonoTime down_until() const { return down_until_; }
 
