A stream lost with two servers isn't resumed on a third

Callers saw nothing; engines did: a stream that crashes each server behind its first event was resumed on as many as its route has attempts. Cause: only losses before the first event counted when a repeat was decided. Losses of answers that had gone on for longer no longer count against whole requests, as for parts.

--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -189,11 +189,10 @@
                 const ServerStart& start,
                 const Answer& answer,
                 const HttpFailure& failure);
-  /// Returns true if the loss counts against the parts of the prompt.
-  bool NotePartLoss(MonoTime now,
+  /// A server was lost `answered_for` after this request's answer had begun.
+  void NotePartLoss(MonoTime now,
                     const ServerStart& start,
-                    Duration answered_for,
-                    const HttpFailure& failure);
+                    Duration answered_for);
 
   // Answers.
   /// Passes on what `events_` has let through: `n` events and comments.
@@ -252,8 +251,9 @@
   bool is_probe_ = false;
   /// The parts of the prompt that other requests may share.
   std::vector<PartHash> shared_parts_;
-  /// Lost with a server whose process may have ended.
-  bool lost_ = false;
+  /// Servers whose process may have ended that were lost with this request
+  /// before or soon after they had begun to answer it.
+  std::uint32_t blamed_losses_ = 0;
   /// Tokens of the prompt that no other request shares.
   std::int64_t prompt_tokens_ = 0;
   std::int64_t charge_ = 0;
--- a/lib/forward/request_parts.cc
+++ b/lib/forward/request_parts.cc
@@ -13,6 +13,10 @@
 namespace mangoport {
 namespace {
 
+/// A stream that was lost with so many servers soon after it had begun may be
+/// what crashes them. It isn't resumed at another.
+constexpr std::uint32_t kMostBlamedLosses = 2;
+
 std::string ToHex(PartHash part) {
   std::array<char, 16> digits;
   const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
@@ -54,6 +58,10 @@
 }  // namespace
 
 bool RequestExchange::AdmitContent(MonoTime now) {
+  if (answer_begun_ && blamed_losses_ >= kMostBlamedLosses) {
+    Refuse(now, {.status = 503, .reason = "lost_with_servers"});
+    return false;
+  }
   // A probe may wait for a copy, or be refused by a full server.
   if (is_probe_ && runs_ == 0)
     return true;
@@ -81,7 +89,7 @@
 std::optional<Duration> RequestExchange::PartRefusal(MonoTime now) {
   if (shared_parts_.empty())
     return std::nullopt;
-  return host_.part_suspects_.Refusal(now, shared_parts_, lost_);
+  return host_.part_suspects_.Refusal(now, shared_parts_, blamed_losses_ > 0);
 }
 
 bool RequestExchange::AdmitParts(MonoTime now) {
@@ -113,38 +121,41 @@
                                const HttpFailure& failure) {
   if (!failure.request_sent)
     return;
-  const std::uint32_t crashes = host_.crash_suspects_.OnServerLost(
-      now, {.fingerprint = fingerprint_,
-            .server = start.server,
-            .server_started_at_ms = start.started_at_ms});
-  const bool is_part_loss =
-      NotePartLoss(now, start, AnsweredFor(now, answer), failure);
+  const Duration answered_for = AnsweredFor(now, answer);
+  const bool blames = answered_for <= kAnswerTrial;
+  std::uint32_t crashes = 0;
+  if (blames)
+    crashes = host_.crash_suspects_.OnServerLost(
+        now, {.fingerprint = fingerprint_,
+              .server = start.server,
+              .server_started_at_ms = start.started_at_ms});
+  if (failure.by_peer) {
+    blamed_losses_ += blames ? 1 : 0;
+    NotePartLoss(now, start, answered_for);
+  }
   // One crash says nothing of a request yet, and many are lost in it.
+  const bool is_part_loss = blames && failure.by_peer && !shared_parts_.empty();
   if (host_.on_loss_ && (is_part_loss || crashes > 1))
     host_.on_loss_();
 }
 
-bool RequestExchange::NotePartLoss(MonoTime now,
+void RequestExchange::NotePartLoss(MonoTime now,
                                    const ServerStart& start,
-                                   Duration answered_for,
-                                   const HttpFailure& failure) {
-  if (!failure.by_peer || shared_parts_.empty())
-    return false;
+                                   Duration answered_for) {
+  if (shared_parts_.empty())
+    return;
   host_.parts_.log.Write(LogLine("lost_with_server")
                              .Add("id", request_id_)
                              .Add("server", start.server.value())
                              .Add("server_started_at_ms", start.started_at_ms)
                              .Add("answered_for_ms", answered_for)
                              .Add("parts", ToHex(shared_parts_)));
-  const bool blames = answered_for <= kAnswerTrial;
-  lost_ |= blames;
   host_.part_suspects_.OnLost(now,
                               {.fingerprint = fingerprint_,
                                .server = start.server,
                                .server_started_at_ms = start.started_at_ms,
                                .answered_for = answered_for},
                               shared_parts_);
-  return blames;
 }
 
 void RequestExchange::OnPartQuarantined(MonoTime now, PartHash part) {
--- a/unittests/process/deadly_part_test.cc
+++ b/unittests/process/deadly_part_test.cc
@@ -62,6 +62,22 @@
                      {{"X-Prompt-Prefix", "aaaa:90," + part + ":50,f:10"}});
   }
 
+  void AllowFourAttempts() {
+    std::string config = Config(2, R"("k1")");
+    const std::string attempts = R"("Attempts":2)";
+    for (std::size_t at = config.find(attempts); at != std::string::npos;
+         at = config.find(attempts, at))
+      config.replace(at, attempts.size(), R"("Attempts":4)");
+    edge_.store_.Put("keyed.op", "config", config);
+    Require(EdgeFixture::Within(seconds(10),
+                                [this] {
+                                  Ask("bbbb");
+                                  return edge_.Log().find("config_version=2") !=
+                                         std::string::npos;
+                                }),
+            "the new configuration is not in force");
+  }
+
   int DeadlySeen() const {
     int n = 0;
     for (const ScriptedBackend& server : servers_) {
@@ -176,6 +192,16 @@
   ExpectHeld({.events = 3, .pause = milliseconds(300)});
 }
 
+// A stream that broke off behind its first events crashed one server more.
+Test(deadly_part,
+     a_stream_that_was_lost_with_two_servers_is_not_resumed_on_a_third,
+     .timeout = 60) {
+  DeadlyEdge it({.events = 1, .pause = milliseconds(20)});
+  it.AllowFourAttempts();
+  it.edge_.Ask("/stream/0", {{"X-Prompt-Prefix", "dead:10"}});
+  cr_assert_eq(it.DeadlySeen(), 2, "%d servers", it.DeadlySeen());
+}
+
 // What is asked may stand in the fields alone. Then all requests of a caller on
 // a path counted as one, and the sound ones were refused along with a deadly
 // one.
