part_suspects_soak: parts that crash servers behind their first events

A fleet of 12 hosts and 40 servers: hosts restart, datagrams are late and lost, servers end alone and by the half, answers take 1 to 39 s, and one part crashes servers up to 1.5 s behind the first event. At most three requests with it reach servers later than ContactMs after the fifth crash, and of the sound ones at most one in 20 of a period is held.

In the simulation of part_suspects_test, deadly answers that go on for a second count as such, too.

--- a/lib/routing/answer_grade.cc
+++ b/lib/routing/answer_grade.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "mangoport/core/mutant.h"
+
 namespace mangoport {
 namespace {
 
@@ -17,6 +19,8 @@
 
 std::optional<AnswerGrade> GradeAfter(Duration time) {
   std::optional<AnswerGrade> out;
+  if (MutantEnabled("begun_acquits"))
+    return AnswerGrade::kWhole;
   for (std::size_t it = 0; it + 1 < kAnswerGrades && TimeOf(it) <= time; ++it)
     out = static_cast<AnswerGrade>(it);
   return out;
@@ -25,6 +29,9 @@
 std::optional<AnswerGrade> RefutingGrade(Duration answered_for) {
   if (answered_for > kAnswerTrial)
     return std::nullopt;
+  if (answered_for > Duration::zero() &&
+      MutantEnabled("loss_behind_event_ignored"))
+    return std::nullopt;
   std::size_t out = 0;
   while (TimeOf(out) < kRefutingFactor * answered_for)
     ++out;
--- a/lib/routing/part_suspects.cc
+++ b/lib/routing/part_suspects.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "mangoport/core/mutant.h"
+
 namespace mangoport {
 namespace {
 
@@ -483,6 +485,8 @@
     if (now - crash->at > settings_.report_duration)
       continue;
     for (const auto& [part, lost] : crash->parts) {
+      if (MutantEnabled("answers_not_told"))
+        continue;
       if (answers_.contains(part) && out.size() < kMaxToldStates &&
           told.insert(part).second)
         out.push_back(AnswersOf(now, part));
--- a/unittests/routing/part_suspects_test.cc
+++ b/unittests/routing/part_suspects_test.cc
@@ -414,8 +414,8 @@
       std::erase_if(servers_[i].running, [&](Request& it) {
         if (it.begins > now_)
           return false;
-        if (it.deadly) {
-          crashes_now |= it.AnsweredFor(now_) >= crash_delay;
+        if (it.deadly && it.AnsweredFor(now_) >= crash_delay) {
+          crashes_now = true;
           return false;
         }
         return GoOn(it);
@@ -428,7 +428,7 @@
   /// Returns true if the answer is whole.
   bool GoOn(Request& request) {
     const Duration time = request.AnsweredFor(now_);
-    const bool whole = time >= answer_time;
+    const bool whole = !request.deadly && time >= answer_time;
     const auto grade = whole ? AnswerGrade::kWhole : GradeAfter(time);
     if (grade > request.grade)
       hosts_[request.host].OnAnswer(now_, request.parts, *grade);
