A late write brings no removed server back

Callers' requests would be sent to a server that is gone, or past DrainMs.

Cause: ServerDirectory::Apply compared an entry with what is known of servers in use only, and took any write for proof against a doubt. Now an entry older than the one with which its server was removed is ignored.

--- a/include/mangoport/fleet/server_directory.h
+++ b/include/mangoport/fleet/server_directory.h
@@ -178,6 +178,9 @@
   ServerChangeEffect ApplyListed(MonoTime now,
                                  WholeListKind kind,
                                  const ServerEntry& entry);
+  /// True if the server of `entry` was removed after a later registration: a
+  /// write that the store carried out late.
+  bool IsBeforeRemoval(const ServerEntry& entry) const;
   ServerChangeEffect Use(const ServerEntry& entry);
   ServerChangeEffect Remove(MonoTime now, const ServerId& id);
   ServerChangeEffect Hold(MonoTime now, const ServerId& id);
--- a/lib/fleet/server_directory.cc
+++ b/lib/fleet/server_directory.cc
@@ -81,8 +81,19 @@
                                          : ServerChangeEffect::kUpdated;
 }
 
+bool ServerDirectory::IsBeforeRemoval(const ServerEntry& entry) const {
+  const auto removal = removals_.find(entry.id);
+  if (servers_.contains(entry.id) || removal == removals_.end())
+    return false;
+  const ServerEntry& removed = removal->second.entry;
+  return entry.started_at_ms < removed.started_at_ms ||
+         IsOlderRegistration(entry, removed);
+}
+
 ServerChangeEffect ServerDirectory::Apply(MonoTime now,
                                           const ServerChange& change) {
+  if (change.entry && IsBeforeRemoval(*change.entry))
+    return ServerChangeEffect::kNone;
   doubted_.erase(change.id);
   if (change.entry)
     return Use(*change.entry);
--- a/unittests/edge/feed_relay_soak.cc
+++ b/unittests/edge/feed_relay_soak.cc
@@ -169,7 +169,7 @@
     if (Chance(200))
       store_.LapseOne(now_);
     if (Chance(100))
-      store_.WriteLate();
+      store_.WriteLate(now_);
     if (Chance(500)) {
       store_.Forget();
       ++forgotten_;
--- a/unittests/edge/server_store.h
+++ b/unittests/edge/server_store.h
@@ -125,13 +125,19 @@
   }
 
   /// A write of a server that has registered again since is carried out late.
-  void WriteLate() {
-    const auto it =
-        topic_.present.find(Name(static_cast<int>(random_() % kServers)));
+  /// The server's next registration follows at its usual time.
+  void WriteLate(MonoTime now) {
+    const int i = static_cast<int>(random_() % kServers);
+    const auto it = topic_.present.find(Name(i));
     if (it == topic_.present.end() || it->second.registrations.value < 2)
       return;
     --it->second.registrations.value;
     topic_.log.push_back({it->first, it->second});
+    if (!servers_[i].alive)
+      return;
+    servers_[i].written = false;
+    servers_[i].registers_at =
+        now + std::chrono::milliseconds(random_() % 1200);
   }
 
   bool IsDown(MonoTime now) const { return now < down_until_; }
@@ -147,6 +153,9 @@
     ++timeline_;
     for (int i = 0; i < kServers; ++i) {
       Server& server = servers_[i];
+      // An earlier restore may have listed it until its entry lapsed again.
+      if (server.gone_since)
+        server.gone_since = std::max(*server.gone_since, server.changed_at);
       const auto entry = topic_.present.find(Name(i));
       const bool listed = entry != topic_.present.end();
       if (listed != server.listed)
--- a/unittests/fleet/restored_list_test.cc
+++ b/unittests/fleet/restored_list_test.cc
@@ -200,5 +200,25 @@
   cr_assert_not(list.Has("b"));
 }
 
+// A registration that the store carried out after its server was gone brought
+// the server back, also from the doubts of a restore.
+Test(restored_list, a_late_write_brings_no_removed_server_back) {
+  const auto registered = [](std::uint64_t n) {
+    ServerEntry out = Ready("a");
+    out.registrations.value = n;
+    return out;
+  };
+  List list;
+  list.Write(kStart, registered(5));
+  list.Remove(kStart, "a");
+  list.Write(kStart + seconds(1), registered(4));
+  cr_assert_not(list.Has("a"));
+  list.Read(kStart + seconds(2), {registered(5)});
+  list.Write(kStart + seconds(3), registered(3));
+  cr_assert_not(list.Has("a"));
+  list.Write(kStart + seconds(4), registered(6));
+  cr_assert(list.Uses("a"));
+}
+
 }  // namespace
 }  // namespace mangoport
