--- a/unittests/edge/feed_relay_soak.cc
+++ b/unittests/edge/feed_relay_soak.cc
@@ -416,14 +416,15 @@
   void CheckRegistrations(int i) {
     Host& host = hosts_[i];
     std::map<ServerId, Registration> present;
-    for (const auto& [id, entry] : host.servers->servers()) {
-      const Registration it(entry.started_at_ms, entry.registrations.value);
-      const auto before = host.registrations.find(id);
-      CheckInvariant(before == host.registrations.end() || it >= before->second,
-                     "an older registration replaces none", [&] {
-                       return Name(i).value() + ", server " + id.value();
-                     });
-      present[id] = it;
+    for (const auto& it : host.servers->servers()) {
+      const ServerEntry& entry = it.second;
+      const Registration now(entry.started_at_ms, entry.registrations.value);
+      const auto before = host.registrations.find(entry.id);
+      CheckInvariant(
+          before == host.registrations.end() || now >= before->second,
+          "an older registration replaces none",
+          [&] { return Name(i).value() + ", server " + entry.id.value(); });
+      present[entry.id] = now;
     }
     host.registrations = std::move(present);
   }
--- a/unittests/routing/part_suspects_soak.cc
+++ b/unittests/routing/part_suspects_soak.cc
@@ -12,7 +12,6 @@
 #include <optional>
 #include <random>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "mangoport/core/invariant.h"
@@ -266,7 +265,7 @@
     run.time = answer_time_;
     run.grade.reset();
     ++run.sends;
-    runs_.push_back(std::move(run));
+    runs_.push_back(run);
   }
 
   void CountLate(const Host& host) {
