--- a/unittests/edge/feed_relay_soak.cc
+++ b/unittests/edge/feed_relay_soak.cc
@@ -180,7 +180,7 @@
       news_.TakeBackup();
       store_.TakeBackup();
     }
-    if (Chance(300))
+    if (Chance(100))
       ScheduleRestore();
     if (restore_due_ && now_ >= *restore_due_)
       Restore();
@@ -198,7 +198,7 @@
     if (restore_due_ || now_ - restored_at_ < kRestoreGap)
       return;
     restore_due_ = now_ + milliseconds(random_() % 120);
-    if (Chance(4))
+    if (Chance(2))
       return;
     news_.TakeBackup();
     news_.Write(now_);
