feed_relay_soak: a host that starts later can't know a removal

Now whether a host knew it goes by the time at which the server left, as before, and only the time that hosts have to drop it counts from the lapse.

--- a/unittests/edge/server_checks.h
+++ b/unittests/edge/server_checks.h
@@ -64,7 +64,8 @@
   const bool knew = server.gone_since && server.served_since &&
                     std::max(*server.served_since, at.up_since) + kSettled <=
                         *server.gone_since;
-  if (knew && settled(*server.gone_since, kDropped))
+  if (knew &&
+      settled(std::max(*server.gone_since, server.unlisted_at), kDropped))
     CheckInvariant(!known, "a restore brings no removed server back", detail);
 }
 
--- a/unittests/edge/server_store.h
+++ b/unittests/edge/server_store.h
@@ -31,6 +31,9 @@
     std::optional<MonoTime> registered_since;
     /// Since when it does not run.
     std::optional<MonoTime> gone_since;
+    /// Since when it was not listed at the last restore, if it was not: an
+    /// earlier restore may have listed it until its entry lapsed again.
+    MonoTime unlisted_at;
     /// Since when it had been registered before it left.
     std::optional<MonoTime> served_since;
     MonoTime registers_at;
@@ -153,9 +156,7 @@
     ++timeline_;
     for (int i = 0; i < kServers; ++i) {
       Server& server = servers_[i];
-      // An earlier restore may have listed it until its entry lapsed again.
-      if (server.gone_since)
-        server.gone_since = std::max(*server.gone_since, server.changed_at);
+      server.unlisted_at = server.changed_at;
       const auto entry = topic_.present.find(Name(i));
       const bool listed = entry != topic_.present.end();
       if (listed != server.listed)
