Evacuated zones and servers that have just started

Cause: hosts read only the configuration of the operators' records, so requests went on to the servers of a zone that operators had evacuated, and every host preferred servers that had just started because they were idle.

Change: the set of evacuated zones is read with the configuration and passed on with its position in the store; their servers count as draining. Cold servers are shared by a few owners in their zone, each with an equal share of the rate.

--- a/include/mangoport/edge/edge_host.h
+++ b/include/mangoport/edge/edge_host.h
@@ -100,6 +100,8 @@
   void NotePeerLeavingServers(MonoTime now, const wire::HostState& message);
   /// Adapts timeouts for silent peers to the size of the fleet.
   void AdaptToFleetSize();
+  /// Tells the table of servers which hosts share those of this host's zone.
+  void UpdateZoneHosts(MonoTime now);
   /// Reports demand for missing copies to the holder as soon as possible.
   void SendToHolder();
   void SendNoticeIfDue(MonoTime now);
@@ -145,6 +147,10 @@
   std::optional<HostId> holder_;
   MonoTime holder_heard_at_;
   Duration holder_lifetime_{};
+  /// The known hosts of this zone, and since when none of them is missed.
+  std::vector<HostId> zone_hosts_;
+  MonoTime zone_hosts_whole_since_;
+  MonoTime zone_hosts_updated_at_;
   HolderNotice holder_notice_;
   bool notice_timer_set_ = false;
   MonoTime stop_began_;
--- a/include/mangoport/edge/feed_service.h
+++ b/include/mangoport/edge/feed_service.h
@@ -4,11 +4,13 @@
 #include <functional>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "mangoport/core/time.h"
 #include "mangoport/fleet/config_feed.h"
+#include "mangoport/fleet/evacuations.h"
 #include "mangoport/fleet/feed_tracker.h"
 #include "mangoport/fleet/fleet_config.h"
 #include "mangoport/fleet/key_evidence.h"
@@ -46,11 +48,18 @@
 struct FeedUpdates {
   std::optional<FeedUpdate> config = std::nullopt;
   std::optional<ServerFeedUpdate> servers = std::nullopt;
+  /// The evacuated zones as of the position of `config`; none without it, and
+  /// from hosts that do not know of evacuations.
+  std::optional<std::set<ZoneId>> evacuated_zones = std::nullopt;
 };
 
 /// Callbacks for changes of the feeds.
 struct FeedHooks {
   std::function<void(FleetConfigPtr config)> on_config;
+  /// Evacuations have begun or ended; `ended` are no longer evacuated.
+  std::function<void(const std::set<ZoneId>& zones,
+                     const std::vector<ZoneId>& ended)>
+      on_evacuations;
   /// Servers have changed; `removed` are no longer listed.
   std::function<void(const std::map<ServerId, ServerEntry>& servers,
                      const std::vector<ServerId>& removed)>
@@ -151,11 +160,19 @@
   Duration ConfigWait(BootTime now) const;
   void OnConfig(CallReply<ConfigNews> reply);
   void ApplyConfig(FleetConfig config);
+  /// Logs the changes, calls the hook for them and sets the timer.
+  void OnEvacuations(const EvacuationOutcome& outcome,
+                     std::string_view source,
+                     const StorePosition& position);
+  void ExpireEvacuations(MonoTime now);
   void ReadServers();
   void OnServers(const CallReply<ServerNews>& reply);
   /// Logs the outcome and calls the hooks for it.
   void OnServerOutcome(MonoTime now, const ServerFeedOutcome& outcome);
   void OnConfigUpdate(const FeedUpdate& update);
+  void OnPeerEvacuations(MonoTime now,
+                         const HostId& peer,
+                         const FeedUpdates& updates);
   void OnServersUpdate(MonoTime now,
                        const HostId& peer,
                        const ServerFeedUpdate& update);
@@ -194,12 +211,14 @@
   Feed hosts_;
   std::mt19937_64 random_;
   ConfigFeed config_feed_;
+  Evacuations evacuations_;
   ServerFeed server_feed_;
   /// The highest timeline of the store known; the list of hosts has
   /// `listed_hosts_` entries.
   std::optional<StoreTimeline> hosts_timeline_;
   std::size_t listed_hosts_ = 1;
   TimerQueue::Ticket expiry_timer_ = TimerQueue::kNoTicket;
+  TimerQueue::Ticket evacuation_timer_ = TimerQueue::kNoTicket;
   bool stopped_ = false;
 };
 
--- a/include/mangoport/fleet/config_feed.h
+++ b/include/mangoport/fleet/config_feed.h
@@ -17,6 +17,9 @@
   bool whole = false;
   /// The version of the newest configuration that was read, if there was one.
   std::optional<std::uint64_t> version = std::nullopt;
+  /// True if other records of the operators were read, such as the beginning or
+  /// the end of an evacuation.
+  bool has_other_records = false;
 };
 
 /// What a host does with a read of the configuration.
@@ -51,8 +54,8 @@
  private:
   FeedTracker track_;
   std::optional<std::uint64_t> version_;
-  /// The position after the newest record, applied or not: another host may
-  /// have applied less than this one and lack that record.
+  /// The position after the newest record of any kind, applied or not: another
+  /// host may have applied less than this one and lack that record.
   StorePosition changed_at_;
 };
 
--- a/include/mangoport/fleet/fleet_config.h
+++ b/include/mangoport/fleet/fleet_config.h
@@ -90,8 +90,23 @@
   std::vector<ModelSpec> models;
 };
 
+/// What a backend server bears for some time after its start.
+struct ColdStartSpec {
+  /// How long a server is cold; zero if it bears its full load at once.
+  Duration duration{};
+  /// Requests per second, from all hosts together, while it is cold.
+  double requests_per_second = 0;
+
+  bool limited() const {
+    return duration > Duration::zero() && requests_per_second > 0;
+  }
+
+  friend bool operator==(const ColdStartSpec&, const ColdStartSpec&) = default;
+};
+
 struct ServiceSpec {
   ServiceId id;
+  ColdStartSpec cold_start;
   /// The maximum number of connections, from all hosts, to one backend server.
   std::uint32_t max_connections = 0;
   /// Set for a service of model engines.
--- a/include/mangoport/fleet/server_directory.h
+++ b/include/mangoport/fleet/server_directory.h
@@ -48,6 +48,8 @@
   /// Set if the server is to be removed at short notice: the time that remained
   /// when it registered this entry.
   std::optional<Duration> remaining;
+  /// How long the server remained cold when it registered this entry.
+  Duration cold_left{};
   std::vector<ResidentModel> models;
   /// Models whose weights are cached in memory or on disk, for a fast load.
   std::vector<ModelId> models_in_memory;
--- a/include/mangoport/forward/backend_table.h
+++ b/include/mangoport/forward/backend_table.h
@@ -17,6 +17,7 @@
 #include "mangoport/fleet/server_directory.h"
 #include "mangoport/forward/peer_loads.h"
 #include "mangoport/forward/server_signals.h"
+#include "mangoport/routing/cold_start_pacer.h"
 #include "mangoport/routing/router.h"
 
 namespace mangoport {
@@ -54,6 +55,28 @@
   /// Takes the servers as they are now.
   void SetServers(MonoTime now, const std::map<ServerId, ServerEntry>& listed);
 
+  /// Sets the zones whose servers get no new requests and count as draining.
+  /// The servers of a zone that is no longer among them are taken for cold,
+  /// since they may have been started again meanwhile.
+  void SetEvacuatedZones(MonoTime now,
+                         const std::set<ZoneId>& zones,
+                         const std::vector<ZoneId>& ended);
+
+  /// Sets what the servers of each service bear after their start.
+  void SetColdStarts(const std::vector<ServiceSpec>& services);
+
+  /// Sets the hosts that share the cold servers of this host's zone; see
+  /// `ColdStartPacer`.
+  void SetZoneHosts(MonoTime now,
+                    const HostId& self,
+                    std::vector<HostId> hosts,
+                    MonoTime settled_at);
+
+  /// True if `server` bears less than its full load yet.
+  bool IsCold(MonoTime now, const ServerId& server) const {
+    return pacer_.IsCold(now, server);
+  }
+
   /// Takes in a change of what a server holds, by word of the host that gives
   /// engines orders. Believed until the server's own entry must show it.
   void NoteResidency(MonoTime now, const ResidencyChange& change);
@@ -106,9 +129,12 @@
                 const ServiceId& service,
                 const ModelId& model) const;
 
-  /// True if the service has servers and all of them leave.
+  /// True if the service has servers and all of them leave or are evacuated.
   bool AllLeaving(const ServiceId& service) const;
 
+  /// True if the service has servers and all of them are evacuated.
+  bool AllEvacuated(const ServiceId& service) const;
+
   /// Where the server listens; none if it is not listed.
   std::optional<asio::ip::tcp::endpoint> AddressOf(
       const ServerId& server) const;
@@ -172,10 +198,15 @@
   static std::vector<ModelId> ModelsOf(MonoTime now,
                                        const ServerEntry& entry,
                                        const Backend& backend);
-  /// `listed` with what the servers said themselves.
+  /// `listed` with what the servers said themselves, and the evacuated ones
+  /// draining.
   std::map<ServerId, ServerEntry> WithSignals(
       MonoTime now,
       const std::map<ServerId, ServerEntry>& listed);
+  /// The server bears little for `left` from now.
+  void NoteCold(MonoTime now, const ServerEntry& entry, Duration left);
+  /// Until when this host sends the server nothing.
+  MonoTime HeldUntil(MonoTime now, const ServerEntry& entry) const;
   void NoteLeaving(MonoTime now, const ServerStart& start);
   bool NoteHold(MonoTime now, const ServerStart& start, Duration hold);
   /// Returns true if the server holds the item, as far as this host knows.
@@ -196,6 +227,11 @@
   std::map<ServiceId, MonoTime> rebuilt_at_;
   PeerLoads peer_loads_;
   ServerSignalTable signals_;
+  /// The servers as they were listed last.
+  std::map<ServerId, ServerEntry> listed_;
+  std::set<ZoneId> evacuated_;
+  std::map<ServiceId, ColdStartSpec> cold_starts_;
+  ColdStartPacer pacer_;
   std::function<void(const ModelId&)> on_resident_;
   std::function<void(const ServerId&)> on_leaving_;
   std::function<void()> on_all_leaving_;
--- a/include/mangoport/forward/forward_metrics.h
+++ b/include/mangoport/forward/forward_metrics.h
@@ -39,6 +39,9 @@
   void SetConfigVersion(std::uint64_t version);
   void SetActive(std::size_t requests);
   void SetOrderHolder(bool holds);
+  void SetEvacuatedZones(std::size_t zones);
+  /// A request was sent to a server that bears only part of its load yet.
+  void OnColdDispatch();
 
   /// All of them, as Prometheus text.
   std::string Serialize() const;
--- a/include/mangoport/ports/fleet_platform.h
+++ b/include/mangoport/ports/fleet_platform.h
@@ -10,6 +10,7 @@
 #include "mangoport/core/ids.h"
 #include "mangoport/core/time.h"
 #include "mangoport/fleet/engine_calls.h"
+#include "mangoport/fleet/evacuations.h"
 #include "mangoport/fleet/fleet_config.h"
 #include "mangoport/fleet/server_feed.h"
 #include "mangoport/membership/order_lease.h"
@@ -19,10 +20,12 @@
 /// Where a read of a feed goes on; none reads the feed's present state.
 using FeedPosition = std::optional<StorePosition>;
 
-/// News of the operators' configuration.
+/// News of the operators' configuration and of their other records.
 struct ConfigNews {
   /// The newest valid configuration in what was read, if there was one.
   std::optional<FleetConfig> newest = std::nullopt;
+  /// Evacuations that began or ended, oldest first.
+  std::vector<EvacuationChange> evacuations = {};
   StorePosition next = {};
   /// True if this is the present state, not what follows a position.
   bool whole = false;
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -171,10 +171,18 @@
                 const MonoTime now = Now();
                 key_evidence_.OnConfigVersion(config->version());
                 forwarder_.SetConfig(now, config);
+                backends_.SetColdStarts(config->config().services);
                 for (const auto& it : caller_sessions_)
                   it->SetLimits(now, config->config().limits);
                 orders_.SetConfig(std::move(config));
               },
+          .on_evacuations =
+              [this](const std::set<ZoneId>& zones,
+                     const std::vector<ZoneId>& ended) {
+                metrics_.SetEvacuatedZones(zones.size());
+                backends_.SetEvacuatedZones(Now(), zones, ended);
+                orders_.SetServers(backends_.servers());
+              },
           .on_servers =
               [this](const std::map<ServerId, ServerEntry>& servers,
                      const std::vector<ServerId>& removed) {
@@ -186,6 +194,7 @@
           .on_hosts =
               [this](const std::vector<HostAddress>& hosts) {
                 soft_state_.OnHosts(hosts);
+                UpdateZoneHosts(Now());
                 quota_.OnListed(Now(), hosts.size());
               },
           .on_news = [this] { soft_state_.SendFeedsSoon(); },
--- a/lib/edge/edge_peers.cc
+++ b/lib/edge/edge_peers.cc
@@ -25,6 +25,12 @@
 /// `kSilentRounds` rounds, after its last datagram.
 constexpr Duration kPeerLoadLifetime = std::chrono::seconds(4);
 
+/// Hosts check this often which hosts their zone has.
+constexpr Duration kZoneHostsInterval = std::chrono::seconds(1);
+/// After its start, or after it has forgotten a host, a host takes this long,
+/// and at least `kSilentRounds` rounds, to hear of all others.
+constexpr Duration kZoneHostsSettleTime = std::chrono::seconds(3);
+
 /// Longer ages of a timeline make no difference.
 constexpr std::uint64_t kMaxTimelineAgeMs = 3'600'000;
 
@@ -175,6 +181,7 @@
   for (const wire::AccountSpending& it : message.spendings())
     spending.uses.push_back(
         {.account = AccountId(it.account()), .total = it.total()});
+  UpdateZoneHosts(now);
   quota_.OnPeerUsage(now, spending);
   forwarder_.SetHostCount(now, quota_.host_count());
   AdaptToFleetSize();
@@ -224,6 +231,30 @@
   holder_lifetime_ = std::max(kHolderLifetime, round * kSilentRounds);
 }
 
+void EdgeHost::UpdateZoneHosts(MonoTime now) {
+  if (now - zone_hosts_updated_at_ < kZoneHostsInterval)
+    return;
+  zone_hosts_updated_at_ = now;
+  std::vector<HostId> hosts = {settings_.host};
+  for (const auto& [id, peer] : soft_state_.peers().peers()) {
+    if (peer.zone == settings_.zone)
+      hosts.push_back(id);
+  }
+  std::sort(hosts.begin(), hosts.end());
+  if (hosts == zone_hosts_)
+    return;
+  if (zone_hosts_.empty() ||
+      !std::includes(hosts.begin(), hosts.end(), zone_hosts_.begin(),
+                     zone_hosts_.end()))
+    zone_hosts_whole_since_ = now;
+  zone_hosts_ = hosts;
+  const Duration settle =
+      std::max(kZoneHostsSettleTime,
+               soft_state_.peers().RoundDuration() * kSilentRounds);
+  backends_.SetZoneHosts(now, settings_.host, std::move(hosts),
+                         zone_hosts_whole_since_ + settle);
+}
+
 void EdgeHost::SendToHolder() {
   holder_notice_.OnDemand();
   SendNoticeIfDue(Now());
--- a/lib/edge/feed_wire.cc
+++ b/lib/edge/feed_wire.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <set>
+#include <string>
 
 namespace mangoport {
 namespace {
@@ -54,6 +56,8 @@
   if (entry.remaining)
     note.set_remaining_ms(static_cast<std::uint64_t>(
         std::chrono::duration_cast<milliseconds>(*entry.remaining).count()));
+  note.set_cold_left_ms(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(entry.cold_left).count()));
   for (const ResidentModel& it : entry.models) {
     wire::ModelCopyNote& copy = *note.add_models();
     copy.set_model(it.model.value());
@@ -82,6 +86,7 @@
   entry.draining = note.draining();
   if (note.has_remaining_ms())
     entry.remaining = milliseconds(note.remaining_ms());
+  entry.cold_left = milliseconds(note.cold_left_ms());
   for (const wire::ModelCopyNote& it : note.models()) {
     ResidentModel& copy = entry.models.emplace_back();
     copy.model = ModelId(it.model());
@@ -105,6 +110,11 @@
                 wire::HostState& message) {
   if (updates.config)
     WriteFeedNote(now, *updates.config, *message.mutable_config_feed());
+  if (updates.config && updates.evacuated_zones) {
+    wire::EvacuationNote& note = *message.mutable_evacuations();
+    for (const ZoneId& it : *updates.evacuated_zones)
+      note.add_zones(it.value());
+  }
   if (!updates.servers)
     return;
   wire::FeedNote& feed = *message.mutable_servers_feed();
@@ -124,6 +134,11 @@
   FeedUpdates out;
   if (message.has_config_feed())
     out.config = ReadFeedNote(sent_after, message.config_feed());
+  if (message.has_config_feed() && message.has_evacuations()) {
+    std::set<ZoneId>& zones = out.evacuated_zones.emplace();
+    for (const std::string& it : message.evacuations().zones())
+      zones.emplace(it);
+  }
   if (!message.has_servers_feed())
     return out;
   const wire::FeedNote& feed = message.servers_feed();
--- a/lib/fleet/config_feed.cc
+++ b/lib/fleet/config_feed.cc
@@ -17,7 +17,7 @@
     version_ = result.version;
   const bool changed = MutantEnabled("rewritten_record_ignored")
                            ? out.apply
-                           : result.version.has_value();
+                           : result.version || result.has_other_records;
   if (result.whole || changed)
     changed_at_ = std::max(changed_at_, result.next);
   return out;
--- a/lib/fleet/server_listing.cc
+++ b/lib/fleet/server_listing.cc
@@ -49,6 +49,9 @@
                           .count()) +
                       1
                 : 0);
+  input.Add(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(entry.cold_left)
+          .count()));
   input.Add(entry.models.size());
   for (const ResidentModel& it : entry.models) {
     input.Add(it.model.value());
--- a/lib/forward/backend_table.cc
+++ b/lib/forward/backend_table.cc
@@ -83,7 +83,8 @@
   for (auto& [id, entry] : out) {
     ids.insert(id);
     if (signals_.IsLeaving(
-            {.server = id, .started_at_ms = entry.started_at_ms}))
+            {.server = id, .started_at_ms = entry.started_at_ms}) ||
+        evacuated_.contains(entry.zone))
       entry.draining = true;
   }
   signals_.Prune(now, ids);
@@ -119,6 +120,7 @@
 
 void BackendTable::SetServers(MonoTime now,
                               const std::map<ServerId, ServerEntry>& listed) {
+  listed_ = listed;
   std::map<ServerId, ServerEntry> servers = WithSignals(now, listed);
   std::set<ServiceId> touched;
   std::vector<ModelId> appeared;
@@ -151,6 +153,8 @@
         entry.started_at_ms)
       backend.told.clear();
     backend.denied.clear();
+    if (entry.cold_left > Duration::zero())
+      NoteCold(now, entry, entry.cold_left);
     AppendItems(entry, appeared);
   }
   servers_ = std::move(servers);
@@ -169,6 +173,55 @@
     TellIfAllLeave(it);
 }
 
+void BackendTable::SetEvacuatedZones(MonoTime now,
+                                     const std::set<ZoneId>& zones,
+                                     const std::vector<ZoneId>& ended) {
+  evacuated_ = zones;
+  for (const auto& [id, entry] : listed_) {
+    const auto spec = cold_starts_.find(entry.service);
+    if (spec != cold_starts_.end() &&
+        std::find(ended.begin(), ended.end(), entry.zone) != ended.end())
+      NoteCold(now, entry, spec->second.duration);
+  }
+  const std::map<ServerId, ServerEntry> listed = listed_;
+  SetServers(now, listed);
+}
+
+void BackendTable::SetColdStarts(const std::vector<ServiceSpec>& services) {
+  cold_starts_.clear();
+  for (const ServiceSpec& it : services) {
+    if (it.cold_start.limited())
+      cold_starts_.emplace(it.id, it.cold_start);
+  }
+}
+
+void BackendTable::SetZoneHosts(MonoTime now,
+                                const HostId& self,
+                                std::vector<HostId> hosts,
+                                MonoTime settled_at) {
+  pacer_.SetHosts(self, std::move(hosts), settled_at);
+  if (pacer_.ColdCount(now) == 0)
+    return;
+  for (const auto& [service, spec] : cold_starts_)
+    Rebuild(now, service);
+}
+
+void BackendTable::NoteCold(MonoTime now,
+                            const ServerEntry& entry,
+                            Duration left) {
+  const auto spec = cold_starts_.find(entry.service);
+  if (spec == cold_starts_.end())
+    return;
+  pacer_.OnCold(now, entry.id, entry.zone == own_zone_,
+                spec->second.requests_per_second, now + left);
+  routers_[entry.service].Hold(entry.id, pacer_.HeldUntil(now, entry.id));
+}
+
+MonoTime BackendTable::HeldUntil(MonoTime now, const ServerEntry& entry) const {
+  return std::max(signals_.HeldUntil(StartOf(entry.id)),
+                  pacer_.HeldUntil(now, entry.id));
+}
+
 void BackendTable::RefreshModels(MonoTime now, const ServerEntry& entry) {
   if (now - rebuilt_at_[entry.service] > kRebuildInterval) {
     Rebuild(now, entry.service);
@@ -192,7 +245,7 @@
     spec.models = ModelsOf(now, entry, backend->second);
     spec.batch_size = entry.batch_size;
     spec.leaving = entry.draining;
-    spec.held_until = signals_.HeldUntil(StartOf(id));
+    spec.held_until = HeldUntil(now, entry);
     list.servers.push_back(std::move(spec));
   }
   routers_[service].SetServers(now, list);
@@ -325,6 +378,18 @@
   return false;
 }
 
+bool BackendTable::AllEvacuated(const ServiceId& service) const {
+  bool any = false;
+  for (const auto& [id, entry] : servers_) {
+    if (entry.service != service)
+      continue;
+    if (!evacuated_.contains(entry.zone))
+      return false;
+    any = true;
+  }
+  return any;
+}
+
 bool BackendTable::AllLeaving(const ServiceId& service) const {
   bool any = false;
   for (const auto& [id, entry] : servers_) {
@@ -361,7 +426,10 @@
     return;
   if (it->second.own_running++ == 0)
     it->second.last_activity = now;
-  routers_[service].OnDispatched(now, server, prompt_tokens);
+  Router& router = routers_[service];
+  router.OnDispatched(now, server, prompt_tokens);
+  pacer_.OnDispatched(now, server);
+  router.Hold(server, pacer_.HeldUntil(now, server));
 }
 
 void BackendTable::OnActivity(MonoTime now, const ServerId& server) {
--- a/lib/forward/forward_metrics.cc
+++ b/lib/forward/forward_metrics.cc
@@ -89,6 +89,15 @@
   Gauge& active = AddGauge(registry,
                            "mangoport_forward_active_requests",
                            "Requests under way");
+  Gauge& evacuated_zones =
+      AddGauge(registry,
+               "mangoport_forward_evacuated_zones",
+               "Zones whose backend servers get nothing, by the operators");
+  Counter& cold_dispatches =
+      AddCounter(registry,
+                 "mangoport_forward_cold_dispatches_total",
+                 "Requests sent to backend servers that have just started")
+          .Add({});
   Gauge& order_holder = AddGauge(registry,
                                  "mangoport_forward_order_holder",
                                  "1 while this host may give engines orders");
@@ -150,6 +159,14 @@
   state_->order_holder.Set(holds ? 1 : 0);
 }
 
+void ForwardMetrics::SetEvacuatedZones(std::size_t zones) {
+  state_->evacuated_zones.Set(static_cast<double>(zones));
+}
+
+void ForwardMetrics::OnColdDispatch() {
+  state_->cold_dispatches.Increment();
+}
+
 std::string ForwardMetrics::Serialize() const {
   return prometheus::TextSerializer().Serialize(state_->registry.Collect());
 }
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -99,8 +99,11 @@
       host_.parts_.backends.AllLeaving(service_) ||
       host_.parts_.backends.HasModel(now, service_, routing_.model)) {
     const bool full = choice.refusal.code == ErrorCode::kOverloaded;
+    const bool evacuated = host_.parts_.backends.AllEvacuated(service_);
     Refuse(now, {.status = 503,
-                 .reason = full ? "no_time" : "no_server",
+                 .reason = full        ? "no_time"
+                           : evacuated ? "evacuated"
+                                       : "no_server",
                  .retry_after = choice.retry_after});
     return;
   }
@@ -194,6 +197,8 @@
     host_.StateOf(service_).budget.OnRequest(now, AccountId());
   if (use_)
     ++use_->running;
+  if (host_.parts_.backends.IsCold(now, server))
+    host_.parts_.metrics.OnColdDispatch();
   host_.parts_.backends.OnDispatched(now, service_, server, prompt_tokens_);
   HttpConnection::Ptr connection =
       host_.parts_.pool.Acquire(now, server.value(), address,
--- a/unittests/forward/backend_table_test.cc
+++ b/unittests/forward/backend_table_test.cc
@@ -218,5 +218,98 @@
   cr_assert(chosen(seconds(7)));
 }
 
+/// The engine in zone "a" and another with the same model in zone "b".
+std::map<ServerId, ServerEntry> TwoZones() {
+  std::map<ServerId, ServerEntry> out = List(1, {kModel});
+  out.at(kEngine).zone = ZoneId("a");
+  ServerEntry other = out.at(kEngine);
+  other.id = ServerId("e2");
+  other.zone = ZoneId("b");
+  other.address = "127.0.0.1:9001";
+  out.emplace(other.id, other);
+  return out;
+}
+
+RouteRequest ForModel() {
+  RouteRequest out;
+  out.model = kModel;
+  return out;
+}
+
+// Requests went on to the servers of a zone that operators had evacuated.
+Test(backend_table, servers_of_an_evacuated_zone_are_chosen_no_more) {
+  BackendTable table(ZoneId("a"));
+  table.SetServers(kStart, TwoZones());
+  table.SetEvacuatedZones(kStart, {ZoneId("a")}, {});
+  for (int i = 0; i < 20; ++i) {
+    const RouteChoice choice = table.Choose(kStart, kService, ForModel());
+    cr_assert(choice.server == ServerId("e2"));
+  }
+  // A newer list does not end the evacuation.
+  table.SetServers(kStart + seconds(1), TwoZones());
+  cr_assert(table.servers().at(kEngine).draining);
+  cr_assert_not(table.AllEvacuated(kService));
+  table.SetEvacuatedZones(kStart + seconds(2), {ZoneId("a"), ZoneId("b")}, {});
+  cr_assert(table.AllEvacuated(kService));
+  cr_assert_not(table.Choose(kStart + seconds(2), kService, ForModel()).server);
+  cr_assert_not(table.HasModel(kStart + seconds(2), kService, kModel));
+  // An evacuation is not the server's own word that it leaves.
+  cr_assert(table.SaidLeaving().empty());
+  table.SetEvacuatedZones(kStart + seconds(3), {}, {ZoneId("a"), ZoneId("b")});
+  cr_assert_not(table.servers().at(kEngine).draining);
+  cr_assert(table.Choose(kStart + seconds(3), kService, ForModel()).server);
+}
+
+/// A service whose servers bear two requests per second in their first three
+/// seconds.
+ServiceSpec ColdService() {
+  ServiceSpec out;
+  out.id = kService;
+  out.cold_start = {.duration = seconds(3), .requests_per_second = 2};
+  return out;
+}
+
+// Hosts sent a server that had just started as much as any other, and more,
+// since it was idle; it crashed again.
+Test(backend_table, a_server_that_has_just_started_gets_its_rate_only) {
+  BackendTable table(ZoneId("a"));
+  table.SetColdStarts({ColdService()});
+  table.SetZoneHosts(kStart, HostId("h1"), {HostId("h1")}, kStart);
+  auto listed = List(1, {kModel});
+  listed.at(kEngine).zone = ZoneId("a");
+  listed.at(kEngine).cold_left = seconds(3);
+  table.SetServers(kStart, listed);
+  int sent = 0;
+  for (MonoTime now = kStart; now < kStart + seconds(3);
+       now += std::chrono::milliseconds(10)) {
+    const RouteChoice choice = table.Choose(now, kService, ForModel());
+    if (!choice.server) {
+      cr_assert_leq(choice.retry_after.count(), Duration(seconds(1)).count());
+      continue;
+    }
+    ++sent;
+    table.OnDispatched(now, kService, kEngine, 0);
+  }
+  cr_assert_eq(sent, 6);
+  cr_assert(table.Choose(kStart + seconds(3), kService, ForModel()).server);
+}
+
+// The servers of a zone may have been started again while it was evacuated,
+// and their entries tell it late.
+Test(backend_table, servers_are_taken_for_cold_at_the_end_of_an_evacuation) {
+  BackendTable table(ZoneId("a"));
+  table.SetColdStarts({ColdService()});
+  table.SetZoneHosts(kStart, HostId("h1"), {HostId("h1")}, kStart);
+  auto listed = List(1, {kModel});
+  listed.at(kEngine).zone = ZoneId("a");
+  table.SetServers(kStart, listed);
+  table.SetEvacuatedZones(kStart, {ZoneId("a")}, {});
+  table.SetEvacuatedZones(kStart + seconds(9), {}, {ZoneId("a")});
+  cr_assert(table.Choose(kStart + seconds(9), kService, ForModel()).server);
+  table.OnDispatched(kStart + seconds(9), kService, kEngine, 0);
+  cr_assert_not(table.Choose(kStart + seconds(9), kService, ForModel()).server);
+  cr_assert(table.Choose(kStart + seconds(12), kService, ForModel()).server);
+}
+
 }  // namespace
 }  // namespace mangoport
--- a/unittests/platform/decode_test.cc
+++ b/unittests/platform/decode_test.cc
@@ -20,6 +20,7 @@
   "TimeoutMs":1000,"GoalMs":150,"Priority":2,"Attempts":1,"Public":true,
   "Split":[{"Service":"s1","Weight":90},{"Service":"s2","Weight":10}]}],
  "Services":[{"Name":"s1","HealthPath":"/healthz","MaxConns":643,
+  "ColdStartS":3.0,"ColdPerS":8.9,
   "Engine":{"Slots":48,"KvCapacity":150587,"WeightsMb":200000.0,
   "AdapterSlots":8,"LoadsPerS":2.2,"Models":[{"Name":"m","WeightsMb":65099.99,
   "LoadS":4.2,"Adapters":24,"AdapterMb":66.0,"WarmS":0.4,"DiskS":0.84}]}}],
@@ -48,6 +49,9 @@
   cr_assert(engine.models[0].load_from_disk == milliseconds(840));
   cr_assert_eq(config->accounts[0].keys.size(), 2);
   cr_assert(config->accounts[0].counts_tokens);
+  const ColdStartSpec& cold = config->services[0].cold_start;
+  cr_assert(cold.duration == seconds(3));
+  cr_assert_float_eq(cold.requests_per_second, 8.9, 1e-9);
 }
 
 Test(decode, what_is_no_configuration_is_named) {
@@ -63,7 +67,7 @@
   const auto entry = ParseServerEntry(
       "i-1",
       R"({"Service":"s","Addr":"10.0.0.9:8080","Zone":"z","Version":"v1",
-          "Slots":48,"State":"draining","ColdLeftMs":0,"RemainingMs":1500,
+          "Slots":48,"State":"draining","ColdLeftMs":700,"RemainingMs":1500,
           "Models":[{"Name":"m","Version":1,"Adapters":["a2","a1"]}],
           "Available":{"InMemory":["m"],"OnDisk":["m","n"]},
           "Seq":4,"born":1775933501028})",
@@ -71,6 +75,7 @@
   cr_assert(entry.has_value(), "%s", problem.c_str());
   cr_assert(entry->draining);
   cr_assert(entry->remaining == milliseconds(1500));
+  cr_assert(entry->cold_left == milliseconds(700));
   cr_assert_eq(entry->models[0].adapters[0].value(), "a1");
   cr_assert_eq(entry->models_on_disk.size(), 2);
   cr_assert_eq(entry->started_at_ms, 1775933501028);
