--- a/include/mangoport/edge/feed_service.h
+++ b/include/mangoport/edge/feed_service.h
@@ -160,11 +160,10 @@
   Duration ConfigWait(BootTime now) const;
   void OnConfig(CallReply<ConfigNews> reply);
   void ApplyConfig(FleetConfig config);
-  /// Logs the changes, calls the hook for them and sets the timer.
+  /// Logs the changes and calls the hook for them.
   void OnEvacuations(const EvacuationOutcome& outcome,
                      std::string_view source,
                      const StorePosition& position);
-  void ExpireEvacuations(MonoTime now);
   void ReadServers();
   void OnServers(const CallReply<ServerNews>& reply);
   /// Logs the outcome and calls the hooks for it.
@@ -218,7 +217,6 @@
   std::optional<StoreTimeline> hosts_timeline_;
   std::size_t listed_hosts_ = 1;
   TimerQueue::Ticket expiry_timer_ = TimerQueue::kNoTicket;
-  TimerQueue::Ticket evacuation_timer_ = TimerQueue::kNoTicket;
   bool stopped_ = false;
 };
 
--- a/include/mangoport/fleet/evacuations.h
+++ b/include/mangoport/fleet/evacuations.h
@@ -2,7 +2,6 @@
 #define MANGOPORT_FLEET_EVACUATIONS_H_
 
 #include <map>
-#include <optional>
 #include <set>
 #include <vector>
 
@@ -40,7 +39,7 @@
 ///
 /// A store that is restored from a backup may lack a recent record until the
 /// operator writes it again. A zone that such a copy does not name therefore
-/// stays evacuated for a grace period.
+/// stays evacuated until the store still does not name it after a grace period.
 class Evacuations {
  public:
   /// Applies what this host read up to `next`: all records if `whole`, else
@@ -50,26 +49,26 @@
                            bool whole,
                            const std::vector<EvacuationChange>& changes);
 
-  /// Applies another host's set, unless this host's is as new.
+  /// Applies another host's set, unless this host's is newer.
   EvacuationOutcome OnPeerState(MonoTime now, const EvacuationState& state);
 
-  /// Ends the evacuations whose grace period is over.
-  EvacuationOutcome Expire(MonoTime now);
-
-  /// Returns when `Expire` has something to do next, if ever.
-  std::optional<MonoTime> NextExpiry() const;
-
   /// The position in the store as of which `zones` is known.
   const StorePosition& position() const { return position_; }
 
   const std::set<ZoneId>& zones() const { return zones_; }
 
+  /// The zones that the store names, to tell other hosts. Those in their grace
+  /// period are not among them: hosts would prolong it for each other.
+  std::set<ZoneId> stated_zones() const;
+
  private:
   /// Replaces the set by `zones`, as of `position`.
   EvacuationOutcome Replace(MonoTime now,
                             const StorePosition& position,
                             const std::set<ZoneId>& zones);
   void Set(const EvacuationChange& change, EvacuationOutcome& outcome);
+  /// Ends the evacuations whose grace period is over.
+  void EndHeld(MonoTime now, EvacuationOutcome& outcome);
 
   std::set<ZoneId> zones_;
   StorePosition position_;
--- a/lib/edge/feed_service.cc
+++ b/lib/edge/feed_service.cc
@@ -391,7 +391,7 @@
   FeedUpdates out;
   out.config = config_feed_.OwnUpdate(now);
   if (out.config)
-    out.evacuated_zones = evacuations_.zones();
+    out.evacuated_zones = evacuations_.stated_zones();
   out.servers = server_feed_.OwnUpdate(now);
   return out;
 }
--- a/lib/fleet/evacuations.cc
+++ b/lib/fleet/evacuations.cc
@@ -22,6 +22,23 @@
     outcome.ended.push_back(change.zone);
 }
 
+std::set<ZoneId> Evacuations::stated_zones() const {
+  std::set<ZoneId> out;
+  for (const ZoneId& it : zones_) {
+    if (!held_.contains(it))
+      out.insert(it);
+  }
+  return out;
+}
+
+void Evacuations::EndHeld(MonoTime now, EvacuationOutcome& outcome) {
+  const std::map<ZoneId, MonoTime> held = held_;
+  for (const auto& [zone, until] : held) {
+    if (now >= until)
+      Set({.zone = zone, .evacuated = false}, outcome);
+  }
+}
+
 EvacuationOutcome Evacuations::Replace(MonoTime now,
                                        const StorePosition& position,
                                        const std::set<ZoneId>& zones) {
@@ -32,13 +49,14 @@
     Set({.zone = it, .evacuated = true}, out);
   const std::set<ZoneId> known = zones_;
   for (const ZoneId& it : known) {
-    if (zones.contains(it))
+    if (zones.contains(it) || held_.contains(it))
       continue;
     if (restored)
       held_.emplace(it, now + kRestoreGrace);
-    else if (!held_.contains(it))
+    else
       Set({.zone = it, .evacuated = false}, out);
   }
+  EndHeld(now, out);
   position_ = position;
   return out;
 }
@@ -61,32 +79,16 @@
   EvacuationOutcome out;
   for (const EvacuationChange& it : changes)
     Set(it, out);
+  EndHeld(now, out);
   position_ = next;
   return out;
 }
 
 EvacuationOutcome Evacuations::OnPeerState(MonoTime now,
                                            const EvacuationState& state) {
-  if (state.position <= position_)
+  if (state.position < position_)
     return {};
   return Replace(now, state.position, state.zones);
 }
 
-EvacuationOutcome Evacuations::Expire(MonoTime now) {
-  EvacuationOutcome out;
-  const std::map<ZoneId, MonoTime> held = held_;
-  for (const auto& [zone, until] : held) {
-    if (now >= until)
-      Set({.zone = zone, .evacuated = false}, out);
-  }
-  return out;
-}
-
-std::optional<MonoTime> Evacuations::NextExpiry() const {
-  std::optional<MonoTime> next;
-  for (const auto& [zone, until] : held_)
-    next = std::min(next.value_or(until), until);
-  return next;
-}
-
 }  // namespace mangoport
--- a/unittests/edge/feed_relay_soak.cc
+++ b/unittests/edge/feed_relay_soak.cc
@@ -46,6 +46,8 @@
 /// Servers register again within two seconds, and hosts learn of it within two.
 constexpr Duration kRestoreGap = seconds(4);
 constexpr Duration kRetryPause = milliseconds(400);
+/// Hosts keep a zone evacuated for so long that a restored store does not name.
+constexpr Duration kEvacuationGrace = seconds(10);
 /// A period of trouble and a calm one, in steps.
 constexpr std::uint64_t kPeriod = 1500;
 constexpr std::uint64_t kCalmFrom = 900;
@@ -73,6 +75,7 @@
   Duration clock_offset{};
   std::unique_ptr<PeerTable> peers;
   std::optional<ConfigFeed> config;
+  Evacuations evacuations;
   std::optional<KeyEvidence> evidence;
   StoreTimeline timeline = 0;
   std::uint64_t sequence = 0;
@@ -144,6 +147,7 @@
     const Duration delay = milliseconds(random_() % 400);
     host.config.emplace(
         FeedTrackerSettings{.patience = kPatience, .restart_delay = delay});
+    host.evacuations = Evacuations();
     host.timeline = 0;
     host.evidence.emplace(kMaxKeyAge);
     host.read.reset();
@@ -164,6 +168,8 @@
   void ChangeStore(bool calm) {
     if (Chance(120))
       news_.Write(now_);
+    if (Chance(250))
+      news_.Evacuate(now_, Zone(static_cast<int>(random_() % kZones)));
     if (Chance(150))
       store_.ChangeOne(now_);
     if (Chance(200))
@@ -201,7 +207,10 @@
     if (Chance(2))
       return;
     news_.TakeBackup();
-    news_.Write(now_);
+    if (Chance(2))
+      news_.Write(now_);
+    else
+      news_.Evacuate(now_, Zone(static_cast<int>(random_() % kZones)));
   }
 
   void Restore() {
@@ -319,7 +328,7 @@
     if (!Reaches(host))
       return;
     NoteTimeline(host, news_.timeline(), TimelineSource::kStore);
-    const std::optional<ConfigRead> result = news_.Read(read.from);
+    const std::optional<ConfigTopicRead> result = news_.Read(read.from);
     if (!result) {
       host.config->tracker().Restart();
       return;
@@ -327,10 +336,13 @@
     const FeedReadUse use =
         host.config
             ->OnRead({.sent_at = read.sent, .answered_at = Clock(host)},
-                     *result)
+                     result->config)
             .use;
-    if (use == FeedReadUse::kApply || use == FeedReadUse::kPassed)
-      host.evidence->OnCurrentRead(read.sent);
+    if (use != FeedReadUse::kApply && use != FeedReadUse::kPassed)
+      return;
+    host.evidence->OnCurrentRead(read.sent);
+    host.evacuations.OnRead(now_, result->config.next, result->config.whole,
+                            result->evacuations);
   }
 
   void Tell(int i) {
@@ -352,6 +364,8 @@
       out.message.set_echo_incarnation(peer.incarnation);
       FeedUpdates updates;
       updates.config = host.config->OwnUpdate(Clock(host));
+      if (updates.config)
+        updates.evacuated_zones = host.evacuations.stated_zones();
       updates.servers = peer.zone == Zone(i)
                             ? host.servers->OwnUpdateSince(
                                   now_, Clock(host), peer.servers_position)
@@ -385,6 +399,10 @@
       const FeedUpdates updates = ReadFeeds(sent_after, message);
       if (updates.servers)
         host.servers->OnPeerUpdate(now_, *updates.servers);
+      if (updates.config && updates.evacuated_zones)
+        host.evacuations.OnPeerState(now_,
+                                     {.position = updates.config->position,
+                                      .zones = *updates.evacuated_zones});
       if (!updates.config || !host.config->version())
         continue;
       FeedTracker& tracker = host.config->tracker();
@@ -447,6 +465,7 @@
           store_, host.servers->servers(),
           {.now = now_, .up_since = up_since, .restored_at = restored_at_},
           Name(i).value());
+      CheckEvacuations(host, i, up_since);
       CheckInvariant(
           Version(host) >= news_.NewestThroughout(now_ - kApplyBound),
           "news is known in time", [&] {
@@ -464,6 +483,33 @@
     }
   }
 
+  /// The host has read the store for long enough to know what it says, or did
+  /// so before a restore that took the record away.
+  void CheckEvacuations(const Host& host, int i, MonoTime up_since) {
+    for (int zone = 0; zone < kZones; ++zone) {
+      const ZoneId id = Zone(zone);
+      const MonoTime stated = news_.StatedSince(id);
+      const bool is_stated =
+          stated != MonoTime::max() && now_ - stated >= kApplyBound;
+      const MonoTime stated_before = news_.StatedBeforeRestore(id);
+      const bool was_known = stated_before != MonoTime::max() &&
+                             stated_before + kApplyBound <= restored_at_ &&
+                             host.sound_since + kSettled <= restored_at_ &&
+                             store_.down_until() + kSettled <= restored_at_ &&
+                             now_ - restored_at_ < kRestoreGap;
+      const bool evacuated = host.evacuations.zones().contains(id);
+      const auto detail = [&] { return Name(i).value() + ", " + id.value(); };
+      if (news_.WantsEvacuated(id) && (is_stated || was_known))
+        CheckInvariant(evacuated, "an evacuated zone stays evacuated", detail);
+      // A host holds what a restored store does not name for a grace period,
+      // from when it learns of the restore.
+      if (!news_.WantsEvacuated(id) && is_stated &&
+          now_ - std::max(restored_at_, up_since) >=
+              kEvacuationGrace + kApplyBound)
+        CheckInvariant(!evacuated, "the end of an evacuation is known", detail);
+    }
+  }
+
   void CheckCalls(std::uint64_t step) {
     const std::uint64_t at = step % kPeriod;
     if (at == kCalmFrom + kSettle) {
@@ -518,7 +564,7 @@
       {"digests_not_compared", "echo_of_any_run", "gap_overlooked",
        "old_copy_believed", "older_registration_used",
        "readers_trusted_for_ever", "reads_cross_timelines",
-       "rewritten_record_ignored", "updates_cross_timelines",
-       "unchanged_renewal_dropped"},
+       "restore_ends_evacuations", "rewritten_record_ignored",
+       "updates_cross_timelines", "unchanged_renewal_dropped"},
       mangoport::Run);
 }
