A host that is behind replaces a lost read of the configuration

Cause: a host that another one had told of news waited for the end of its read under way and of the pause after failures, and each read that the store holds opened a new connection with 300 ms for it.

--- a/include/mangoport/edge/feed_service.h
+++ b/include/mangoport/edge/feed_service.h
@@ -1,6 +1,7 @@
 #ifndef MANGOPORT_EDGE_FEED_SERVICE_H_
 #define MANGOPORT_EDGE_FEED_SERVICE_H_
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <random>
@@ -147,6 +148,10 @@
     FeedPosition asked = std::nullopt;
     Duration backoff{};
     bool in_flight = false;
+    /// The store holds the read under way until there is news.
+    bool held = false;
+    /// Counts the reads; the result of an earlier one is ignored.
+    std::uint64_t reads = 0;
     bool lost = false;
     TimerQueue::Ticket timer = TimerQueue::kNoTicket;
   };
@@ -159,6 +164,8 @@
   /// Returns for how long the store may hold a read of the configuration.
   Duration ConfigWait(BootTime now) const;
   void OnConfig(CallReply<ConfigNews> reply);
+  /// Gives up the read under way: the store would have answered it by now.
+  void ReplaceConfigRead();
   void ApplyConfig(FleetConfig config);
   /// Logs the changes and calls the hook for them.
   void OnEvacuations(const EvacuationOutcome& outcome,
--- a/include/mangoport/forward/http_caller.h
+++ b/include/mangoport/forward/http_caller.h
@@ -28,6 +28,7 @@
   std::string content_type = {};
   std::string body = {};
   Duration timeout = std::chrono::seconds(1);
+  Duration connect_timeout = kDefaultConnectTimeout;
   /// Most bytes of the answer's body. A call whose answer has more ends without
   /// an answer.
   std::size_t max_answer_bytes = std::size_t{1024} * 1024;
--- a/include/mangoport/forward/http_connection.h
+++ b/include/mangoport/forward/http_connection.h
@@ -17,6 +17,9 @@
 
 namespace mangoport {
 
+/// The time in which a connection must be made, unless a call sets another.
+constexpr Duration kDefaultConnectTimeout = std::chrono::milliseconds(300);
+
 /// Why an exchange on a connection ended without a whole answer.
 struct HttpFailure {
   enum class Kind {
@@ -69,6 +72,9 @@
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
 
+  /// Sets the time in which a connection must be made.
+  void set_connect_timeout(Duration timeout) { connect_timeout_ = timeout; }
+
   /// Sends a request, connecting first if need be. `bodyless` says that no
   /// body follows the answer's head.
   void Exchange(std::string request, bool bodyless, HttpExchangeHooks hooks);
@@ -111,6 +117,7 @@
   void NoteKeepAlive(const HttpHead& head);
 
   TimerQueue& timers_;
+  Duration connect_timeout_ = kDefaultConnectTimeout;
   asio::ip::tcp::endpoint endpoint_;
   StateHook on_state_;
   TcpStream::Ptr stream_;
--- a/lib/edge/feed_service.cc
+++ b/lib/edge/feed_service.cc
@@ -14,6 +14,10 @@
 /// the load when many start together.
 constexpr Duration kStartSpread = std::chrono::milliseconds(150);
 
+/// A read that has brought no news this long after another host had it is
+/// taken for lost with its connection.
+constexpr Duration kOverdueAnswer = std::chrono::milliseconds(250);
+
 std::string_view EffectName(ServerChangeEffect effect) {
   switch (effect) {
     case ServerChangeEffect::kNone:
@@ -227,16 +231,35 @@
   config_.in_flight = true;
   config_.sent_at = BootClock::now();
   config_.asked = config_feed_.tracker().position();
-  platform_.ReadConfig(config_.asked, ConfigWait(config_.sent_at),
-                       [this](CallReply<ConfigNews> reply) {
-                         if (!stopped_)
-                           OnConfig(std::move(reply));
-                       });
+  const Duration wait = ConfigWait(config_.sent_at);
+  config_.held = wait > Duration::zero();
+  platform_.ReadConfig(
+      config_.asked, wait,
+      [this, read = ++config_.reads](CallReply<ConfigNews> reply) {
+        if (!stopped_ && read == config_.reads)
+          OnConfig(std::move(reply));
+      });
+}
+
+void FeedService::ReplaceConfigRead() {
+  if (!config_.in_flight)
+    return;
+  log_.Write(LogLine("feed_read_replaced")
+                 .Add("feed", config_.name)
+                 .Add("asked", PositionText(config_.asked))
+                 .Add("age", BootClock::now() - config_.sent_at));
+  config_.in_flight = false;
+  config_.lost = true;
+  ReadConfig();
 }
 
 Duration FeedService::ConfigWait(BootTime now) const {
   if (!config_feed_.tracker().ReadsFeedDirectly(now))
     return Duration::zero();
+  // A call that is not held goes over a connection that other calls use too;
+  // a new one for calls that are held may be what failed.
+  if (config_.lost)
+    return Duration::zero();
   // A call that is held proves the keys only as of its sending.
   return std::min(
       settings_.config_wait,
@@ -445,6 +468,10 @@
                    .Add("position", PositionText(tracker.position()))
                    .Add("peer_position", ToString(update.position))
                    .Add("complete_from", update.complete_from));
+  // The store answers a held read at once if there is news.
+  if (config_.in_flight && config_.held &&
+      config_.timer == TimerQueue::kNoTicket)
+    StepAfter(config_, kOverdueAnswer, &FeedService::ReplaceConfigRead);
   // After a failure, the backoff timer triggers the next read.
   if (config_.backoff == Duration::zero())
     FollowConfig();
--- a/lib/forward/http_caller.cc
+++ b/lib/forward/http_caller.cc
@@ -70,6 +70,7 @@
   pending->done = std::move(done);
   pending->connection =
       pool_.Acquire(now, call.peer, call.endpoint, /*fresh=*/false);
+  pending->connection->set_connect_timeout(call.connect_timeout);
   pending->timer = timers_.Add(now + call.timeout, [this, pending](MonoTime) {
     pending->timer = TimerQueue::kNoTicket;
     if (pending->over)
--- a/lib/forward/http_connection.cc
+++ b/lib/forward/http_connection.cc
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr std::size_t kMaxAnswerHeadBytes = std::size_t{64} * 1024;
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 /// Sent bytes that stay unacknowledged for this long end the connection.
 constexpr Duration kUserTimeout = std::chrono::seconds(3);
 /// A peer that names no limit may still close an idle connection.
@@ -74,7 +73,7 @@
   state_ = State::kConnecting;
   request_ = std::move(request);
   const std::weak_ptr<HttpConnection> weak = weak_from_this();
-  connect_timer_ = timers_.Add(Now() + kConnectTimeout, [weak](MonoTime) {
+  connect_timer_ = timers_.Add(Now() + connect_timeout_, [weak](MonoTime) {
     if (const Ptr self = weak.lock())
       self->Fail(HttpFailure::Kind::kConnect);
   });
