Quotas: hosts of a large fleet refuse no account below its rate

Cause: each host took the last report of each other one for its rate; at 134 hosts the sum was about three times the use, the bucket counted as used up, and a host's share of the rate is less than one request.

--- a/include/mangoport/limits/shared_quota.h
+++ b/include/mangoport/limits/shared_quota.h
@@ -48,16 +48,19 @@
 ///
 /// Each host reports its total usage to the others, and each keeps a token
 /// bucket per account that it charges with its own and the reported usage.
-/// Three rules bound the usage that peers have not reported yet:
+/// Four rules bound the usage that peers have not reported yet:
 ///
-/// - A peer is assumed to keep spending at the rate of its last update.
-/// - While the bucket is nearly empty, a host spends no more than its share of
-///   the rate.
+/// - A peer is assumed to keep spending at its mean rate.
+/// - In one update round a host spends little more from the bucket than twice
+///   what it usually does, so that a sudden demand at all hosts at once takes
+///   only a few bursts before the updates arrive.
+/// - Once the bucket has been empty, and until the demand has fallen, a host
+///   spends no more than its share of the rate.
 /// - A peer without recent updates may still be spending on the other side of a
 ///   network partition, so its share of rate and burst is set aside.
 ///
 /// This handles an account that sends many times its rate through all hosts at
-/// once, for any number of hosts.
+/// once, for any number of hosts, beside accounts that send little.
 class SharedQuota {
  public:
   struct Settings {
@@ -66,7 +69,16 @@
     double min_reserve_fraction = 0.06;
     /// The maximum reserve, as a fraction of the burst, however rare updates
     /// are.
-    double max_reserve_fraction = 0.5;
+    double max_reserve_fraction = 0.1;
+    /// A bucket that was empty is in use again from this level, as a fraction
+    /// of the burst, and after so many update rounds without a refusal.
+    double reopen_fraction = 0.5;
+    double reopen_rounds = 4;
+    /// The bursts that all hosts together may spend in one update round beyond
+    /// what they usually do.
+    double bursts_per_round = 4;
+    /// The time over which the usual rates are averaged, in update rounds.
+    double averaging_rounds = 4;
     /// A host counts as unreachable if no update arrives from it for the longer
     /// of this time and `host_timeout_rounds` update rounds. The number of
     /// rounds decides in a large fleet, where rounds are long.
@@ -127,13 +139,22 @@
     double level = 0;
     /// Tokens that this host may spend while the level is low.
     double share = 0;
+    /// Tokens that this host may spend from the bucket in this update round.
+    double round_allowance = 0;
+    /// The mean rate at which this host spends.
+    double own_per_second = 0;
+    /// What this host spent last.
+    double last_amount = 0;
+    MonoTime refused_at;
+    /// The bucket was empty, and the account still asks for more than its rate.
+    bool exhausted = false;
     MonoTime filled_at;
     std::int64_t own_total = 0;
   };
   /// The reported usage of one account by another host.
   struct PeerAccountUsage {
     std::int64_t total = 0;
-    /// Rate between its last updates.
+    /// Mean rate.
     double per_second = 0;
   };
   struct Host {
@@ -149,6 +170,12 @@
   void DropExpiredHostList(MonoTime now);
   void Fill(MonoTime now, Bucket& bucket);
   Duration HostTimeout() const;
+  /// The weight of what was spent in the last `time` in a mean rate.
+  double MeanWeight(Duration time) const;
+  /// The maximum of `Bucket::round_allowance`.
+  double MaxRoundAllowance(const Bucket& bucket) const;
+  /// Updates `Bucket::exhausted` for its level.
+  void NoteLevel(MonoTime now, Bucket& bucket) const;
   /// The level below which a host spends only its share: the tokens that all
   /// hosts may spend at the account's rate during half an update round.
   double Reserve(const AccountLimit& limit) const;
--- a/lib/limits/shared_quota.cc
+++ b/lib/limits/shared_quota.cc
@@ -15,10 +15,11 @@
 /// Minimum time between two updates of a peer for an estimate of its rate.
 constexpr Duration kMinRateInterval = std::chrono::milliseconds(50);
 
-/// Per-update decay of a peer's estimated rate. Hosts that refuse requests
-/// while the level is low all resume spending once it rises, so the rate must
-/// persist through pauses.
-constexpr double kRateDecay = 0.7;
+/// The shortest time over which a mean rate is taken.
+constexpr Duration kMinAveragingTime = std::chrono::seconds(1);
+
+/// The shortest time without a refusal after which demand counts as fallen.
+constexpr Duration kMinCalmTime = std::chrono::seconds(1);
 
 /// Returns the time in which `amount` tokens are refilled at `rate`, within the
 /// bounds of the retry delay.
@@ -85,6 +86,39 @@
                     settings_.max_reserve_fraction * burst);
 }
 
+double SharedQuota::MeanWeight(Duration time) const {
+  const std::chrono::duration<double> average = std::max<Duration>(
+      kMinAveragingTime, std::chrono::duration_cast<Duration>(
+                             update_round_ * settings_.averaging_rounds));
+  return 1 - std::exp(-std::chrono::duration<double>(time) / average);
+}
+
+double SharedQuota::MaxRoundAllowance(const Bucket& bucket) const {
+  const std::chrono::duration<double> round = update_round_;
+  const double part = settings_.bursts_per_round *
+                      static_cast<double>(bucket.limit.burst_tokens) /
+                      static_cast<double>(host_count());
+  return part + 2 * bucket.own_per_second * round.count();
+}
+
+void SharedQuota::NoteLevel(MonoTime now, Bucket& bucket) const {
+  const auto burst = static_cast<double>(bucket.limit.burst_tokens);
+  if (bucket.level <= 0) {
+    // Shares that were saved up would be spent by all hosts at the same moment,
+    // as soon as the bucket has something again. What each spent last differs.
+    if (!std::exchange(bucket.exhausted, true))
+      bucket.share = std::min(bucket.share, -bucket.last_amount);
+    return;
+  }
+  const Duration calm =
+      std::max(kMinCalmTime, std::chrono::duration_cast<Duration>(
+                                 update_round_ * settings_.reopen_rounds));
+  if (now - bucket.refused_at >= calm &&
+      bucket.level >=
+          settings_.reopen_fraction * burst * ReachableFraction(now))
+    bucket.exhausted = false;
+}
+
 double SharedQuota::ReachableFraction(MonoTime now) const {
   const Duration timeout = HostTimeout();
   std::size_t reachable = 1;
@@ -107,6 +141,16 @@
   const auto burst = static_cast<double>(bucket.limit.burst_tokens);
   bucket.level =
       std::min(burst * reachable, bucket.level + rate * reachable * seconds);
+  bucket.own_per_second *= 1 - MeanWeight(std::chrono::duration_cast<Duration>(
+                                   std::chrono::duration<double>(seconds)));
+  const double max_allowance = MaxRoundAllowance(bucket);
+  const std::chrono::duration<double> round = update_round_;
+  const double refill = round.count() > 0
+                            ? max_allowance * seconds / round.count()
+                            : max_allowance;
+  bucket.round_allowance =
+      std::min(max_allowance, bucket.round_allowance + refill);
+  NoteLevel(now, bucket);
   // Shares accumulate only after the joint overspending has been refilled.
   if (bucket.level <= 0)
     return;
@@ -138,6 +182,9 @@
   Bucket& bucket = buckets_[account];
   const auto spend = [&] {
     bucket.level -= static_cast<double>(amount);
+    bucket.last_amount = static_cast<double>(amount);
+    bucket.own_per_second +=
+        static_cast<double>(amount) * MeanWeight(std::chrono::seconds(1));
     bucket.own_total += amount;
     return QuotaDecision{.admitted = true,
                          .retry_after = {},
@@ -149,11 +196,10 @@
   Fill(now, bucket);
   const auto wanted = static_cast<double>(amount);
   const double reserve = Reserve(bucket.limit);
-  if (bucket.level - wanted >= reserve &&
+  if (!bucket.exhausted && bucket.round_allowance > 0 &&
+      bucket.level - wanted >= reserve &&
       bucket.level - wanted - UnreportedUsage(now, account) >= reserve) {
-    // Spending from the burst also reduces the share.
-    if (bucket.share > 0)
-      bucket.share = std::max(0.0, bucket.share - wanted);
+    bucket.round_allowance -= wanted;
     return spend();
   }
   // With a positive share, a host may spend until the level is `max_overdraft`
@@ -165,6 +211,7 @@
     bucket.share -= wanted;
     return spend();
   }
+  bucket.refused_at = now;
   const double share_rate =
       static_cast<double>(bucket.limit.tokens_per_second) /
       static_cast<double>(host_count());
@@ -211,8 +258,9 @@
     known.total = use.total;
     // Updates in quick succession give a poor estimate of the rate.
     if (!first && elapsed >= kMinRateInterval)
-      known.per_second =
-          std::max(spent / elapsed.count(), known.per_second * kRateDecay);
+      known.per_second +=
+          (spent / elapsed.count() - known.per_second) *
+          MeanWeight(std::chrono::duration_cast<Duration>(elapsed));
     Bucket& bucket = buckets_[use.account];
     Fill(now, bucket);
     bucket.level -= spent;
--- a/unittests/limits/shared_quota_test.cc
+++ b/unittests/limits/shared_quota_test.cc
@@ -1,8 +1,15 @@
 #include "mangoport/limits/shared_quota.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
 #include <memory>
+#include <random>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -265,5 +272,167 @@
   cr_assert(quota.TrySpend(now, kAccount, 400).admitted);
 }
 
+/// Requests that come at random times to random hosts.
+struct RandomLoad {
+  AccountId account;
+  double tokens_per_second = 0;
+  /// Only the first `hosts` of the fleet get them.
+  std::size_t hosts = 0;
+};
+
+struct LoadResult {
+  std::uint64_t asked = 0;
+  std::uint64_t refused = 0;
+  /// The most tokens admitted in any eight seconds.
+  std::int64_t most_in_window = 0;
+
+  double refused_share() const {
+    return static_cast<double>(refused) / static_cast<double>(asked);
+  }
+};
+
+/// A fleet of which each host tells each other one its usage once in two
+/// seconds.
+class RareReports {
+ public:
+  static constexpr std::size_t kHosts = 134;
+  static constexpr Duration kRound = seconds(2);
+  static constexpr Duration kStep = milliseconds(20);
+
+  explicit RareReports(const std::vector<AccountLimit>& limits)
+      : quotas_(kHosts), random_(7) {
+    for (SharedQuota& it : quotas_) {
+      it.set_update_round(kRound);
+      it.SetLimits(kStart, limits);
+    }
+  }
+
+  /// Runs the loads for some time; counts only what comes later than the first
+  /// ten seconds.
+  std::map<AccountId, LoadResult> Run(const std::vector<RandomLoad>& loads,
+                                      Duration time) {
+    std::map<AccountId, LoadResult> out;
+    std::map<AccountId, std::deque<std::pair<MonoTime, std::int64_t>>> windows;
+    const MonoTime end = now_ + time;
+    const MonoTime counted_from = now_ + seconds(10);
+    for (; now_ < end; now_ += kStep) {
+      Report();
+      for (const RandomLoad& it : loads) {
+        const double mean = it.tokens_per_second / kMeanTokens *
+                            std::chrono::duration<double>(kStep).count();
+        const int n = std::poisson_distribution<int>(mean)(random_);
+        for (int i = 0; i < n; ++i)
+          Ask(it, now_ >= counted_from, out[it.account], windows[it.account]);
+      }
+    }
+    return out;
+  }
+
+ private:
+  static constexpr int kMinTokens = 200;
+  static constexpr int kMaxTokens = 1900;
+  static constexpr double kMeanTokens = (kMinTokens + kMaxTokens) / 2.0;
+
+  void Ask(const RandomLoad& load,
+           bool counted,
+           LoadResult& result,
+           std::deque<std::pair<MonoTime, std::int64_t>>& window) {
+    const std::int64_t tokens =
+        std::uniform_int_distribution<int>(kMinTokens, kMaxTokens)(random_);
+    SharedQuota& host = quotas_[random_() % load.hosts];
+    const bool admitted = host.TrySpend(now_, load.account, tokens).admitted;
+    result.asked += counted ? 1 : 0;
+    result.refused += counted && !admitted ? 1 : 0;
+    if (!admitted)
+      return;
+    window.emplace_back(now_, tokens);
+    while (now_ - window.front().first > seconds(8))
+      window.pop_front();
+    std::int64_t sum = 0;
+    for (const auto& [at, n] : window)
+      sum += n;
+    result.most_in_window = std::max(result.most_in_window, sum);
+  }
+
+  /// In each step some pairs of hosts exchange reports, all in one round.
+  void Report() {
+    constexpr std::size_t kSteps = kRound / kStep;
+    const std::size_t step = steps_++ % kSteps;
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      const PeerUsage report{.host = HostId("h" + std::to_string(i)),
+                             .incarnation = 1,
+                             .leaving = false,
+                             .uses = quotas_[i].OwnUsage()};
+      for (std::size_t j = (step + i) % kSteps; j < kHosts; j += kSteps) {
+        if (i != j)
+          quotas_[j].OnPeerUsage(now_, report);
+      }
+    }
+  }
+
+  std::vector<SharedQuota> quotas_;
+  std::mt19937_64 random_;
+  MonoTime now_ = kStart;
+  std::size_t steps_ = 0;
+};
+
+const AccountId kCalm("calm");
+const AccountId kHot("hot");
+constexpr std::int64_t kLargeRate = 78240;
+
+std::vector<AccountLimit> LargeLimits() {
+  return {{kCalm, kLargeRate, kLargeRate}, {kHot, kLargeRate, kLargeRate}};
+}
+
+/// What an account may spend in eight seconds, and a tenth more.
+constexpr std::int64_t kLargeWindow = (kLargeRate * 8 + kLargeRate) * 11 / 10;
+
+// An account far below its rate was refused a quarter of what it asked, its
+// bucket full: each host took the last report of each other one for its rate,
+// and a share of the rate is less than one request.
+Test(shared_quota, large_fleet_refuses_no_account_below_its_rate) {
+  for (const double use : {0.1, 0.33, 0.6}) {
+    RareReports fleet(LargeLimits());
+    const auto results = fleet.Run({{.account = kCalm,
+                                     .tokens_per_second = kLargeRate * use,
+                                     .hosts = RareReports::kHosts}},
+                                   seconds(40));
+    const LoadResult& calm = results.at(kCalm);
+    cr_assert_lt(calm.refused_share(), 0.01, "at %f of its rate: %f", use,
+                 calm.refused_share());
+  }
+}
+
+// The same for an account whose callers come to few hosts.
+Test(shared_quota, large_fleet_serves_an_account_with_few_callers) {
+  RareReports fleet(LargeLimits());
+  const auto results = fleet.Run(
+      {{.account = kCalm, .tokens_per_second = kLargeRate / 3.0, .hosts = 12}},
+      seconds(40));
+  cr_assert_lt(results.at(kCalm).refused_share(), 0.01, "%f",
+               results.at(kCalm).refused_share());
+}
+
+// The account beside it must keep to its rate and burst, from a calm beginning
+// on, and gets what it may spend.
+Test(shared_quota, large_fleet_limits_a_hot_account_beside_a_calm_one) {
+  RareReports fleet(LargeLimits());
+  const RandomLoad calm{.account = kCalm,
+                        .tokens_per_second = kLargeRate / 3.0,
+                        .hosts = RareReports::kHosts};
+  RandomLoad hot{.account = kHot,
+                 .tokens_per_second = kLargeRate / 3.0,
+                 .hosts = RareReports::kHosts};
+  fleet.Run({calm, hot}, seconds(20));
+  hot.tokens_per_second = kLargeRate * 6.0;
+  const auto results = fleet.Run({calm, hot}, seconds(30));
+  cr_assert_lt(results.at(kCalm).refused_share(), 0.01, "%f",
+               results.at(kCalm).refused_share());
+  cr_assert_leq(results.at(kHot).most_in_window, kLargeWindow, "%ld",
+                static_cast<long>(results.at(kHot).most_in_window));
+  const LoadResult& served = results.at(kHot);
+  cr_assert_leq(served.refused_share(), 0.9, "%f", served.refused_share());
+}
+
 }  // namespace
 }  // namespace mangoport
