Admission by the latency objective, and zones left only where it pays

Cause: a request joined any queue that its caller's patience bore, so at the worst load nearly all answers were late; and a server elsewhere had to be less loaded by a quarter of its places, half a second of waiting, before a request left its zone.

Change: QueueAdmission lets a request join a queue by its route's objective and says when to come back; ZoneSpill compares the expected waits at home and elsewhere.

--- a/include/mangoport/forward/forward_metrics.h
+++ b/include/mangoport/forward/forward_metrics.h
@@ -28,6 +28,8 @@
   void OnFirstEvent(Duration time);
   void OnEvents(std::size_t n);
   void OnAttempt(std::string_view outcome);
+  /// A request is kept until there is room at a server.
+  void OnHold();
   /// A request was refused; `reason` is one of few fixed words.
   void OnRefusal(std::string_view reason);
   /// A call to the platform or to an engine's own interface.
@@ -39,6 +41,8 @@
   void SetConfigVersion(std::uint64_t version);
   void SetActive(std::size_t requests);
   void SetOrderHolder(bool holds);
+  /// What is held for callers, and the connections given up for it so far.
+  void SetCallerMemory(std::size_t bytes, std::size_t given_up);
   void SetEvacuatedZones(std::size_t zones);
   /// A request was sent to a server that bears only part of its load yet.
   void OnColdDispatch();
--- a/include/mangoport/forward/forwarder.h
+++ b/include/mangoport/forward/forwarder.h
@@ -142,6 +142,8 @@
   std::function<void()> on_missing_;
   std::mt19937_64 random_;
   std::size_t active_ = 0;
+  /// Requests that are kept until there is room for them.
+  std::size_t held_ = 0;
   /// All requests under way; each removes itself at its end.
   std::set<RequestExchange*> exchanges_;
   bool refuses_new_ = false;
--- a/include/mangoport/routing/router.h
+++ b/include/mangoport/routing/router.h
@@ -14,8 +14,10 @@
 #include "mangoport/core/time.h"
 #include "mangoport/routing/engine_work.h"
 #include "mangoport/routing/load_estimate.h"
+#include "mangoport/routing/queue_admission.h"
 #include "mangoport/routing/server.h"
 #include "mangoport/routing/server_health.h"
+#include "mangoport/routing/zone_spill.h"
 
 namespace mangoport {
 
@@ -48,8 +50,14 @@
   ZoneId own_zone;
   /// Servers that already failed this request.
   std::vector<ServerId> excluded;
-  /// When the first token is due.
+  /// When the caller leaves without a first token.
   MonoTime deadline = MonoTime::max();
+  /// The latency objective of the first token, and when it ends; `max` if the
+  /// request has none, or has been admitted before.
+  Duration objective = Duration::max();
+  MonoTime due = MonoTime::max();
+  /// The objective is for the whole answer.
+  bool whole_answer = false;
   /// Servers admit requests of lower urgency first.
   std::uint32_t urgency = 0;
   /// Must run without other unproven requests on its server.
@@ -64,6 +72,11 @@
   Error refusal;
   /// Suggested delay before a refused request is sent again; zero if unknown.
   Duration retry_after{};
+  /// The refusal is for the length of the queue only, and the request can still
+  /// be served in time if it is tried again after this time.
+  std::optional<Duration> hold_for = std::nullopt;
+  /// The wait that the chosen or refusing server has.
+  Duration expected_wait{};
 };
 
 /// Routing policies. Those other than `kMangoport` serve as baselines in
@@ -84,6 +97,8 @@
   double affinity_slack = 0.5;
   /// Other zones are considered if the load over batch size is at least this.
   double spill_load = 1.0;
+  /// The wait that is borne rather than leaving the zone; see `ZoneSpill`.
+  Duration zone_crossing_cost = std::chrono::milliseconds(20);
   /// Initial estimate of the mean duration of a request.
   Duration initial_service_time = std::chrono::seconds(4);
 };
@@ -162,6 +177,9 @@
   const BackendState* Find(const ServerId& server) const;
   std::size_t server_count() const { return slots_.size(); }
 
+  /// The share of requests that leave the zone where that pays.
+  double spill_share() const { return spill_.share(); }
+
  private:
   /// Index in `slots_`.
   using Slot = std::uint32_t;
@@ -225,6 +243,13 @@
   std::optional<Candidate> ChooseByBaseline(MonoTime now,
                                             const RouteRequest& request,
                                             ModelEntry& entry);
+  /// Returns the better of two servers in other zones for the request.
+  std::optional<Candidate> ChooseAway(MonoTime now,
+                                      const RouteRequest& request,
+                                      const ModelEntry& entry,
+                                      Pool pool);
+  /// The time until `slot` begins with a request, also as its prompts show it.
+  Duration TimeAt(MonoTime now, const RouteRequest& request, Slot slot) const;
   Candidate PreferAffinity(MonoTime now,
                            const RouteRequest& request,
                            const Ring& ring,
@@ -234,7 +259,10 @@
   std::optional<Candidate> FindAdapterServer(MonoTime now,
                                              const RouteRequest& request,
                                              const Ring& ring) const;
-  Duration ExpectedWait(double relative_load) const;
+  Duration ExpectedWait(Slot slot, double relative_load) const;
+  /// The time until `slot` begins with a request that is sent now.
+  Duration WaitAt(MonoTime now, const RouteRequest& request, Slot slot) const;
+  QueueCandidate CandidateFor(MonoTime now, const RouteRequest& request) const;
   /// When a request that found no server should come back.
   Duration UnavailableFor(MonoTime now, const ModelEntry& entry) const;
 
@@ -247,6 +275,8 @@
   /// Moving average of the duration of completed requests.
   Duration service_time_;
   PromptRateEstimate prompt_rate_;
+  QueueAdmission admission_;
+  ZoneSpill spill_;
 };
 
 }  // namespace mangoport
--- a/lib/forward/forward_metrics.cc
+++ b/lib/forward/forward_metrics.cc
@@ -77,6 +77,11 @@
       AddHistogram(registry,
                    "mangoport_platform_call_seconds",
                    "Calls to the platform and to engines by name and success");
+  Counter& holds = AddCounter(registry,
+                              "mangoport_forward_holds_total",
+                              "Times at which a request was kept until there "
+                              "is room at a server")
+                       .Add({});
   Counter& listing_differences =
       AddCounter(registry,
                  "mangoport_server_list_differences_total",
@@ -89,6 +94,14 @@
   Gauge& active = AddGauge(registry,
                            "mangoport_forward_active_requests",
                            "Requests under way");
+  Gauge& caller_memory =
+      AddGauge(registry,
+               "mangoport_forward_caller_memory_bytes",
+               "What is held for callers: requests, and answers not read");
+  Gauge& given_up =
+      AddGauge(registry,
+               "mangoport_forward_callers_given_up",
+               "Connections given up because too much was held for callers");
   Gauge& evacuated_zones =
       AddGauge(registry,
                "mangoport_forward_evacuated_zones",
@@ -132,6 +145,10 @@
   state_->attempts.Add({{"outcome", std::string(outcome)}}).Increment();
 }
 
+void ForwardMetrics::OnHold() {
+  state_->holds.Increment();
+}
+
 void ForwardMetrics::OnRefusal(std::string_view reason) {
   state_->refusals.Add({{"reason", std::string(reason)}}).Increment();
 }
@@ -159,6 +176,11 @@
   state_->order_holder.Set(holds ? 1 : 0);
 }
 
+void ForwardMetrics::SetCallerMemory(std::size_t bytes, std::size_t given_up) {
+  state_->caller_memory.Set(static_cast<double>(bytes));
+  state_->given_up.Set(static_cast<double>(given_up));
+}
+
 void ForwardMetrics::SetEvacuatedZones(std::size_t zones) {
   state_->evacuated_zones.Set(static_cast<double>(zones));
 }
--- a/lib/forward/request_ending.cc
+++ b/lib/forward/request_ending.cc
@@ -110,7 +110,7 @@
 }
 
 void RequestExchange::OnHostStopping(MonoTime now) {
-  if (!done_ && waiting_)
+  if (!done_ && (waiting_ || held_))
     GiveUp(now, "stopping");
 }
 
@@ -159,6 +159,7 @@
   timers.Cancel(deadline_timer_);
   timers.Cancel(silence_timer_);
   timers.Cancel(wait_timer_);
+  EndHold();
   if (std::exchange(waiting_, false))
     --use_->waiting;
   if (charged_ && runs_ == 0 &&
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -9,6 +9,10 @@
 namespace mangoport {
 namespace {
 
+/// Most requests that a host keeps until there is room for them. Each may have
+/// a body.
+constexpr std::size_t kMostHeld = 64;
+
 MonoTime Now() {
   return std::chrono::steady_clock::now();
 }
@@ -28,6 +32,7 @@
 }
 
 RequestExchange::~RequestExchange() {
+  EndHold();
   --host_.active_;
   host_.exchanges_.erase(this);
 }
@@ -66,7 +71,7 @@
   }
   if (!AdmitParts(now))
     return;
-  routing_.deadline = CallerLeaves();
+  SetDue();
   RouteChoice choice = host_.parts_.backends.Choose(now, service_, routing_);
   if (!choice.server && !routing_.excluded.empty() && runs_ > 0) {
     // Better the same server again than none.
@@ -74,7 +79,10 @@
     choice = host_.parts_.backends.Choose(now, service_, routing_);
   }
   if (!choice.server) {
-    AwaitCopy(now, choice);
+    if (choice.hold_for && host_.held_ < kMostHeld)
+      HoldForRoom(now, choice);
+    else
+      AwaitCopy(now, choice);
     return;
   }
   // The wait may have been long, or the machine may have stood still.
@@ -89,6 +97,45 @@
   Send(now, *choice.server);
 }
 
+void RequestExchange::SetDue() {
+  routing_.deadline = CallerLeaves();
+  routing_.objective = Duration::max();
+  routing_.due = MonoTime::max();
+  // What has been sent once waits as long as its caller does.
+  if (sends_ > 0 || route_->latency_objective <= Duration::zero())
+    return;
+  routing_.objective = route_->latency_objective;
+  routing_.due = request_.arrived + route_->latency_objective;
+  routing_.whole_answer = route_->kind != RouteKind::kStream;
+}
+
+void RequestExchange::HoldForRoom(MonoTime now, const RouteChoice& choice) {
+  host_.parts_.log.Write(LogLine("held_for_room")
+                             .Add("id", request_id_)
+                             .Add("urgency", routing_.urgency)
+                             .Add("expected_wait", choice.expected_wait)
+                             .Add("due_in", routing_.due - now)
+                             .Add("hold", *choice.hold_for));
+  host_.parts_.metrics.OnHold();
+  held_ = true;
+  ++host_.held_;
+  wait_timer_ = host_.parts_.timers.Add(
+      now + *choice.hold_for, [weak = weak_from_this()](MonoTime due) {
+        const auto self = weak.lock();
+        if (!self || self->done_ || !self->held_)
+          return;
+        self->wait_timer_ = TimerQueue::kNoTicket;
+        self->EndHold();
+        if (!self->session_->CloseIfCallerLeft())
+          self->Dispatch(due);
+      });
+}
+
+void RequestExchange::EndHold() {
+  if (std::exchange(held_, false))
+    --host_.held_;
+}
+
 bool RequestExchange::EndsTooSoon(MonoTime now) const {
   return host_.end_ - now < route_->latency_objective;
 }
@@ -99,6 +146,12 @@
       host_.parts_.backends.AllLeaving(service_) ||
       host_.parts_.backends.HasModel(now, service_, routing_.model)) {
     const bool full = choice.refusal.code == ErrorCode::kOverloaded;
+    if (full)
+      host_.parts_.log.Write(LogLine("queue_too_long")
+                                 .Add("id", request_id_)
+                                 .Add("urgency", routing_.urgency)
+                                 .Add("expected_wait", choice.expected_wait)
+                                 .Add("objective", route_->latency_objective));
     const bool evacuated = host_.parts_.backends.AllEvacuated(service_);
     Refuse(now, {.status = 503,
                  .reason = full        ? "no_time"
--- a/lib/forward/request_exchange.h
+++ b/lib/forward/request_exchange.h
@@ -229,6 +229,11 @@
   void LogAttempt(MonoTime now, std::string_view end) const;
   /// When the caller gives the request up if it gets no further event.
   MonoTime CallerLeaves() const;
+  /// Sets until when the request can be served in time, for its routing.
+  void SetDue();
+  /// Keeps the request for a moment and dispatches it again.
+  void HoldForRoom(MonoTime now, const RouteChoice& choice);
+  void EndHold();
   /// Adds the age of the server's last byte and of the last event that was
   /// passed on, and what is left of the caller's patience.
   void AddAges(MonoTime now, LogLine& line) const;
@@ -286,6 +291,8 @@
   /// The server is not read, since the caller takes its answer slowly.
   bool reading_paused_ = false;
   bool waiting_ = false;
+  /// Kept until there is room at a server.
+  bool held_ = false;
   MonoTime waiting_since_;
   bool done_ = false;
   std::string_view last_end_;
--- a/lib/routing/router.cc
+++ b/lib/routing/router.cc
@@ -14,9 +14,9 @@
 constexpr int kMaxSamples = 8;
 /// Ring positions searched for an eligible server of a prefix.
 constexpr std::size_t kRingSteps = 4;
-/// A server in another zone is preferred only if its load, over its batch size,
-/// is lower by more than this.
-constexpr double kZonePenalty = 0.25;
+/// The wait at a server whose prompts take twice its time: prompts are counted
+/// over a second, half of which they have waited on average.
+constexpr Duration kOveruseWait = std::chrono::milliseconds(500);
 /// Weight of one finished request in the moving average of the service time.
 constexpr double kServiceTimeGain = 0.05;
 constexpr Duration kUnavailableRetryAfter = std::chrono::seconds(1);
@@ -30,7 +30,8 @@
 Router::Router(RouterSettings settings)
     : settings_(settings),
       random_(settings.seed),
-      service_time_(settings.initial_service_time) {}
+      service_time_(settings.initial_service_time),
+      spill_(settings.zone_crossing_cost) {}
 
 void Router::OnLeaving(MonoTime since, const ServerId& server) {
   const auto it = by_id_.find(server);
@@ -217,19 +218,45 @@
     if (best)
       best = PreferAffinity(now, request, it.ring, *best);
   }
-  if (best && best->load < settings_.spill_load)
+  if (best && best->load < settings_.spill_load) {
+    spill_.OnIdleHome(now);
     return best;
+  }
+  const std::optional<Candidate> away = ChooseAway(now, request, entry, pool);
+  if (!best || !away)
+    return best ? best : away;
+  std::uniform_real_distribution<> draw(0, 1);
+  const ZoneChoice choice{
+      .wait_at_home = TimeAt(now, request, best->slot),
+      .wait_away = TimeAt(now, request, away->slot),
+      .limit = QueueAdmission::LongestWait(CandidateFor(now, request))};
+  return spill_.Leaves(now, choice, draw(random_)) ? away : best;
+}
+
+std::optional<Router::Candidate> Router::ChooseAway(MonoTime now,
+                                                    const RouteRequest& request,
+                                                    const ModelEntry& entry,
+                                                    Pool pool) {
+  std::optional<Candidate> best;
   for (const ZoneRing& it : entry.zones) {
     if (it.zone == request.own_zone)
       continue;
     const std::optional<Candidate> other =
         SampleTwo(now, request, it.ring, pool);
-    if (other && (!best || other->load + kZonePenalty < best->load))
+    if (other && (!best || other->load < best->load))
       best = PreferAffinity(now, request, it.ring, *other);
   }
   return best;
 }
 
+Duration Router::TimeAt(MonoTime now,
+                        const RouteRequest& request,
+                        Slot slot) const {
+  const double overuse = std::max(slots_[slot].work.At(now) - 1, 0.0);
+  return WaitAt(now, request, slot) +
+         std::chrono::duration_cast<Duration>(kOveruseWait * overuse);
+}
+
 std::optional<Router::Candidate> Router::ChooseByBaseline(
     MonoTime now,
     const RouteRequest& request,
@@ -249,11 +276,35 @@
   return std::nullopt;
 }
 
-Duration Router::ExpectedWait(double relative_load) const {
+Duration Router::ExpectedWait(Slot slot, double relative_load) const {
   if (relative_load < 1.0)
     return Duration::zero();
-  return std::chrono::duration_cast<Duration>(service_time_ *
-                                              (relative_load - 1.0));
+  // The request waits for those ahead of it and for one more place.
+  const double ahead =
+      relative_load - 1.0 +
+      1.0 / std::max<std::uint32_t>(slots_[slot].spec.batch_size, 1);
+  return std::chrono::duration_cast<Duration>(service_time_ * ahead);
+}
+
+Duration Router::WaitAt(MonoTime now,
+                        const RouteRequest& request,
+                        Slot slot) const {
+  return std::max(ExpectedWait(slot, SlotLoad(now, slot)),
+                  slots_[slot].work.ObservedWait(now, request.urgency));
+}
+
+QueueCandidate Router::CandidateFor(MonoTime now,
+                                    const RouteRequest& request) const {
+  QueueCandidate out;
+  out.urgency = request.urgency;
+  if (request.deadline != MonoTime::max())
+    out.patience = request.deadline - now;
+  if (request.due == MonoTime::max())
+    return out;
+  out.objective = request.objective;
+  out.time_left =
+      request.due - now - (request.whole_answer ? service_time_ : Duration());
+  return out;
 }
 
 Duration Router::UnavailableFor(MonoTime now, const ModelEntry& entry) const {
@@ -308,14 +359,20 @@
     choice.retry_after = UnavailableFor(now, entry->second);
     return choice;
   }
-  const Duration wait =
-      std::max(ExpectedWait(SlotLoad(now, best->slot)),
-               slots_[best->slot].work.ObservedWait(now, request.urgency));
-  if (settings_.policy == RoutingPolicy::kMangoport &&
-      request.deadline != MonoTime::max() && now + wait > request.deadline) {
-    choice.refusal =
-        NotRun(ErrorCode::kOverloaded, "the queue is longer than the deadline");
-    choice.retry_after = wait;
+  choice.expected_wait = WaitAt(now, request, best->slot);
+  const QueueDecision decision =
+      settings_.policy == RoutingPolicy::kMangoport
+          ? admission_.Decide(now, CandidateFor(now, request),
+                              choice.expected_wait)
+          : QueueDecision();
+  if (decision.kind != QueueDecision::Kind::kAdmit) {
+    choice.refusal = NotRun(ErrorCode::kOverloaded, "the queue is too long");
+    // Requests that were refused together must not come back together.
+    std::uniform_real_distribution<> spread(0.75, 1.5);
+    choice.retry_after =
+        std::chrono::duration_cast<Duration>(decision.time * spread(random_));
+    if (decision.kind == QueueDecision::Kind::kHold)
+      choice.hold_for = decision.time;
     return choice;
   }
   choice.server = slots_[best->slot].spec.id;
