One bound for the memory that a host holds for its callers

Cause: each connection had bounds for its head, body, what is sent ahead and what is not read; all together had none, and a field of four bytes took 64 in memory. 60 callers with unfinished bodies of 2 MB took 135,976 to 207,208 KB, 150 heads of 12,000 fields 127,292 KB.

Change: connections state what they hold; beyond a quarter of the machine's memory the largest that are unfinished or unread are given up. Fields count with their framing. The machine's memory comes from the settings, else from the system.

--- a/include/mangoport/edge/edge_host.h
+++ b/include/mangoport/edge/edge_host.h
@@ -123,6 +123,8 @@
   EdgeSettings settings_;
   ForwardDialect dialect_;
   SettingsReader read_settings_;
+  /// Outlives the sessions that the event loop still holds.
+  CallerMemory caller_memory_;
   asio::io_context io_;
   TimerQueue timers_;
   DecisionLog log_;
--- a/include/mangoport/forward/client_session.h
+++ b/include/mangoport/forward/client_session.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "mangoport/fleet/fleet_config.h"
+#include "mangoport/forward/caller_memory.h"
 #include "mangoport/forward/tcp_stream.h"
 #include "mangoport/forward/timer_queue.h"
 #include "mangoport/http/message.h"
@@ -61,6 +62,7 @@
  public:
   ClientSession(TcpStream::Ptr stream,
                 TimerQueue& timers,
+                CallerMemory& memory,
                 const IngressLimits& limits,
                 ClientSessionHooks hooks);
 
@@ -146,6 +148,13 @@
   /// Reports what is lost if the connection is closed now.
   void ReportLosses() const;
   bool ShouldClose() const;
+  /// States what the connection holds for its caller.
+  void StateMemory();
+  /// Refuses the request that has not arrived whole, or closes the connection
+  /// of a caller that does not read.
+  void GiveUpForMemory();
+  /// Frees what has arrived of a request.
+  void FreeRequest();
   void AppendPiece(std::string& out, std::string_view piece) const;
   void AppendHead(std::string& out,
                   int status,
@@ -154,6 +163,8 @@
 
   TcpStream::Ptr stream_;
   TimerQueue& timers_;
+  CallerMemory& memory_;
+  CallerMemory::Share share_;
   IngressLimits limits_;
   ClientSessionHooks hooks_;
   std::function<void()> on_gone_;
@@ -162,6 +173,8 @@
   std::string body_;
   /// Bytes behind the request that is being answered.
   std::string ahead_;
+  /// The memory of the request that is being answered.
+  std::size_t request_memory_ = 0;
   TimerQueue::Ticket timer_ = TimerQueue::kNoTicket;
   /// Bytes that had not left when the timer was looked at last.
   std::size_t unsent_before_ = 0;
--- a/include/mangoport/http/message_parser.h
+++ b/include/mangoport/http/message_parser.h
@@ -47,6 +47,8 @@
   bool started() const;
   HttpParseError error() const;
   const HttpHead& head() const;
+  /// The memory that the head takes so far, in bytes.
+  std::size_t head_memory() const;
 
   /// A response without a body: the answer to a HEAD request. Set it before
   /// the response arrives.
--- a/include/mangoport/settings/edge_settings.h
+++ b/include/mangoport/settings/edge_settings.h
@@ -44,6 +44,9 @@
   /// Datagrams of other hosts.
   Endpoint peers;
   Endpoint store;
+  /// The memory of the machine that the host may use, in MB; none if it is not
+  /// told. Then it is what the system reports.
+  std::optional<std::uint64_t> machine_memory_mb;
   EdgeBounds bounds;
 };
 
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -1,5 +1,7 @@
 #include "mangoport/edge/edge_host.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <csignal>
 #include <random>
@@ -29,6 +31,14 @@
   return std::chrono::milliseconds(random() % kClaimSpreadMs);
 }
 
+std::size_t MachineBytes(const EdgeSettings& settings) {
+  constexpr std::size_t kMb = std::size_t{1024} * 1024;
+  if (settings.machine_memory_mb)
+    return *settings.machine_memory_mb * kMb;
+  return static_cast<std::size_t>(::sysconf(_SC_PHYS_PAGES)) *
+         static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 OrderLeaseSettings LeaseSettingsFor(const EdgeBounds& bounds) {
   constexpr Duration kSettleMargin = std::chrono::milliseconds(300);
   OrderLeaseSettings out;
@@ -77,6 +87,7 @@
     : settings_(settings),
       dialect_(std::move(dialect)),
       read_settings_(std::move(read_settings)),
+      caller_memory_(CallerMemoryBound(MachineBytes(settings_))),
       timers_(io_),
       pool_(io_, timers_),
       caller_(pool_, timers_),
@@ -297,7 +308,8 @@
                                    ? forwarder_.config()->config().limits
                                    : IngressLimits();
   const auto session = std::make_shared<ClientSession>(
-      std::make_shared<TcpStream>(std::move(socket)), timers_, limits,
+      std::make_shared<TcpStream>(std::move(socket)), timers_, caller_memory_,
+      limits,
       ClientSessionHooks{
           .on_request = listener.on_request,
           .on_refused =
@@ -360,6 +372,8 @@
 void EdgeHost::FlushLogLater(MonoTime now) {
   timers_.Add(now + kLogFlushInterval, [this](MonoTime due) {
     log_.Flush();
+    caller_memory_.Enforce();
+    metrics_.SetCallerMemory(caller_memory_.bytes(), caller_memory_.given_up());
     FlushLogLater(due);
   });
 }
--- a/lib/forward/client_session.cc
+++ b/lib/forward/client_session.cc
@@ -34,10 +34,13 @@
 
 ClientSession::ClientSession(TcpStream::Ptr stream,
                              TimerQueue& timers,
+                             CallerMemory& memory,
                              const IngressLimits& limits,
                              ClientSessionHooks hooks)
     : stream_(std::move(stream)),
       timers_(timers),
+      memory_(memory),
+      share_(memory, [this] { GiveUpForMemory(); }),
       limits_(limits),
       hooks_(std::move(hooks)),
       parser_(HttpMessageKind::kRequest, limits.max_head_bytes) {}
@@ -108,15 +111,42 @@
     Report("after_last_answer", data.size());
     return;
   }
+  const auto self = shared_from_this();
   ahead_.append(data);
   if (!busy_) {
     Parse();
-    return;
+  } else if (ahead_.size() > kMaxAheadBytes) {
+    stream_->SetReading(false);
+    StartTimer(Now() + kLeaveCheckInterval);
   }
-  if (ahead_.size() <= kMaxAheadBytes)
+  StateMemory();
+  memory_.Enforce();
+}
+
+void ClientSession::StateMemory() {
+  const std::size_t unsent = stream_->unsent();
+  const std::size_t bytes = body_.capacity() + ahead_.capacity() +
+                            parser_.head_memory() + unsent + request_memory_;
+  const bool unfinished = !busy_ && (parser_.started() || unsent > 0);
+  share_.Set(closed_ ? 0 : bytes,
+             !closed_ && !ending_ && (unfinished || IsCallerBehind()));
+}
+
+void ClientSession::GiveUpForMemory() {
+  const auto self = shared_from_this();
+  if (busy_ || !parser_.started() || stream_->unsent() > 0) {
+    Report("memory", stream_->unsent());
+    Shut();
     return;
-  stream_->SetReading(false);
-  StartTimer(Now() + kLeaveCheckInterval);
+  }
+  Refuse(503, "too much is held for callers");
+  FreeRequest();
+  StateMemory();
+}
+
+void ClientSession::FreeRequest() {
+  std::string().swap(body_);
+  std::string().swap(ahead_);
 }
 
 void ClientSession::Parse() {
@@ -195,6 +225,8 @@
   }
   timers_.Cancel(timer_);
   busy_ = true;
+  // The request, and its copy on the way to the server.
+  request_memory_ = 2 * (body_.size() + parser_.head_memory());
   continue_sent_ = false;
   keep_alive_ = head.keep_alive;
   bodyless_ = head.method == "HEAD";
@@ -301,6 +333,8 @@
   out.reserve(piece.size() + 16);
   AppendPiece(out, piece);
   stream_->Send(out);
+  if (stream_->unsent() > 0)
+    StateMemory();
 }
 
 void ClientSession::EndAnswer() {
@@ -313,12 +347,17 @@
 
 void ClientSession::FinishAnswer() {
   busy_ = false;
+  request_memory_ = 0;
   on_gone_ = nullptr;
   on_drained_ = nullptr;
   if (closed_)
     return;
   parser_.Reset();
-  body_.clear();
+  // The next request may be small.
+  std::string().swap(body_);
+  if (ahead_.empty())
+    std::string().swap(ahead_);
+  StateMemory();
   // Otherwise the caller may have sent its next request already.
   if (close_announced_) {
     EndConnection();
@@ -394,6 +433,8 @@
   const auto self = shared_from_this();
   timers_.Cancel(timer_);
   stream_->Close();
+  FreeRequest();
+  StateMemory();
   if (busy_ && on_gone_)
     std::exchange(on_gone_, nullptr)();
   busy_ = false;
--- a/lib/http/message_parser.cc
+++ b/lib/http/message_parser.cc
@@ -7,6 +7,10 @@
 namespace mangoport {
 namespace {
 
+/// What a field takes on the wire beside its name and value: the colon and the
+/// end of the line.
+constexpr std::size_t kFieldFraming = 3;
+
 constexpr int kContinue = 0;
 constexpr int kStop = -1;
 /// What http_parser takes from the end-of-head callback for "no body follows".
@@ -104,11 +108,12 @@
   // Trailers of a chunked body are dropped.
   if (head_complete)
     return kContinue;
-  if (last_was_value || head.fields.empty())
+  const bool is_new = last_was_value || head.fields.empty();
+  if (is_new)
     head.fields.emplace_back();
   last_was_value = false;
   head.fields.back().name.append(text);
-  return Count(text.size());
+  return Count(text.size() + (is_new ? kFieldFraming : 0));
 }
 
 int MessageParser::State::OnValue(std::string_view text) {
@@ -255,6 +260,11 @@
   return state_->head;
 }
 
+std::size_t MessageParser::head_memory() const {
+  return state_->head_bytes +
+         state_->head.fields.capacity() * sizeof(HttpField);
+}
+
 void MessageParser::set_bodyless(bool bodyless) {
   state_->bodyless = bodyless;
 }
--- a/lib/settings/edge_settings.cc
+++ b/lib/settings/edge_settings.cc
@@ -72,6 +72,14 @@
   table.Finish();
 }
 
+void ReadMemory(TomlTable table, EdgeSettings& settings) {
+  constexpr double kMostMb = 16.0 * 1024 * 1024;
+  if (table.Number("machine_mb"))
+    settings.machine_memory_mb = static_cast<std::uint64_t>(
+        ReadNumber(table, "machine_mb", 0, 1, kMostMb));
+  table.Finish();
+}
+
 }  // namespace
 
 EdgeSettings ParseEdgeSettings(std::string_view text,
@@ -88,6 +96,7 @@
   settings.store = ReadEndpoint(platform, "store");
   platform.Finish();
   ReadBounds(table.Table("bounds"), settings.bounds);
+  ReadMemory(table.Table("memory"), settings);
   table.Finish();
   SortFindings(findings);
   return settings;
--- a/unittests/forward/client_session_close_test.cc
+++ b/unittests/forward/client_session_close_test.cc
@@ -37,7 +37,8 @@
     socket_.connect(acceptor.local_endpoint());
     socket_.non_blocking(true);
     session_ = std::make_shared<ClientSession>(
-        std::make_shared<TcpStream>(acceptor.accept()), timers_, limits,
+        std::make_shared<TcpStream>(acceptor.accept()), timers_, memory_,
+        limits,
         ClientSessionHooks{
             .on_request =
                 [this](const std::shared_ptr<ClientSession>&,
@@ -89,6 +90,7 @@
     }
   }
 
+  CallerMemory memory_{std::size_t{1} << 30};
   asio::io_context io_;
   asio::ip::tcp::socket socket_{io_};
   TimerQueue timers_{io_};
--- a/unittests/forward/client_session_test.cc
+++ b/unittests/forward/client_session_test.cc
@@ -44,7 +44,7 @@
   int TakeUp() {
     int requests = 0;
     const auto session = std::make_shared<ClientSession>(
-        std::make_shared<TcpStream>(acceptor_.accept()), timers_,
+        std::make_shared<TcpStream>(acceptor_.accept()), timers_, memory_,
         IngressLimits(),
         ClientSessionHooks{
             .on_request = [&requests](const std::shared_ptr<ClientSession>&,
@@ -62,6 +62,7 @@
   static constexpr int kMaxTurns = 20;
   static constexpr Duration kTurn = milliseconds(20);
 
+  CallerMemory memory_{std::size_t{1} << 30};
   asio::io_context io_;
   asio::ip::tcp::acceptor acceptor_;
   asio::ip::tcp::socket socket_;
@@ -103,7 +104,7 @@
     socket_.connect(acceptor_.local_endpoint());
     socket_.non_blocking(true);
     session_ = std::make_shared<ClientSession>(
-        std::make_shared<TcpStream>(acceptor_.accept()), timers_,
+        std::make_shared<TcpStream>(acceptor_.accept()), timers_, memory_,
         IngressLimits(),
         ClientSessionHooks{.on_request = std::move(on_request),
                            .on_refused = {},
@@ -158,6 +159,7 @@
     return n;
   }
 
+  CallerMemory memory_{std::size_t{1} << 30};
   asio::io_context io_;
   asio::ip::tcp::acceptor acceptor_;
   asio::ip::tcp::socket socket_;
--- a/unittests/support/raw_connection.h
+++ b/unittests/support/raw_connection.h
@@ -42,6 +42,17 @@
            static_cast<ssize_t>(bytes.size());
   }
 
+  /// Sends as much as the host takes at once.
+  void SendWithoutWaiting(std::string_view bytes) const {
+    while (!bytes.empty()) {
+      const ssize_t n =
+          ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (n <= 0)
+        return;
+      bytes.remove_prefix(static_cast<std::size_t>(n));
+    }
+  }
+
   /// What has arrived, or arrives within the limit.
   std::string Receive() const {
     char bytes[4096];
