--- a/unittests/fleet/evacuations_test.cc
+++ b/unittests/fleet/evacuations_test.cc
@@ -106,8 +106,8 @@
   cr_assert(it.zones().empty());
 }
 
-// Hosts that passed on what they hold kept each other's grace periods alive, and
-// one that never knew of the evacuation ended it for the others.
+// Hosts that passed on what they hold kept each other's grace periods alive,
+// and one that never knew of the evacuation ended it for the others.
 Test(evacuations, what_is_held_is_not_told_to_other_hosts) {
   Evacuations it;
   it.OnRead(kStart, {1, 5}, /*whole=*/true, {Begun(kA), Begun(kB)});
