Metrics of zones left and why; the cost of a crossing is a setting

An operator could not see how many requests leave their zone, nor why, and the wait that is borne rather than leaving was a constant. [routing] zone_crossing_ms sets it; mangoport_forward_dispatches_total{zone} counts home, away_none_at_home and away_shorter_wait.

--- a/include/mangoport/forward/backend_table.h
+++ b/include/mangoport/forward/backend_table.h
@@ -47,7 +47,8 @@
 /// holds, how loaded it is by all hosts' accounts, and how healthy it looks.
 class BackendTable {
  public:
-  explicit BackendTable(ZoneId own_zone) : own_zone_(std::move(own_zone)) {}
+  explicit BackendTable(ZoneId own_zone, const RouterSettings& routing = {})
+      : own_zone_(std::move(own_zone)), routing_(routing) {}
 
   BackendTable(const BackendTable&) = delete;
   BackendTable& operator=(const BackendTable&) = delete;
@@ -219,8 +220,10 @@
   void RefreshModels(MonoTime now, const ServerEntry& entry);
   void TellIfAllLeave(const ServiceId& service) const;
   void ReportLoad(MonoTime now, const ServerId& server);
+  Router& RouterOf(const ServiceId& service);
 
   ZoneId own_zone_;
+  RouterSettings routing_;
   std::map<ServerId, ServerEntry> servers_;
   std::unordered_map<ServerId, Backend> backends_;
   std::map<ServiceId, Router> routers_;
--- a/include/mangoport/forward/forward_metrics.h
+++ b/include/mangoport/forward/forward_metrics.h
@@ -28,6 +28,8 @@
   void OnFirstEvent(Duration time);
   void OnEvents(std::size_t n);
   void OnAttempt(std::string_view outcome);
+  /// A request goes to a server of the host's zone, or of another one and why.
+  void OnDispatch(std::string_view zone_use);
   /// A request is kept until there is room at a server.
   void OnHold();
   /// A request was refused; `reason` is one of few fixed words.
--- a/include/mangoport/routing/router.h
+++ b/include/mangoport/routing/router.h
@@ -64,11 +64,21 @@
   bool isolated = false;
 };
 
+/// Why a server is in the zone that it is in.
+enum class ZoneUse {
+  kHome,
+  /// The host's zone has no eligible server for the request.
+  kNoneAtHome,
+  /// The wait at home is longer by more than a crossing costs.
+  kShorterWait,
+};
+
 /// The chosen backend server, or the reason why there is none. The `not_run` of
 /// a refusal is always true and covers only this choice; the caller must
 /// account for earlier attempts.
 struct RouteChoice {
   std::optional<ServerId> server;
+  ZoneUse zone_use = ZoneUse::kHome;
   Error refusal;
   /// Suggested delay before a refused request is sent again; zero if unknown.
   Duration retry_after{};
@@ -207,6 +217,7 @@
   struct Candidate {
     Slot slot = 0;
     double load = 0;
+    ZoneUse zone_use = ZoneUse::kHome;
   };
 
   void RebuildIndex();
--- a/include/mangoport/settings/edge_settings.h
+++ b/include/mangoport/settings/edge_settings.h
@@ -47,6 +47,8 @@
   /// The memory of the machine that the host may use, in MB; none if it is not
   /// told. Then it is what the system reports.
   std::optional<std::uint64_t> machine_memory_mb;
+  /// The wait that requests bear rather than leaving their availability zone.
+  Duration zone_crossing_cost = std::chrono::milliseconds(20);
   EdgeBounds bounds;
 };
 
--- a/lib/forward/backend_table.cc
+++ b/lib/forward/backend_table.cc
@@ -214,7 +214,7 @@
     return;
   pacer_.OnCold(now, entry.id, entry.zone == own_zone_,
                 spec->second.requests_per_second, now + left);
-  routers_[entry.service].Hold(entry.id, pacer_.HeldUntil(now, entry.id));
+  RouterOf(entry.service).Hold(entry.id, pacer_.HeldUntil(now, entry.id));
 }
 
 MonoTime BackendTable::HeldUntil(MonoTime now, const ServerEntry& entry) const {
@@ -222,13 +222,17 @@
                   pacer_.HeldUntil(now, entry.id));
 }
 
+Router& BackendTable::RouterOf(const ServiceId& service) {
+  return routers_.try_emplace(service, routing_).first->second;
+}
+
 void BackendTable::RefreshModels(MonoTime now, const ServerEntry& entry) {
   if (now - rebuilt_at_[entry.service] > kRebuildInterval) {
     Rebuild(now, entry.service);
     return;
   }
-  routers_[entry.service].SetModels(
-      entry.id, ModelsOf(now, entry, backends_.at(entry.id)));
+  RouterOf(entry.service)
+      .SetModels(entry.id, ModelsOf(now, entry, backends_.at(entry.id)));
 }
 
 void BackendTable::Rebuild(MonoTime now, const ServiceId& service) {
@@ -248,7 +252,7 @@
     spec.held_until = HeldUntil(now, entry);
     list.servers.push_back(std::move(spec));
   }
-  routers_[service].SetServers(now, list);
+  RouterOf(service).SetServers(now, list);
 }
 
 bool BackendTable::NoteSignals(MonoTime now,
@@ -285,8 +289,8 @@
   const bool begins = signals_.NoteHold(now, start, now + hold);
   const auto it = servers_.find(start.server);
   if (it != servers_.end())
-    routers_[it->second.service].Hold(
-        start.server, signals_.HeldUntil(StartOf(start.server)));
+    RouterOf(it->second.service)
+        .Hold(start.server, signals_.HeldUntil(StartOf(start.server)));
   return begins;
 }
 
@@ -350,7 +354,7 @@
   if (it == backends_.end())
     return;
   const PeerLoads::Sum peers = peer_loads_.Of(server);
-  Router& router = routers_[it->second.service];
+  Router& router = RouterOf(it->second.service);
   router.OnReport(now, {.server = server,
                         .measured_at = now,
                         .running = it->second.own_running + peers.running});
@@ -361,7 +365,7 @@
                                  const ServiceId& service,
                                  RouteRequest request) {
   request.own_zone = own_zone_;
-  return routers_[service].Choose(now, request);
+  return RouterOf(service).Choose(now, request);
 }
 
 bool BackendTable::HasModel(MonoTime now,
@@ -426,7 +430,7 @@
     return;
   if (it->second.own_running++ == 0)
     it->second.last_activity = now;
-  Router& router = routers_[service];
+  Router& router = RouterOf(service);
   router.OnDispatched(now, server, prompt_tokens);
   pacer_.OnDispatched(now, server);
   router.Hold(server, pacer_.HeldUntil(now, server));
@@ -444,7 +448,7 @@
                                 std::int64_t prompt_tokens,
                                 Duration time,
                                 std::uint32_t urgency) {
-  routers_[service].OnFirstToken(now, server, prompt_tokens, time, urgency);
+  RouterOf(service).OnFirstToken(now, server, prompt_tokens, time, urgency);
 }
 
 void BackendTable::OnFinished(MonoTime now,
@@ -457,7 +461,7 @@
     return;
   if (it->second.own_running > 0)
     --it->second.own_running;
-  routers_[service].OnFinished(now, server, outcome, ran_for);
+  RouterOf(service).OnFinished(now, server, outcome, ran_for);
 }
 
 Duration BackendTable::SilentFor(MonoTime now, const ServerId& server) const {
--- a/lib/forward/forward_metrics.cc
+++ b/lib/forward/forward_metrics.cc
@@ -70,6 +70,11 @@
       AddCounter(registry,
                  "mangoport_forward_attempts_total",
                  "Attempts at backend servers by outcome");
+  Family<Counter>& dispatches =
+      AddCounter(registry,
+                 "mangoport_forward_dispatches_total",
+                 "Requests sent to backend servers, in the host's zone or not "
+                 "and why");
   Family<Counter>& refusals = AddCounter(registry,
                                          "mangoport_forward_refusals_total",
                                          "Requests refused by reason");
@@ -145,6 +150,10 @@
   state_->attempts.Add({{"outcome", std::string(outcome)}}).Increment();
 }
 
+void ForwardMetrics::OnDispatch(std::string_view zone_use) {
+  state_->dispatches.Add({{"zone", std::string(zone_use)}}).Increment();
+}
+
 void ForwardMetrics::OnHold() {
   state_->holds.Increment();
 }
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -13,6 +13,18 @@
 /// a body.
 constexpr std::size_t kMostHeld = 64;
 
+std::string_view ZoneUseName(ZoneUse use) {
+  switch (use) {
+    case ZoneUse::kHome:
+      return "home";
+    case ZoneUse::kNoneAtHome:
+      return "away_none_at_home";
+    case ZoneUse::kShorterWait:
+      return "away_shorter_wait";
+  }
+  return "home";
+}
+
 MonoTime Now() {
   return std::chrono::steady_clock::now();
 }
@@ -94,6 +106,7 @@
   }
   if (!AdmitQuota(now))
     return;
+  host_.parts_.metrics.OnDispatch(ZoneUseName(choice.zone_use));
   Send(now, *choice.server);
 }
 
--- a/lib/routing/router.cc
+++ b/lib/routing/router.cc
@@ -222,9 +222,12 @@
     spill_.OnIdleHome(now);
     return best;
   }
-  const std::optional<Candidate> away = ChooseAway(now, request, entry, pool);
-  if (!best || !away)
-    return best ? best : away;
+  std::optional<Candidate> away = ChooseAway(now, request, entry, pool);
+  if (!away)
+    return best;
+  away->zone_use = best ? ZoneUse::kShorterWait : ZoneUse::kNoneAtHome;
+  if (!best)
+    return away;
   std::uniform_real_distribution<> draw(0, 1);
   const ZoneChoice choice{
       .wait_at_home = TimeAt(now, request, best->slot),
@@ -376,6 +379,7 @@
     return choice;
   }
   choice.server = slots_[best->slot].spec.id;
+  choice.zone_use = best->zone_use;
   return choice;
 }
 
--- a/lib/settings/edge_settings.cc
+++ b/lib/settings/edge_settings.cc
@@ -97,6 +97,11 @@
   platform.Finish();
   ReadBounds(table.Table("bounds"), settings.bounds);
   ReadMemory(table.Table("memory"), settings);
+  TomlTable routing = table.Table("routing");
+  settings.zone_crossing_cost =
+      routing.Milliseconds("zone_crossing_ms", settings.zone_crossing_cost,
+                           milliseconds(0), minutes(1));
+  routing.Finish();
   table.Finish();
   SortFindings(findings);
   return settings;
