A stream that its caller resumes is not refused for its objective

Cause: a request with the id of the last event was admitted like a first one, so at a full queue the rest of a broken stream was refused.

Measured: resumed_streams_test passed; found by reading, not by a run.

--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -114,8 +114,10 @@
   routing_.deadline = CallerLeaves();
   routing_.objective = Duration::max();
   routing_.due = MonoTime::max();
-  // What has been sent once waits as long as its caller does.
-  if (sends_ > 0 || route_->latency_objective <= Duration::zero())
+  // What has been sent once waits as long as its caller does, and so does a
+  // stream that its caller resumes.
+  if (sends_ > 0 || events_.last_id() ||
+      route_->latency_objective <= Duration::zero())
     return;
   routing_.objective = route_->latency_objective;
   routing_.due = request_.arrived + route_->latency_objective;
