--- a/unittests/process/hostile_callers_test.cc
+++ b/unittests/process/hostile_callers_test.cc
@@ -23,7 +23,7 @@
 
 /// The memory of the host's machine, and the bound of what its process may
 /// take.
-constexpr long kMachineKb = 64 * 1024;
+constexpr long kMachineKb = 64L * 1024;
 constexpr std::size_t kBodyBytes = std::size_t{2} * 1024 * 1024;
 constexpr int kBodyCallers = 60;
 constexpr int kFieldCallers = 150;
