A request that is dispatched again is no longer held

A copy that appeared while a request was held dispatched it, and it still counted among those that are held. Found by reading; edge_process_test passed.

--- a/include/mangoport/forward/caller_memory.h
+++ b/include/mangoport/forward/caller_memory.h
@@ -47,7 +47,8 @@
   };
 
   /// Gives up the largest shares until the bound holds or none is left. Called
-  /// from the event loop, not from within a connection's own calls.
+  /// at the end of a connection's read or from a timer: any connection may be
+  /// given up in the call.
   void Enforce();
 
   std::size_t bytes() const { return bytes_; }
--- a/lib/forward/request_exchange.cc
+++ b/lib/forward/request_exchange.cc
@@ -67,6 +67,7 @@
 }
 
 void RequestExchange::Dispatch(MonoTime now) {
+  EndHold();
   if (now >= deadline_) {
     OnDeadline(now);
     return;
@@ -140,7 +141,6 @@
         if (!self || self->done_ || !self->held_)
           return;
         self->wait_timer_ = TimerQueue::kNoTicket;
-        self->EndHold();
         if (!self->session_->CloseIfCallerLeft())
           self->Dispatch(due);
       });
