--- a/lib/routing/queue_admission.cc
+++ b/lib/routing/queue_admission.cc
@@ -9,6 +9,13 @@
 /// Requests that came longer ago say nothing of those that come now.
 constexpr Duration kSeenLifetime = std::chrono::seconds(1);
 
+/// A shorter wait is none: it is what is left of an observed one that fades.
+constexpr Duration kNoWait = std::chrono::milliseconds(2);
+
+/// A queue of this part of the objective is joined in any case, since the time
+/// for the answer itself may be misjudged, or longer than the objective.
+constexpr int kLeastPart = 4;
+
 /// Bounds of the time for which a host keeps a request before it looks again.
 constexpr Duration kShortestHold = std::chrono::milliseconds(30);
 constexpr Duration kLongestHold = std::chrono::milliseconds(250);
@@ -42,7 +49,9 @@
   if (request.objective == Duration::max())
     return request.patience;
   // Half of the requests wait longer than expected.
-  return std::min(request.time_left * 2 / 3, request.patience);
+  const Duration limit =
+      std::max(request.time_left * 2 / 3, request.objective / kLeastPart);
+  return std::min(limit, request.patience);
 }
 
 QueueDecision QueueAdmission::Refuse(MonoTime now, Duration wait) {
@@ -59,7 +68,7 @@
   const bool has_objective = request.objective != Duration::max();
   if (has_objective)
     Note(now, request);
-  if (wait <= Duration::zero())
+  if (wait <= kNoWait)
     return {};
   if (wait > request.patience)
     return Refuse(now, wait);
--- a/unittests/routing/queue_admission_test.cc
+++ b/unittests/routing/queue_admission_test.cc
@@ -238,6 +238,23 @@
                Duration(milliseconds(400)).count());
 }
 
+// A wait that had been seen long ago and had faded to nearly nothing refused
+// all requests of a service whose answers take longer than their objective.
+Test(queue_admission, a_long_service_time_does_not_refuse_at_a_short_queue) {
+  QueueAdmission admission;
+  const QueueCandidate request{.urgency = 0,
+                               .objective = milliseconds(250),
+                               .time_left = milliseconds(250) - seconds(4),
+                               .patience = seconds(4)};
+  for (const Duration wait :
+       {Duration(std::chrono::nanoseconds(1)), Duration(milliseconds(1)),
+        Duration(milliseconds(60))})
+    cr_assert(admission.Decide(kStart, request, wait).kind ==
+              QueueDecision::Kind::kAdmit);
+  cr_assert(admission.Decide(kStart, request, milliseconds(100)).kind ==
+            QueueDecision::Kind::kRefuse);
+}
+
 // A request that has been at a server already is not refused for its objective.
 Test(queue_admission, without_an_objective_only_the_callers_patience_counts) {
   QueueAdmission admission;
