--- a/include/mangoport/routing/queue_admission.h
+++ b/include/mangoport/routing/queue_admission.h
@@ -43,7 +43,8 @@
 ///
 /// - A request joins only if it can expect its first token well within its
 ///   route's latency objective, since half of the requests wait longer than
-///   expected. One that can begin at once is never refused.
+///   expected. A quarter of the objective is always borne, and one that can
+///   begin at once is never refused.
 /// - While requests of the same or higher urgency with shorter objectives come,
 ///   it leaves half of the queue that those could bear to them, and waits at
 ///   the host instead, as long as its own objective allows.
