--- a/review/support-2/crowd.cc
+++ b/review/support-2/crowd.cc
@@ -1,4 +1,4 @@
-// A crowd of callers that open connections and send nothing, beside ordinary
+// A crowd of callers whose bodies stop just short of their end, beside ordinary
 // callers and the platform's question whether the host is ready.
 #include "lab.h"
 
@@ -158,9 +158,18 @@
   });
   const bool before = Ask(host.settings(), "before", 3000);
   std::vector<std::unique_ptr<Connection>> crowd;
-  for (int i = 0; i < size; ++i)
+  for (int i = 0; i < size; ++i) {
     crowd.push_back(Connection::To(host.settings().ip, host.settings().front));
-  RECORD("a crowd of %d is connected and sends nothing", size);
+    // The body lacks its last byte.
+    if (crowd.back())
+      crowd.back()->Send(
+          "POST /pay/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: crowd-" +
+          std::to_string(i) +
+          "\r\nX-Deadline-Ms: 4000\r\nAuthorization: Bearer key1\r\n"
+          "Content-Length: 600\r\n\r\n" +
+          std::string(599, 'b'));
+  }
+  RECORD("a crowd of %d has sent all but the last byte", size);
   SleepMs(1000);
   ready = 0;
   not_ready = 0;
