--- a/review/support-2/crowd.cc
+++ b/review/support-2/crowd.cc
@@ -9,7 +9,8 @@
 constexpr int kMemoryMb = 182;
 /// The descriptors of the machine.
 constexpr int kMaxFds = 2940;
-constexpr int kCrowd = 3000;
+/// A few more than the host has descriptors for.
+constexpr int kCrowd = 2950;
 constexpr int kCrowdWithoutTrouble = 300;
 constexpr int kContactMs = 3000;
 constexpr int kOrdinaryCallers = 10;
@@ -120,6 +121,10 @@
   limit.rlim_cur = limit.rlim_max;
   ::setrlimit(RLIMIT_NOFILE, &limit);
   Record::Get().Open(argv[2]);
+  if (limit.rlim_max < kCrowd + 200) {
+    RECORD("the script has too few descriptors");
+    return 2;
+  }
   const int size = WithTrouble() ? kCrowd : kCrowdWithoutTrouble;
   Folder folder;
   Store store;
