--- a/review/support-2/crowd.cc
+++ b/review/support-2/crowd.cc
@@ -93,6 +93,7 @@
 
 /// Sends one request on a new connection; true if it is answered in time.
 bool Ask(const HostSettings& host, const std::string& id, int limit_ms) {
+  RECORD("client sends %s", id.c_str());
   const std::int64_t until = NowMs() + limit_ms;
   const auto connection = Connection::To(host.ip, host.front);
   Message answer;
--- a/review/support-2/keys.cc
+++ b/review/support-2/keys.cc
@@ -56,6 +56,7 @@
 void NoteRun(const std::string& id) {
   const std::lock_guard lock(g_mutex);
   g_runs.emplace_back(id, g_sent.at(id));
+  RECORD("server runs %s", id.c_str());
 }
 
 /// A sound server: reads each request whole and answers it.
@@ -125,6 +126,7 @@
       const std::lock_guard lock(g_mutex);
       g_sent[id] = NowMs();
     }
+    RECORD("client sends %s", id.c_str());
     Message answer;
     const bool whole =
         connection &&
@@ -134,10 +136,9 @@
             "\r\nContent-Length: 2\r\n\r\nhi") &&
         connection->ReadHead(answer, NowMs() + 3000) &&
         connection->ReadBody(answer, /*keep=*/true, NowMs() + 3000);
-    if (n % 200 == 0)
-      RECORD("client %s: %s %s", id.c_str(),
-             whole ? answer.start.c_str() : "not answered",
-             answer.status() == 200 ? "" : answer.body.c_str());
+    RECORD("client %s: %s %s", id.c_str(),
+           whole ? answer.start.c_str() : "not answered",
+           answer.status() == 200 ? "" : answer.body.c_str());
     if (!whole || Lower(answer.Field("connection")) == "close")
       connection.reset();
     SleepMs(pause_ms);
@@ -171,8 +172,8 @@
     const std::string ip = "127.0.0." + std::to_string(i + 1);
     ways.push_back(&store.AddWay(ip));
     hosts.push_back(std::make_unique<Host>(
-        HostSettings{.name = "edge-z" + std::to_string(i) + "-1",
-                     .zone = "z" + std::to_string(i),
+        HostSettings{.name = "edge-z1-" + std::to_string(i),
+                     .zone = "z1",
                      .ip = ip,
                      .store = ways.back()->address(),
                      .memory_mb = kMemoryMb},
--- a/review/support-2/lab.h
+++ b/review/support-2/lab.h
@@ -789,6 +789,7 @@
       }
       const std::int64_t until = NowMs() + 6000;
       Message answer;
+      RECORD("client sends %s", id.c_str());
       const bool begun =
           connection->Send(
               "POST /pay/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id +
@@ -797,6 +798,7 @@
           connection->ReadHead(answer, until) &&
           connection->ReadBody(answer, /*keep=*/false, until);
       if (begun) {
+        RECORD("client %s: %s", id.c_str(), answer.start.c_str());
         ++(answer.status() == 200 ? answered_ : refused_);
         kept = true;
         continue;
--- a/review/support-2/names.cc
+++ b/review/support-2/names.cc
@@ -15,8 +15,6 @@
 constexpr int kPayMs = 250;
 constexpr int kCallers = 16;
 constexpr int kRequestsOfEach = 600;
-/// Of the requests of one caller, each so many is written to the record.
-constexpr int kNotedEach = 50;
 
 const char kConfig[] =
     R"({"Version":7,"Routes":[{"Name":"draft","Host":"h.example",)"
@@ -115,6 +113,7 @@
       if (!model.starts_with("m0/") || !adapters_.contains(model.substr(3)))
         return Answer(421, "", "X-Attempt-Id: " + id + "\r\n");
     }
+    RECORD("%s runs %s", id_.c_str(), id.c_str());
     return Answer(200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
                   "X-Attempt-Id: " + id +
                       "\r\nX-Server-Seal: s1\r\n"
@@ -163,9 +162,9 @@
 bool Ask(Connection& connection,
          const std::string& id,
          const std::string& model,
-         int limit_ms,
-         bool noted) {
+         int limit_ms) {
   const std::int64_t until = NowMs() + limit_ms + 1000;
+  RECORD("client sends %s for %s", id.c_str(), model.substr(0, 16).c_str());
   Message answer;
   const bool whole =
       connection.Send(
@@ -177,9 +176,8 @@
       connection.ReadHead(answer, until) &&
       connection.ReadBody(answer, /*keep=*/true, until);
   ++(!whole ? g_lost : answer.status() == 200 ? g_answered : g_refused);
-  if (noted)
-    RECORD("client %s for %s: %s", id.c_str(), model.substr(0, 16).c_str(),
-           whole ? (answer.start + " " + answer.body).c_str() : "not answered");
+  RECORD("client %s for %s: %s", id.c_str(), model.substr(0, 16).c_str(),
+         whole ? (answer.start + " " + answer.body).c_str() : "not answered");
   return whole;
 }
 
@@ -240,7 +238,7 @@
         if (!connection ||
             !Ask(*connection,
                  "odd-" + std::to_string(i) + "-" + std::to_string(n), name,
-                 300, /*noted=*/n % kNotedEach == 0))
+                 300))
           connection =
               Connection::To(host.settings().ip, host.settings().front);
         SleepMs(5);
--- a/review/support-2/orders.cc
+++ b/review/support-2/orders.cc
@@ -138,6 +138,7 @@
       if (!model.starts_with("m0/") || !adapters_.contains(model.substr(3)))
         return Answer(421, "", "X-Attempt-Id: " + id + "\r\n");
     }
+    RECORD("%s runs %s", id_.c_str(), id.c_str());
     return Answer(200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
                   "X-Attempt-Id: " + id +
                       "\r\nX-Server-Seal: s1\r\n"
@@ -194,6 +195,7 @@
         g_demand_moved ? kAskedLater : kAskedFirst;
     const std::string id =
         host.name + "-" + std::to_string(first) + "-" + std::to_string(n);
+    RECORD("client sends %s", id.c_str());
     const auto connection = Connection::To(host.ip, host.front);
     Message answer;
     const bool answered =
@@ -207,6 +209,8 @@
             std::to_string(10000000 + n) +
             ":100\r\nContent-Length: 2\r\n\r\nhi") &&
         connection->ReadHead(answer, NowMs() + 3000);
+    RECORD("client %s: %s", id.c_str(),
+           answered ? answer.start.c_str() : "not answered");
     g_answers += answered && answer.status() == 200 ? 1 : 0;
     SleepMs(60);
   }
--- a/review/support-2/readers.cc
+++ b/review/support-2/readers.cc
@@ -125,6 +125,7 @@
       readers.emplace_back(
           [connection = kept.back().get(), trouble,
            id = "report-" + std::to_string(wave) + "-" + std::to_string(i)] {
+            RECORD("client sends %s", id.c_str());
             if (connection != nullptr)
               connection->Send(Request("report", id));
             if (trouble)
