A read that stops short of the log's end shows in the logs

Nothing in its logs told a read that had reached the end of the store's log from one that had not: the end that each answer states was decoded and dropped in the platform's client.

The client passes the end on, a host logs `feed_read_short` for each read of a feed that ends before it, and `mangoport_feed_short_reads_total` counts them. No decision uses it yet.

--- a/include/mangoport/edge/feed_service.h
+++ b/include/mangoport/edge/feed_service.h
@@ -68,6 +68,8 @@
   std::function<void(const std::vector<HostAddress>& hosts)> on_hosts;
   /// This host has read a change that it should send to the others at once.
   std::function<void()> on_news;
+  /// A read stopped short of the log's end.
+  std::function<void()> on_short_read;
   /// The list of servers differs from another host's at the same position. This
   /// host then reads the whole list.
   std::function<void()> on_difference;
@@ -199,6 +201,10 @@
   void LogRestart(const Feed& feed,
                   const FeedPosition& position,
                   std::string_view reason);
+  /// Logs that a read stopped short of the log's end.
+  void LogShortRead(const Feed& feed,
+                    const StorePosition& next,
+                    std::uint64_t log_end);
   /// Logs that the result of a read is not used.
   void LogDiscarded(const Feed& feed,
                     FeedReadUse use,
--- a/include/mangoport/fleet/server_feed.h
+++ b/include/mangoport/fleet/server_feed.h
@@ -23,6 +23,9 @@
   bool whole = false;
   std::vector<ServerChange> changes = {};
   StorePosition next = {};
+  /// Where the log ended when the store answered. The read stopped short if
+  /// that is beyond `next`.
+  std::uint64_t log_end = 0;
   /// A whole read may already contain changes from after `next`; a host that
   /// has applied all changes up to this position has the exact list.
   StorePosition exact_from = {};
--- a/include/mangoport/forward/forward_metrics.h
+++ b/include/mangoport/forward/forward_metrics.h
@@ -40,6 +40,9 @@
   /// This host's list of servers differed from another host's.
   void OnListingDifference();
 
+  /// A read of the store's log stopped short of the log's end.
+  void OnShortFeedRead();
+
   void SetConfigVersion(std::uint64_t version);
   void SetActive(std::size_t requests);
   void SetOrderHolder(bool holds);
--- a/include/mangoport/ports/fleet_platform.h
+++ b/include/mangoport/ports/fleet_platform.h
@@ -27,6 +27,9 @@
   /// Evacuations that began or ended, oldest first.
   std::vector<EvacuationChange> evacuations = {};
   StorePosition next = {};
+  /// Where the log ended when the store answered. The read stopped short if
+  /// that is beyond `next`.
+  std::uint64_t log_end = 0;
   /// True if this is the present state, not what follows a position.
   bool whole = false;
   /// The position is no longer kept: read the present state.
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -210,6 +210,7 @@
                 quota_.OnListed(Now(), hosts.size());
               },
           .on_news = [this] { soft_state_.SendFeedsSoon(); },
+          .on_short_read = [this] { metrics_.OnShortFeedRead(); },
           .on_difference = [this] { metrics_.OnListingDifference(); }};
 }
 
--- a/lib/edge/feed_service.cc
+++ b/lib/edge/feed_service.cc
@@ -197,6 +197,20 @@
                  .Add("reason", reason));
 }
 
+void FeedService::LogShortRead(const Feed& feed,
+                               const StorePosition& next,
+                               std::uint64_t log_end) {
+  if (next.offset >= log_end)
+    return;
+  log_.Write(LogLine("feed_read_short")
+                 .Add("feed", feed.name)
+                 .Add("asked", PositionText(feed.asked))
+                 .Add("next", ToString(next))
+                 .Add("log_end", log_end)
+                 .Add("after", BootClock::now() - feed.sent_at));
+  hooks_.on_short_read();
+}
+
 void FeedService::LogDiscarded(const Feed& feed,
                                FeedReadUse use,
                                const StorePosition& next) {
@@ -280,6 +294,7 @@
     ReadConfig();
     return;
   }
+  LogShortRead(config_, reply.value.next, reply.value.log_end);
   const FeedConfirmation proof{.sent_at = config_.sent_at,
                                .answered_at = BootClock::now()};
   const ConfigReadOutcome outcome = config_feed_.OnRead(
@@ -362,6 +377,7 @@
     ReadServers();
     return;
   }
+  LogShortRead(servers_, reply.value.next, reply.value.log_end);
   const FeedConfirmation proof{.sent_at = servers_.sent_at,
                                .answered_at = BootClock::now()};
   const ServerFeedOutcome outcome =
--- a/lib/forward/forward_metrics.cc
+++ b/lib/forward/forward_metrics.cc
@@ -93,6 +93,12 @@
                  "Times at which another host listed other servers at the same "
                  "position, so that the whole list was read again")
           .Add({});
+  Counter& short_feed_reads =
+      AddCounter(registry,
+                 "mangoport_feed_short_reads_total",
+                 "Reads of the store's logs that stopped short of the log's "
+                 "end, so that more had to be read")
+          .Add({});
   Gauge& config_version = AddGauge(registry,
                                    "mangoport_forward_config_version",
                                    "Version of the configuration in force");
@@ -173,6 +179,10 @@
   state_->listing_differences.Increment();
 }
 
+void ForwardMetrics::OnShortFeedRead() {
+  state_->short_feed_reads.Increment();
+}
+
 void ForwardMetrics::SetConfigVersion(std::uint64_t version) {
   state_->config_version.Set(static_cast<double>(version));
 }
--- a/unittests/edge/feed_service_test.cc
+++ b/unittests/edge/feed_service_test.cc
@@ -77,6 +77,7 @@
                 .on_servers = [](const auto&, const auto&) {},
                 .on_hosts = [](const auto&) {},
                 .on_news = [] {},
+                .on_short_read = [] {},
                 .on_difference = [] {}}) {
     feeds_.Start();
     Answer(0, 1, /*offset=*/5);
