Keys are proven by the end of the log, not by a read that stops short

Cause: an answer to a read of the log holds 1 MB at most. The host took the part that it got for all that there was, and counted its keys as proven, itself as ready, and told other hosts so. `feed_read_short` shows that the late requests ran between that read and the next one.

Change: LogCatchUp confirms a read once the host has all records up to the end that its answer stated, from whichever source. Keys, readiness, what is told to other hosts and the pause before the next read go by confirmed reads. After a short read of the configuration, and first of all when no key is proven any more, the present state is read in place of the log, so that the proof takes one answer whatever was missed. A read that brings nothing although the log goes on is repeated after a pause.

--- a/include/mangoport/edge/feed_service.h
+++ b/include/mangoport/edge/feed_service.h
@@ -81,7 +81,7 @@
 ///
 /// A configuration is applied only if its version is higher than the current
 /// one. Each confirmation that the configuration is current updates the key
-/// evidence.
+/// evidence; a read that stopped short of the log's end is none.
 class FeedService {
  public:
   FeedService(FleetPlatform& platform,
--- a/include/mangoport/fleet/config_feed.h
+++ b/include/mangoport/fleet/config_feed.h
@@ -15,6 +15,9 @@
   StorePosition next;
   /// True if the read was of the present state, not of what follows a position.
   bool whole = false;
+  /// Where the log ended when the store answered. The read stopped short if
+  /// that is beyond `next`.
+  std::uint64_t log_end = 0;
   /// The version of the newest configuration that was read, if there was one.
   std::optional<std::uint64_t> version = std::nullopt;
   /// True if other records of the operators were read, such as the beginning or
@@ -41,6 +44,12 @@
   FeedTracker& tracker() { return track_; }
   const FeedTracker& tracker() const { return track_; }
 
+  /// Returns where the next read begins. None reads the present state: before
+  /// the first read, and after one that stopped short of the log's end, since
+  /// all that was missed since then may be many records of which the newest
+  /// alone counts.
+  std::optional<StorePosition> ReadFrom() const;
+
   ConfigReadOutcome OnRead(const FeedConfirmation& read,
                            const ConfigRead& result);
 
--- a/include/mangoport/fleet/feed_tracker.h
+++ b/include/mangoport/fleet/feed_tracker.h
@@ -6,16 +6,10 @@
 
 #include "mangoport/core/store_position.h"
 #include "mangoport/core/time.h"
+#include "mangoport/fleet/log_catch_up.h"
 
 namespace mangoport {
 
-/// The times of a store read that confirmed that a feed had nothing newer.
-/// Times are on a clock that keeps running while the machine is suspended.
-struct FeedConfirmation {
-  BootTime sent_at;
-  BootTime answered_at;
-};
-
 /// A feed reader's status update: how far it has read a feed of the store.
 struct FeedUpdate {
   /// The position after the last entry that the reader has read.
@@ -23,8 +17,9 @@
   /// The update contains all changes from this offset up to `position`, in the
   /// timeline of `position`.
   std::uint64_t complete_from = 0;
-  /// When the reader confirmed `position`, on the receiver's clock. The times
-  /// are lower bounds. None if the receiver cannot bound the age of the update.
+  /// A read of the reader's, on the receiver's clock: all that the store had
+  /// when it was sent lies before `position`. The times are lower bounds. None
+  /// if the receiver cannot bound the age of the update.
   std::optional<FeedConfirmation> proof = std::nullopt;
 };
 
@@ -86,11 +81,14 @@
   void set_reader(bool reader) { reader_ = reader; }
 
   /// Records a read by this host that returned all entries up to `next`: the
-  /// present state if `whole`, otherwise what follows this host's position. Any
-  /// result but `kApply` means that its entries must not be applied to a list.
+  /// present state if `whole`, otherwise what follows this host's position. The
+  /// store stated that the log ended at `log_end`; the read stopped short if
+  /// that is beyond `next`. Any result but `kApply` means that its entries must
+  /// not be applied to a list.
   FeedReadUse OnRead(const FeedConfirmation& read,
                      const StorePosition& next,
-                     bool whole);
+                     bool whole,
+                     std::uint64_t log_end = 0);
 
   /// Processes an update from a reader. Advances the position and records the
   /// confirmation, if any, if the result is `kCurrent`; otherwise changes
@@ -122,7 +120,7 @@
   Duration Wait(BootTime now) const;
 
   /// Returns the update that this host sends to the others, or none if its own
-  /// last read is older than the maximum age.
+  /// last confirmed read is older than the maximum age.
   std::optional<FeedUpdate> MakeFeedUpdate(BootTime now,
                                            std::uint64_t complete_from) const;
 
@@ -130,6 +128,15 @@
   /// next one.
   const std::optional<StorePosition>& position() const { return position_; }
 
+  /// This host's last confirmed read; none before the first in the present
+  /// timeline of the store. See `LogCatchUp`.
+  const std::optional<FeedConfirmation>& confirmation() const {
+    return catch_up_.confirmation();
+  }
+
+  /// True if this host knows that the log has entries which it has not read.
+  bool is_behind() const { return catch_up_.is_behind(); }
+
  private:
   FeedTrackerSettings settings_;
   std::optional<StorePosition> position_;
@@ -137,8 +144,9 @@
   StoreTimeline timeline_ = 0;
   /// When the whole feed is read after the news of a later timeline.
   std::optional<BootTime> restart_due_;
-  /// The last read by this host.
-  std::optional<FeedConfirmation> last_read_;
+  /// When the last read by this host was answered, confirmed or not.
+  std::optional<BootTime> last_answer_at_;
+  LogCatchUp catch_up_;
   /// The time of the newest confirmation that another reader sent.
   std::optional<BootTime> relayed_confirmation_at_;
   bool reader_ = false;
--- a/include/mangoport/fleet/key_evidence.h
+++ b/include/mangoport/fleet/key_evidence.h
@@ -39,7 +39,9 @@
     peer_version_ = std::max(peer_version_, version);
   }
 
-  /// Records that a read sent at `sent` showed nothing newer.
+  /// Records that this host applies the newest configuration that the store had
+  /// when a read was sent at `sent`. A read that stopped short of the log's end
+  /// does not show that.
   void OnCurrentRead(BootTime sent);
 
   /// Returns the time until a read can be sent that proves the keys for the
@@ -49,9 +51,12 @@
 
   /// Returns true if a request with a key may be forwarded at `now`.
   bool MayAcceptKeys(BootTime now) const {
-    return confirmed_at_ && now - *confirmed_at_ < max_age_ - kForwardingMargin;
+    return IsRecent(confirmed_at_, now);
   }
 
+  /// Returns true if the newest read of the store is too old to prove any key.
+  bool HasLostStore(BootTime now) const { return !IsRecent(contact_at_, now); }
+
   /// Returns the age of the newest confirmation; none before the first.
   std::optional<Duration> Age(BootTime now) const {
     if (!confirmed_at_)
@@ -78,6 +83,11 @@
   /// any time, since nothing was restored before the first timeline.
   std::optional<BootTime> TrustedFrom() const;
 
+  /// True if a key that was current at `time` may still be accepted at `now`.
+  bool IsRecent(const std::optional<BootTime>& time, BootTime now) const {
+    return time && now - *time < max_age_ - kForwardingMargin;
+  }
+
   /// Uses the newest read as evidence if it was sent late enough.
   void Confirm();
 
--- a/include/mangoport/fleet/server_feed.h
+++ b/include/mangoport/fleet/server_feed.h
@@ -99,6 +99,9 @@
     return track_.position();
   }
 
+  /// True if this host knows that the log has entries which it has not read.
+  bool is_behind() const { return track_.is_behind(); }
+
   /// The position of the list that this host uses, also while it waits for a
   /// whole read.
   const StorePosition& list_position() const { return relay_.position(); }
--- a/lib/edge/feed_service.cc
+++ b/lib/edge/feed_service.cc
@@ -244,9 +244,13 @@
   timers_.Cancel(config_.timer);
   config_.in_flight = true;
   config_.sent_at = BootClock::now();
-  config_.asked = config_feed_.tracker().position();
+  // While the keys are not proven, callers are refused. The present state
+  // proves them with one answer, also if much was missed.
+  config_.asked = key_evidence_.HasLostStore(config_.sent_at)
+                      ? std::nullopt
+                      : config_feed_.ReadFrom();
   const Duration wait = ConfigWait(config_.sent_at);
-  config_.held = wait > Duration::zero();
+  config_.held = wait > Duration::zero() && config_.asked;
   platform_.ReadConfig(
       config_.asked, wait,
       [this, read = ++config_.reads](CallReply<ConfigNews> reply) {
@@ -295,15 +299,18 @@
     return;
   }
   LogShortRead(config_, reply.value.next, reply.value.log_end);
-  const FeedConfirmation proof{.sent_at = config_.sent_at,
-                               .answered_at = BootClock::now()};
+  const FeedTracker& tracker = config_feed_.tracker();
+  const FeedPosition position = tracker.position();
+  const BootTime now = BootClock::now();
   const ConfigReadOutcome outcome = config_feed_.OnRead(
-      proof, {.next = reply.value.next,
-              .whole = reply.value.whole,
-              .version = reply.value.newest
-                             ? std::optional(reply.value.newest->version)
-                             : std::nullopt,
-              .has_other_records = !reply.value.evacuations.empty()});
+      {.sent_at = config_.sent_at, .answered_at = now},
+      {.next = reply.value.next,
+       .whole = reply.value.whole,
+       .log_end = reply.value.log_end,
+       .version = reply.value.newest
+                      ? std::optional(reply.value.newest->version)
+                      : std::nullopt,
+       .has_other_records = !reply.value.evacuations.empty()});
   if (outcome.use != FeedReadUse::kApply)
     LogDiscarded(config_, outcome.use, reply.value.next);
   if (outcome.use == FeedReadUse::kEarlierTimeline) {
@@ -317,8 +324,7 @@
   const EvacuationOutcome evacuations = evacuations_.OnRead(
       Now(), reply.value.next, reply.value.whole, reply.value.evacuations);
   OnEvacuations(evacuations, "store", reply.value.next);
-  if (evacuations.changed() &&
-      config_feed_.tracker().ReadsFeedDirectly(proof.answered_at))
+  if (evacuations.changed() && tracker.ReadsFeedDirectly(now))
     hooks_.on_news();
   if (outcome.apply)
     ApplyConfig(std::move(*reply.value.newest));
@@ -327,10 +333,13 @@
                    .Add("version", reply.value.newest->version)
                    .Add("applied", config_feed_.version().value_or(0))
                    .Add("position", ToString(reply.value.next)));
-  key_evidence_.OnCurrentRead(proof.sent_at);
+  if (const auto& confirmation = tracker.confirmation())
+    key_evidence_.OnCurrentRead(confirmation->sent_at);
   // Without a configuration the host cannot serve, so it polls.
   if (!has_config())
     StepAfter(config_, settings_.first_backoff, &FeedService::ReadConfig);
+  else if (tracker.is_behind() && tracker.position() == position)
+    StepAfter(config_, settings_.first_backoff, &FeedService::FollowConfig);
   else
     FollowConfig();
 }
@@ -378,14 +387,16 @@
     return;
   }
   LogShortRead(servers_, reply.value.next, reply.value.log_end);
-  const FeedConfirmation proof{.sent_at = servers_.sent_at,
-                               .answered_at = BootClock::now()};
-  const ServerFeedOutcome outcome =
-      server_feed_.OnRead(now, proof, reply.value);
+  const FeedPosition position = server_feed_.position();
+  const ServerFeedOutcome outcome = server_feed_.OnRead(
+      now, {.sent_at = servers_.sent_at, .answered_at = BootClock::now()},
+      reply.value);
   if (outcome.read_use != FeedReadUse::kApply)
     LogDiscarded(servers_, outcome.read_use, reply.value.next);
   OnServerOutcome(now, outcome);
-  if (outcome.read_use == FeedReadUse::kEarlierTimeline)
+  const bool stalled =
+      server_feed_.is_behind() && server_feed_.position() == position;
+  if (stalled || outcome.read_use == FeedReadUse::kEarlierTimeline)
     StepAfter(servers_, settings_.first_backoff, &FeedService::FollowServers);
   else
     FollowServers();
--- a/lib/fleet/config_feed.cc
+++ b/lib/fleet/config_feed.cc
@@ -6,10 +6,16 @@
 
 namespace mangoport {
 
+std::optional<StorePosition> ConfigFeed::ReadFrom() const {
+  if (track_.is_behind())
+    return std::nullopt;
+  return track_.position();
+}
+
 ConfigReadOutcome ConfigFeed::OnRead(const FeedConfirmation& read,
                                      const ConfigRead& result) {
   ConfigReadOutcome out;
-  out.use = track_.OnRead(read, result.next, result.whole);
+  out.use = track_.OnRead(read, result.next, result.whole, result.log_end);
   if (out.use != FeedReadUse::kApply && out.use != FeedReadUse::kPassed)
     return out;
   out.apply = result.version && (!version_ || *result.version > *version_);
--- a/lib/fleet/feed_tracker.cc
+++ b/lib/fleet/feed_tracker.cc
@@ -9,10 +9,13 @@
 
 FeedReadUse FeedTracker::OnRead(const FeedConfirmation& read,
                                 const StorePosition& next,
-                                bool whole) {
+                                bool whole,
+                                std::uint64_t log_end) {
   read_soon_ = false;
   if (next.timeline < timeline_)
     return FeedReadUse::kEarlierTimeline;
+  if (next.timeline > timeline_)
+    catch_up_.Reset();
   timeline_ = next.timeline;
   const bool continues = (position_ && position_->timeline == next.timeline) ||
                          MutantEnabled("reads_cross_timelines");
@@ -20,12 +23,13 @@
     position_.reset();
     return FeedReadUse::kNoContinuation;
   }
-  last_read_ = read;
+  last_answer_at_ = read.answered_at;
   restart_due_.reset();
-  if (position_ && next < *position_)
-    return FeedReadUse::kPassed;
-  position_ = next;
-  return FeedReadUse::kApply;
+  const bool passed = position_ && next < *position_;
+  if (!passed)
+    position_ = next;
+  catch_up_.OnRead(read, log_end, position_->offset);
+  return passed ? FeedReadUse::kPassed : FeedReadUse::kApply;
 }
 
 FeedUpdateCoverage FeedTracker::Judge(const FeedUpdate& update) const {
@@ -46,6 +50,7 @@
   if (coverage != FeedUpdateCoverage::kCurrent)
     return coverage;
   position_ = std::max(*position_, update.position);
+  catch_up_.OnPosition(position_->offset);
   if (update.proof) {
     const BootTime confirmed_at = update.proof->answered_at;
     relayed_confirmation_at_ =
@@ -60,6 +65,7 @@
   if (timeline <= timeline_)
     return std::nullopt;
   timeline_ = timeline;
+  catch_up_.Reset();
   if (MutantEnabled("updates_cross_timelines") ||
       MutantEnabled("reads_cross_timelines"))
     return std::nullopt;
@@ -80,28 +86,28 @@
 Duration FeedTracker::Wait(BootTime now) const {
   if (!position_ && restart_due_ && !reader_)
     return std::max(*restart_due_ - now, Duration::zero());
-  if (read_soon_ || !last_read_ || !position_)
+  if (read_soon_ || !last_answer_at_ || !position_ || is_behind())
     return Duration::zero();
   if (relayed_confirmation_at_ && !reader_ &&
       MutantEnabled("readers_trusted_for_ever"))
     return settings_.patience;
-  const BootTime last_read_at = last_read_->answered_at;
-  const BootTime due = ReadsFeedDirectly(now)
-                           ? last_read_at + settings_.interval
-                           : std::max(last_read_at, *relayed_confirmation_at_) +
-                                 settings_.patience;
+  const BootTime due =
+      ReadsFeedDirectly(now)
+          ? *last_answer_at_ + settings_.interval
+          : std::max(*last_answer_at_, *relayed_confirmation_at_) +
+                settings_.patience;
   return std::max(due - now, Duration::zero());
 }
 
 std::optional<FeedUpdate> FeedTracker::MakeFeedUpdate(
     BootTime now,
     std::uint64_t complete_from) const {
-  if (!position_ || !last_read_ ||
-      now - last_read_->answered_at >= settings_.patience)
+  if (!position_ || !confirmation() ||
+      now - confirmation()->answered_at >= settings_.patience)
     return std::nullopt;
   return FeedUpdate{.position = *position_,
                     .complete_from = complete_from,
-                    .proof = last_read_};
+                    .proof = confirmation()};
 }
 
 }  // namespace mangoport
--- a/lib/fleet/server_feed.cc
+++ b/lib/fleet/server_feed.cc
@@ -18,7 +18,7 @@
                                      const ServerNews& news) {
   ServerFeedOutcome out;
   directory_.OnStoreAnswered(now);
-  out.read_use = track_.OnRead(read, news.next, news.whole);
+  out.read_use = track_.OnRead(read, news.next, news.whole, news.log_end);
   const bool passed = out.read_use == FeedReadUse::kPassed;
   has_list_ = has_list_ || passed || out.read_use == FeedReadUse::kApply;
   if (out.read_use != FeedReadUse::kApply)
--- a/unittests/edge/config_store.h
+++ b/unittests/edge/config_store.h
@@ -80,15 +80,20 @@
     return !from || from->offset != log_.size();
   }
 
-  /// None if the store does not keep `from`. It knows offsets only.
-  std::optional<ConfigTopicRead> Read(
-      const std::optional<StorePosition>& from) const {
+  /// None if the store does not keep `from`. It knows offsets only. A read that
+  /// is not of the present state returns `max_records` at most.
+  std::optional<ConfigTopicRead> Read(const std::optional<StorePosition>& from,
+                                      std::size_t max_records) const {
     if (from && from->offset > log_.size())
       return std::nullopt;
+    const std::size_t first = from ? from->offset : 0;
+    const std::size_t end =
+        from ? std::min(log_.size(), first + max_records) : log_.size();
     ConfigTopicRead out;
-    out.config.next = {.timeline = timeline_, .offset = log_.size()};
+    out.config.next = {.timeline = timeline_, .offset = end};
     out.config.whole = !from;
-    for (std::size_t i = from ? from->offset : 0; i < log_.size(); ++i) {
+    out.config.log_end = log_.size();
+    for (std::size_t i = first; i < end; ++i) {
       if (log_[i].version)
         out.config.version = log_[i].version;
       if (log_[i].evacuation && from)
--- a/unittests/edge/feed_relay_soak.cc
+++ b/unittests/edge/feed_relay_soak.cc
@@ -43,6 +43,9 @@
 constexpr Duration kCallTime = milliseconds(40);
 constexpr Duration kMaxKeyAge = seconds(5);
 constexpr Duration kServersInterval = milliseconds(900);
+/// What one answer of the store holds of the configuration's log. Hosts that
+/// were away for some seconds have missed more.
+constexpr std::size_t kMaxRecords = 1;
 /// Servers register again within two seconds, and hosts learn of it within two.
 constexpr Duration kRestoreGap = seconds(4);
 constexpr Duration kRetryPause = milliseconds(400);
@@ -282,7 +285,7 @@
       const Duration held = fails || waits ? kReaderInterval : kCallTime;
       host.read = Read{.answered = now_ + held,
                        .sent = Clock(host),
-                       .from = tracker.position()};
+                       .from = host.config->ReadFrom()};
     }
     StepServers(host);
     if (now_ >= host.tells_at)
@@ -328,7 +331,8 @@
     if (!Reaches(host))
       return;
     NoteTimeline(host, news_.timeline(), TimelineSource::kStore);
-    const std::optional<ConfigTopicRead> result = news_.Read(read.from);
+    const std::optional<ConfigTopicRead> result =
+        news_.Read(read.from, kMaxRecords);
     if (!result) {
       host.config->tracker().Restart();
       return;
@@ -340,7 +344,8 @@
             .use;
     if (use != FeedReadUse::kApply && use != FeedReadUse::kPassed)
       return;
-    host.evidence->OnCurrentRead(read.sent);
+    if (const auto& confirmation = host.config->tracker().confirmation())
+      host.evidence->OnCurrentRead(confirmation->sent_at);
     host.evacuations.OnRead(now_, result->config.next, result->config.whole,
                             result->evacuations);
   }
@@ -565,6 +570,7 @@
        "old_copy_believed", "older_registration_used",
        "readers_trusted_for_ever", "reads_cross_timelines",
        "restore_ends_evacuations", "rewritten_record_ignored",
-       "updates_cross_timelines", "unchanged_renewal_dropped"},
+       "short_read_confirms", "updates_cross_timelines",
+       "unchanged_renewal_dropped"},
       mangoport::Run);
 }
--- a/unittests/edge/feed_service_test.cc
+++ b/unittests/edge/feed_service_test.cc
@@ -60,9 +60,9 @@
 /// A host that reads the configuration from a fake store.
 class Reader {
  public:
-  Reader()
+  explicit Reader(Duration max_key_age = seconds(5))
       : timers_(io_),
-        evidence_(seconds(5)),
+        evidence_(max_key_age),
         feeds_(platform_,
                timers_,
                evidence_,
@@ -93,6 +93,19 @@
     Take(read)(std::move(reply));
   }
 
+  /// The answer to a read ends at `offset`, before the log's end.
+  void AnswerShort(std::size_t read,
+                   std::uint64_t version,
+                   std::uint64_t offset,
+                   std::uint64_t log_end) {
+    CallReply<ConfigNews> reply;
+    reply.status = CallStatus::kOk;
+    reply.value.newest = Version(version);
+    reply.value.next = {.timeline = 0, .offset = offset};
+    reply.value.log_end = log_end;
+    Take(read)(std::move(reply));
+  }
+
   /// No connection to the store could be made for a read.
   void Fail(std::size_t read) {
     CallReply<ConfigNews> reply;
@@ -121,7 +134,23 @@
     return platform_.reads.size() >= n;
   }
 
+  /// When the read was sent that proves the keys, and the one that shows that
+  /// the store is reached.
+  BootTime KeysProvenAt() const {
+    const BootTime now = BootClock::now();
+    return now - *evidence_.Age(now);
+  }
+  BootTime InContactAt() const {
+    const BootTime now = BootClock::now();
+    return now - *evidence_.ContactAge(now);
+  }
+  /// What this host tells the others about the configuration.
+  std::optional<FeedUpdate> Told() const {
+    return feeds_.OwnUpdates(BootClock::now()).config;
+  }
+
   const PendingRead& Read(std::size_t n) const { return platform_.reads[n]; }
+  std::size_t reads() const { return platform_.reads.size(); }
   std::uint64_t applied() const { return applied_; }
 
  private:
@@ -176,6 +205,59 @@
   cr_assert(it.AwaitReads(4));
   cr_assert_gt(it.Read(3).wait.count(), 0);
 }
+
+// The store had turned a host away for nine seconds. Its first read ended
+// before the record that withdrew a key, and the host took its keys for proven:
+// it accepted the key up to 1.2 s after the bound.
+Test(feed_service, a_read_that_stops_short_of_the_end_proves_no_keys) {
+  Reader it;
+  cr_assert(it.AwaitReads(2));
+  it.Fail(1);
+  const BootTime after_failure = BootClock::now();
+  cr_assert(it.AwaitReads(3));
+  it.AnswerShort(2, 2, /*offset=*/7, /*log_end=*/9);
+  cr_assert_eq(it.applied(), 2);
+  cr_assert(it.KeysProvenAt() < after_failure, "a short read proves the keys");
+  cr_assert(it.InContactAt() < after_failure, "a short read makes it ready");
+  cr_assert(it.Told()->proof->sent_at < after_failure,
+            "other hosts are told of a proof");
+}
+
+// The rest of the log can be many records long. Until they were all read, the
+// host would refuse callers whose keys are sound.
+Test(feed_service, after_a_short_read_the_present_state_is_read_at_once) {
+  Reader it;
+  cr_assert(it.AwaitReads(2));
+  const BootTime before = BootClock::now();
+  it.AnswerShort(1, 2, /*offset=*/7, /*log_end=*/9);
+  cr_assert(it.AwaitReads(3));
+  cr_assert_not(it.Read(2).from.has_value());
+  it.Answer(2, 3, /*offset=*/9);
+  cr_assert_eq(it.applied(), 3);
+  cr_assert(it.KeysProvenAt() >= before);
+  cr_assert(it.AwaitReads(4));
+  cr_assert(it.Read(3).from.has_value(), "the host has caught up");
+}
+
+// A host that had lost the store for long needed two answers to prove its keys
+// if the first one stopped short, and refused callers meanwhile.
+Test(feed_service, after_a_long_outage_the_present_state_is_read_first) {
+  Reader it(/*max_key_age=*/milliseconds(400));
+  cr_assert(it.AwaitReads(2));
+  it.Fail(1);
+  cr_assert(it.AwaitReads(3));
+  cr_assert_not(it.Read(2).from.has_value());
+}
+
+// A store whose answers bring nothing, although its log goes on, would be asked
+// without a pause.
+Test(feed_service, a_short_read_without_a_record_is_not_repeated_at_once) {
+  Reader it;
+  cr_assert(it.AwaitReads(2));
+  it.AnswerShort(1, 1, /*offset=*/5, /*log_end=*/9);
+  cr_assert_eq(it.reads(), 2);
+  cr_assert(it.AwaitReads(3), "the host stops reading");
+}
 // NOLINTEND
 
 }  // namespace
--- a/unittests/fleet/feed_tracker_test.cc
+++ b/unittests/fleet/feed_tracker_test.cc
@@ -104,6 +104,34 @@
                FeedReadUse::kApply);
 }
 
+// A host sent a read that had stopped short to the others as proof that nothing
+// was newer, and waited with its next read for theirs.
+Test(feed_track, a_short_read_is_neither_told_nor_followed_by_a_pause) {
+  FeedTracker track(kSettings);
+  track.OnRead(ConfirmationAt(kStart), At(10), /*whole=*/true);
+  const BootTime now = kStart + seconds(1);
+  track.OnFeedUpdate(UpdateAt(now, 10, 12));
+  track.OnRead(ConfirmationAt(now), At(20), /*whole=*/false, /*log_end=*/30);
+  cr_assert(track.Wait(now) == Duration::zero());
+  const auto update = track.MakeFeedUpdate(now, 12);
+  cr_assert_eq(update->position, At(20));
+  cr_assert(update->proof->answered_at == kStart);
+  track.OnRead(ConfirmationAt(now), At(30), /*whole=*/false, /*log_end=*/30);
+  cr_assert(track.Wait(now) > Duration::zero());
+  cr_assert(track.MakeFeedUpdate(now, 12)->proof->answered_at == now);
+}
+
+// The end that a read stated in the earlier timeline says nothing about the
+// log of a restored store.
+Test(feed_track, a_restore_ends_the_wait_for_an_earlier_end) {
+  FeedTracker track(kSettings);
+  track.OnRead(ConfirmationAt(kStart), At(10), /*whole=*/true);
+  track.OnRead(ConfirmationAt(kStart), At(20), /*whole=*/false, /*log_end=*/30);
+  cr_assert(track.is_behind());
+  track.OnRead(ConfirmationAt(kStart), Restored(5), /*whole=*/true);
+  cr_assert_not(track.is_behind());
+}
+
 Test(feed_track, only_own_reads_are_reported_as_confirmations) {
   FeedTracker track(kSettings);
   cr_assert_not(track.MakeFeedUpdate(kStart, 0).has_value());
