A removal in a read that stops short does not drop a running server

After an outage of the store the list's log holds what has lapsed and, further on, the renewals of the servers that run. A host whose read ended between the two dropped all those servers until its next read; a host that was still reading when the grace period of an outage ended dropped them then. Callers were refused for want of a server.

Change: while the list's log has entries that the host knows of and has not read, a removed server is held and no grace period ends, unless the server was draining. Once the host has caught up, what was held for this reason alone is removed at once, so a server that has left is kept no longer than the reading takes.

--- a/include/mangoport/fleet/server_directory.h
+++ b/include/mangoport/fleet/server_directory.h
@@ -91,9 +91,10 @@
   kUpdated,
   kDraining,
   kRemoved,
-  /// Removed from the store's list, but kept for the grace period.
+  /// Removed from the store's list, but kept for the grace period, or until all
+  /// entries of the log have been read.
   kHeld,
-  /// Kept for the grace period in vain.
+  /// Kept in vain.
   kRemovedAfterGrace,
   /// The restored list shows a server as ready that this host knows as
   /// draining; it stays so until the server registers again.
@@ -116,7 +117,8 @@
 /// While the platform's store is unavailable, entries of running servers can
 /// expire from its list. An entry that is removed during an outage or shortly
 /// after it is therefore kept for a grace period, in which a running server
-/// registers again. An entry from an earlier start of a server than the known
+/// registers again. While the log has entries that are not read yet, it is kept
+/// too. An entry from an earlier start of a server than the known
 /// one is ignored. After a restore of the store, missing entries are kept
 /// likewise, and what this host knows of draining and removed servers prevails
 /// until they register again.
@@ -146,6 +148,11 @@
   void OnReadFailed(MonoTime now) { outages_.OnFailure(now); }
   void OnStoreAnswered(MonoTime answered_at) { outages_.OnAnswer(answered_at); }
 
+  /// Sets whether the log has entries that are not read yet. They may list
+  /// again a server whose removal has been read, so until they are read no
+  /// removal takes effect but that of a draining server.
+  void set_catching_up(bool catching_up) { catching_up_ = catching_up; }
+
   /// Removes held entries whose grace period is over, and uses doubted entries
   /// that did not lapse.
   void Expire(MonoTime now, const ChangeObserver& changed);
@@ -185,7 +192,8 @@
   bool IsBeforeRemoval(const ServerEntry& entry) const;
   ServerChangeEffect Use(const ServerEntry& entry);
   ServerChangeEffect Remove(MonoTime now, const ServerId& id);
-  ServerChangeEffect Hold(MonoTime now, const ServerId& id);
+  /// Keeps a server that is no longer listed until then.
+  ServerChangeEffect HoldUntil(MonoTime until, const ServerId& id);
   /// Drops the doubts about servers that are not in `present`, and removes or
   /// holds those in use.
   void RemoveMissing(MonoTime now,
@@ -205,6 +213,7 @@
   std::map<ServerId, Doubt> doubted_;
   std::map<ServerId, Removal> removals_;
   StoreOutages outages_;
+  bool catching_up_ = false;
 };
 
 }  // namespace mangoport
--- a/lib/fleet/server_directory.cc
+++ b/lib/fleet/server_directory.cc
@@ -28,8 +28,8 @@
 
 }  // namespace
 
-ServerChangeEffect ServerDirectory::Hold(MonoTime now, const ServerId& id) {
-  const MonoTime until = GraceEnd(now, servers_.at(id));
+ServerChangeEffect ServerDirectory::HoldUntil(MonoTime until,
+                                              const ServerId& id) {
   return held_.insert_or_assign(id, until).second ? ServerChangeEffect::kHeld
                                                   : ServerChangeEffect::kNone;
 }
@@ -100,9 +100,13 @@
   const auto known = servers_.find(change.id);
   if (known == servers_.end() || held_.contains(change.id))
     return ServerChangeEffect::kNone;
-  if (!outages_.IsInOutage(now) || known->second.draining)
+  if (known->second.draining)
     return Remove(now, change.id);
-  return Hold(now, change.id);
+  if (outages_.IsInOutage(now))
+    return HoldUntil(GraceEnd(now, known->second), change.id);
+  if (catching_up_)
+    return HoldUntil(now, change.id);
+  return Remove(now, change.id);
 }
 
 ServerChangeEffect ServerDirectory::ApplyListed(MonoTime now,
@@ -146,9 +150,10 @@
       missing.push_back(id);
   }
   for (const ServerId& it : missing) {
-    const ServerChangeEffect effect = kind == WholeListKind::kRestored
-                                          ? Hold(now, it)
-                                          : Apply(now, {it, std::nullopt});
+    const ServerChangeEffect effect =
+        kind == WholeListKind::kRestored
+            ? HoldUntil(GraceEnd(now, servers_.at(it)), it)
+            : Apply(now, {it, std::nullopt});
     if (effect != ServerChangeEffect::kNone)
       changed(it, effect);
   }
@@ -170,7 +175,7 @@
 
 void ServerDirectory::Expire(MonoTime now, const ChangeObserver& changed) {
   for (auto it = held_.begin(); it != held_.end();) {
-    if (now < it->second) {
+    if (catching_up_ || now < it->second) {
       ++it;
       continue;
     }
@@ -190,8 +195,11 @@
 
 std::optional<MonoTime> ServerDirectory::NextExpiry() const {
   std::optional<MonoTime> next;
-  for (const auto& [id, until] : held_)
-    next = next ? std::min(*next, until) : until;
+  // While catching up, held servers are released by a read and not by time.
+  if (!catching_up_) {
+    for (const auto& [id, until] : held_)
+      next = next ? std::min(*next, until) : until;
+  }
   for (const auto& [id, doubt] : doubted_)
     next = next ? std::min(*next, doubt.until) : doubt.until;
   return next;
--- a/lib/fleet/server_feed.cc
+++ b/lib/fleet/server_feed.cc
@@ -19,6 +19,7 @@
   ServerFeedOutcome out;
   directory_.OnStoreAnswered(now);
   out.read_use = track_.OnRead(read, news.next, news.whole, news.log_end);
+  directory_.set_catching_up(track_.is_behind());
   const bool passed = out.read_use == FeedReadUse::kPassed;
   has_list_ = has_list_ || passed || out.read_use == FeedReadUse::kApply;
   if (out.read_use != FeedReadUse::kApply)
@@ -90,6 +91,7 @@
       ApplyBatch(now, it, out);
   }
   track_.OnFeedUpdate(update.feed);
+  directory_.set_catching_up(track_.is_behind());
   if (update.feed.position > relay_.position())
     relay_.Add(now, {.next = update.feed.position, .changes = {}});
   Compare(now, update, out);
--- a/unittests/edge/feed_relay_soak.cc
+++ b/unittests/edge/feed_relay_soak.cc
@@ -46,6 +46,8 @@
 /// What one answer of the store holds of the configuration's log. Hosts that
 /// were away for some seconds have missed more.
 constexpr std::size_t kMaxRecords = 1;
+/// The same for the log of servers. It holds the renewals of all servers.
+constexpr std::size_t kMaxServerRecords = 4;
 /// Servers register again within two seconds, and hosts learn of it within two.
 constexpr Duration kRestoreGap = seconds(4);
 constexpr Duration kRetryPause = milliseconds(400);
@@ -298,7 +300,7 @@
       const Read read = *host.servers_read;
       host.servers_read.reset();
       if (Reaches(host)) {
-        const ServerNews news = store_.Read(read.from);
+        const ServerNews news = store_.Read(read.from, kMaxServerRecords);
         NoteTimeline(host, store_.timeline(), TimelineSource::kStore);
         if (news.history_lost)
           host.servers->OnHistoryLost();
--- a/unittests/edge/server_store.h
+++ b/unittests/edge/server_store.h
@@ -2,6 +2,7 @@
 #define MANGOPORT_UNITTESTS_EDGE_SERVER_STORE_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -177,13 +178,16 @@
   /// Drops the history, so that earlier positions are no longer readable.
   void Forget() { topic_.first = topic_.log.size(); }
 
-  /// A read from `from`. Of several records of one server the store may return
-  /// only the newest.
-  ServerNews Read(const std::optional<StorePosition>& from) {
+  /// A read from `from`, of `max_records` at most unless it is of the present
+  /// state. Of several records of one server the store may return only the
+  /// newest.
+  ServerNews Read(const std::optional<StorePosition>& from,
+                  std::size_t max_records) {
     const std::vector<ServerChange>& log = topic_.log;
     ServerNews out;
     out.next = {.timeline = timeline_, .offset = log.size()};
     out.exact_from = out.next;
+    out.log_end = log.size();
     if (!from) {
       out.whole = true;
       for (const auto& [id, entry] : topic_.present)
@@ -194,10 +198,13 @@
       out.history_lost = true;
       return out;
     }
+    out.next.offset = std::min(log.size(), from->offset + max_records);
+    out.exact_from = out.next;
+    const auto end = log.begin() + static_cast<std::ptrdiff_t>(out.next.offset);
     const bool newest_only = random_() % 2 == 0;
-    for (std::uint64_t i = from->offset; i < log.size(); ++i) {
+    for (std::uint64_t i = from->offset; i < out.next.offset; ++i) {
       const bool superseded = std::any_of(
-          log.begin() + static_cast<std::ptrdiff_t>(i) + 1, log.end(),
+          log.begin() + static_cast<std::ptrdiff_t>(i) + 1, end,
           [&](const ServerChange& it) { return it.id == log[i].id; });
       if (!newest_only || !superseded)
         out.changes.push_back(log[i]);
--- a/unittests/fleet/server_feed_test.cc
+++ b/unittests/fleet/server_feed_test.cc
@@ -106,6 +106,59 @@
   }
 }
 
+// A store that had been away wrote what had lapsed and the renewals into a log
+// longer than one answer. The host dropped every server between its reads, or
+// when their grace periods ended before it had read the renewals.
+Test(server_feed, a_removal_counts_once_the_log_is_read_to_its_end) {
+  Host host;
+  ReadWhole(kStart, host);
+  const MonoTime now = kStart + seconds(2);
+  host.Read(
+      now,
+      {.changes = {Removal("a"), Removal("b")}, .next = At(12), .log_end = 20});
+  cr_assert(host.Knows("a") && host.Knows("b"));
+  cr_assert_not(host.feed.NextExpiry().has_value());
+  host.feed.Expire(now + seconds(9));
+  cr_assert(host.Knows("a") && host.Knows("b"));
+  host.Read(now + seconds(9),
+            {.changes = {Listed("a")}, .next = At(20), .log_end = 20});
+  cr_assert(host.feed.NextExpiry().has_value());
+  host.feed.Expire(now + seconds(9));
+  cr_assert(host.Knows("a"));
+  cr_assert_not(host.Knows("b"), "a server that is gone is kept for longer");
+}
+
+// The same with the grace period of an outage, which ends while the host is
+// still reading.
+Test(server_feed, a_grace_period_does_not_end_before_the_log_is_read) {
+  Host host;
+  ReadWhole(kStart, host);
+  host.feed.OnReadFailed(kStart + seconds(5));
+  const MonoTime back = kStart + seconds(6);
+  host.Read(
+      back,
+      {.changes = {Removal("a"), Removal("b")}, .next = At(12), .log_end = 20});
+  host.feed.Expire(back + seconds(4));
+  cr_assert(host.Knows("a") && host.Knows("b"));
+  host.Read(back + seconds(4),
+            {.changes = {Listed("a")}, .next = At(20), .log_end = 20});
+  host.feed.Expire(back + seconds(4));
+  cr_assert(host.Knows("a"));
+  cr_assert_not(host.Knows("b"));
+}
+
+// A server that had said that it leaves is not kept for any reason.
+Test(server_feed, a_draining_server_leaves_while_the_log_is_being_read) {
+  Host host;
+  ReadWhole(kStart, host);
+  ServerChange draining = Listed("a");
+  draining.entry->draining = true;
+  host.Read(
+      kStart + seconds(1),
+      {.changes = {draining, Removal("a")}, .next = At(12), .log_end = 20});
+  cr_assert_not(host.Knows("a"));
+}
+
 // A removal and its renewal came to the reader in one read as no change at all,
 // while the other host had read the removal itself.
 Test(server_feed, a_missed_renewal_is_found_by_the_digest) {
