A new holder waits for the arrival of earlier orders, not for their sending

Cause: OrderLease took an order for over when it was sent. It is under way until the engine reads it, which a sound engine may do a second or so later, also when the sender has closed the connection meanwhile.

Change: a holder knows which orders were answered; any other may arrive for 1.8 s after it was sent. It says that it resigned once its last order has arrived, the record of a release says whether all have, and after a crash the transit is waited for. To keep that wait short, MayOrder ends 1.5 s after the last renewal was sent, when a host that calls Next resigns anyway; it ended after 2.5 s.

Three tests change with the waits: a paused holder may not order 1.6 s after its renewal (it was 3 s, which still stands, and the positive check moves from 2 s to 1.4 s); the limit of a takeover is worked out from the new settings as it was from the old; and a test that took the first order for the time of a renewal looks for the renewal.

--- a/include/mangoport/edge/order_service.h
+++ b/include/mangoport/edge/order_service.h
@@ -88,7 +88,8 @@
   /// Returns the term of the lease that this host holds, or zero.
   std::uint64_t held_term() const;
   std::uint64_t resigned_term() const { return lease_.resigned_term(); }
-  /// Returns a lower bound on the time since the last order of any holder.
+  /// Returns a lower bound on the time since the last order of any holder has
+  /// arrived; negative while one may be under way.
   Duration last_order_age() const;
   std::vector<EngineOrderTracker::ResidencyUpdate> Changes(MonoTime now) const {
     return tracker_.RecentChanges(now);
--- a/include/mangoport/membership/order_lease.h
+++ b/include/mangoport/membership/order_lease.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "mangoport/core/ids.h"
@@ -23,9 +24,12 @@
   std::uint64_t term = 0;
   /// Distinguishes the holder's records from each other.
   std::uint64_t nonce = 0;
-  /// True if the holder may send orders: no other host can have sent one within
-  /// the last `OrderLeaseSettings::settle`.
+  /// True if the holder may send orders: none of another host's can have
+  /// arrived within the last `OrderLeaseSettings::settle`.
   bool settled = false;
+  /// For a release: true if all orders of this and earlier holders have
+  /// arrived.
+  bool orders_arrived = false;
 
   friend bool operator==(const OrderLeaseRecord&,
                          const OrderLeaseRecord&) = default;
@@ -49,9 +53,13 @@
   Duration suspicion_timeout = std::chrono::milliseconds(1000);
   /// Time that a host waits in addition to `validity` before it takes over.
   Duration takeover_margin = std::chrono::milliseconds(300);
-  /// Minimum time between the last possible order of another host and the
+  /// Minimum time from the last possible arrival of another host's order to the
   /// first order of this one.
   Duration settle = std::chrono::milliseconds(3200);
+  /// Longest time from the sending of an order to its arrival: the time for a
+  /// connection, and the time of a second or so for which a sound engine may
+  /// read nothing. What its sender gave up by then may still be read.
+  Duration order_transit = std::chrono::milliseconds(1800);
   /// A holder whose renewals fail for this long resigns.
   Duration resign_after = std::chrono::milliseconds(1500);
   /// Delay before the next call to the store after a failed one.
@@ -73,10 +81,12 @@
 /// The record is kept in the platform's store. It is replaced by a conditional
 /// append that names the end of the log on which the decision was based, so of
 /// two concurrent appends one fails. A holder may act for `validity` after it
-/// sent its latest record. Another host takes over only after the end of the
-/// log has not changed for longer than that. It then waits for `settle`, so
-/// that no engine receives orders of two holders close together. All times are
-/// on a clock that continues while the machine is suspended.
+/// sent its latest record, and send orders for `resign_after`. Another host
+/// takes over only after the end of the log has not changed for longer than
+/// that. It then waits until `settle` after the last possible arrival of an
+/// earlier holder's order, so that no engine receives orders of two holders
+/// close together. All times are on a clock that continues while the machine is
+/// suspended.
 ///
 /// A store that is restored from a backup may have lost records. Its newest
 /// record from an earlier timeline, or an empty log, therefore does not tell
@@ -124,7 +134,7 @@
   void OnHolderUpdate(BootTime now, const HostId& host, std::uint64_t term);
 
   /// Handles an update in which the holder states that it sends no more orders
-  /// under `term` and that it sent the last one no later than `last_order`.
+  /// under `term` and that the last one arrived no later than `last_order`.
   void OnHolderResigned(BootTime now,
                         const HostId& host,
                         std::uint64_t term,
@@ -139,10 +149,14 @@
   std::optional<std::uint64_t> MayOrder(BootTime now) const;
 
   /// Records that this host sends an order at `now`.
-  void NoteOrder(BootTime now) { last_order_ = now; }
+  void NoteOrder(BootTime now) { unanswered_orders_.insert(now); }
 
-  /// Returns a time after which neither this host nor any earlier holder has
-  /// sent an order.
+  /// Records that the call with the order sent at `sent` ended at `now`. If the
+  /// engine did not answer, the order may still arrive.
+  void NoteOrderEnd(BootTime now, BootTime sent, bool answered);
+
+  /// Returns a time after which no order of this host or of an earlier holder
+  /// arrives, given those sent so far. It may be in the future.
   BootTime last_order_bound() const;
 
   /// True while this host holds the lease, including while it must not yet send
@@ -169,6 +183,12 @@
   /// under it.
   void DropEarlierRecord(BootTime now);
   OrderLeaseStep WriteStep(BootTime now, std::uint64_t term);
+  /// Returns a time after which no order of an earlier holder arrives, for a
+  /// claim at `now`.
+  BootTime EarlierOrderBound(BootTime now) const;
+  Duration OrderTransit() const;
+  /// When this host may no longer send orders without another renewal.
+  BootTime OrdersEndAt() const;
   BootTime ClaimableAt() const;
 
   HostId self_;
@@ -190,8 +210,10 @@
   BootTime valid_until_;
   /// The earliest time at which this host may send orders as the holder.
   BootTime may_order_from_;
-  /// When this host sent its latest order.
-  BootTime last_order_;
+  /// When the orders were sent whose calls have not ended.
+  std::multiset<BootTime> unanswered_orders_;
+  /// No order whose call has ended arrives after this.
+  BootTime ended_orders_bound_;
   /// When this host sent its latest write to the store.
   BootTime write_sent_at_;
   /// The earliest time of the next call to the store.
--- a/lib/edge/edge_peers.cc
+++ b/lib/edge/edge_peers.cc
@@ -102,11 +102,13 @@
   }
   for (const ServerId& it : backends_.SaidLeaving())
     message.add_leaving_servers(it.value());
-  if (orders_.resigned_term() != 0 && orders_.held_term() == 0) {
+  // Until its last order has arrived, the host does not say that it resigned.
+  const Duration last_order_age = orders_.last_order_age();
+  if (orders_.resigned_term() != 0 && orders_.held_term() == 0 &&
+      last_order_age >= Duration::zero()) {
     message.set_resigned_term(orders_.resigned_term());
     message.set_last_order_age_ms(static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            orders_.last_order_age())
+        std::chrono::duration_cast<std::chrono::milliseconds>(last_order_age)
             .count()));
   }
   if (holder_ && *holder_ == peer.host) {
--- a/lib/edge/order_service.cc
+++ b/lib/edge/order_service.cc
@@ -317,8 +317,11 @@
   NotifyChanges();
   parts_.platform.SendOrder(
       entry->second.address, order,
-      [this, order, sent = now](const CallReply<EngineOrderAnswer>& reply) {
+      [this, order, sent = now,
+       boot_sent = boot_now](const CallReply<EngineOrderAnswer>& reply) {
         const MonoTime answered = Now();
+        lease_.NoteOrderEnd(BootClock::now(), boot_sent,
+                            reply.status != CallStatus::kUnknown);
         std::string_view answer = reply.error;
         if (reply.status == CallStatus::kOk)
           answer = AnswerName(reply.value);
--- a/lib/membership/order_lease.cc
+++ b/lib/membership/order_lease.cc
@@ -79,18 +79,44 @@
   return end_observed_at_ + takeover + claim_delay_;
 }
 
+Duration OrderLease::OrderTransit() const {
+  return MutantEnabled("order_arrives_when_sent") ? Duration::zero()
+                                                  : settings_.order_transit;
+}
+
+BootTime OrderLease::OrdersEndAt() const {
+  // `valid_until_ - validity` is the send time of the latest successful write.
+  // A write conflict sets `valid_until_` to zero.
+  return valid_until_ - settings_.validity + settings_.resign_after;
+}
+
+BootTime OrderLease::EarlierOrderBound(BootTime now) const {
+  const Duration transit = OrderTransit();
+  if (HolderResigned())
+    return reported_last_order_;
+  if (MayBeUnrecorded())
+    return std::max(now, std::max(timeline_.known_since, end_observed_at_) +
+                             settings_.resign_after + transit);
+  if (record_ && record_->holder.empty())
+    return record_->orders_arrived ? now
+                                   : std::max(now, end_observed_at_ + transit);
+  // An earlier run of this host had not waited for the holder before it, about
+  // which nothing is known any more.
+  if (!record_ || record_->holder == self_)
+    return now + transit;
+  return std::max(now, end_observed_at_ + settings_.resign_after + transit);
+}
+
 OrderLeaseStep OrderLease::WriteStep(BootTime now, std::uint64_t term) {
-  // Other holders sent their last order before now, or before the time that a
-  // resigned holder reported. No waiting is needed if no host held the lease,
-  // or if an earlier run of this host had already waited.
+  // No waiting is needed if no host held the lease, or if an earlier run of
+  // this host had already waited.
   if (!IsOwn()) {
     const bool never_held = !record_ && !MayBeUnrecorded();
     const bool no_other_orders =
         never_held || (record_ && record_->holder == self_ && record_->settled);
     may_order_from_ = now;
     if (!no_other_orders && !MutantEnabled("order_lease_not_settled"))
-      may_order_from_ =
-          (HolderResigned() ? reported_last_order_ : now) + settings_.settle;
+      may_order_from_ = EarlierOrderBound(now) + settings_.settle;
   }
   result_pending_ = true;
   write_sent_at_ = now;
@@ -105,10 +131,7 @@
 }
 
 OrderLeaseStep OrderLease::Next(BootTime now) {
-  // `valid_until_ - validity` is the send time of the latest successful write.
-  // A write conflict sets `valid_until_` to zero, so the host then resigns.
-  if (IsOwn() && record_->term != resigned_term_ &&
-      now > valid_until_ - settings_.validity + settings_.resign_after)
+  if (IsOwn() && record_->term != resigned_term_ && now > OrdersEndAt())
     resigned_term_ = record_->term;
   if (result_pending_ || released_ || now < next_call_at_)
     return {};
@@ -229,8 +252,20 @@
   store_state_known_ = store_state_known_ && IsOwn();
 }
 
+void OrderLease::NoteOrderEnd(BootTime now, BootTime sent, bool answered) {
+  const auto it = unanswered_orders_.find(sent);
+  if (it != unanswered_orders_.end())
+    unanswered_orders_.erase(it);
+  ended_orders_bound_ =
+      std::max(ended_orders_bound_, answered ? now : sent + OrderTransit());
+}
+
 BootTime OrderLease::last_order_bound() const {
-  return std::max(last_order_, may_order_from_ - settings_.settle);
+  BootTime out =
+      std::max(ended_orders_bound_, may_order_from_ - settings_.settle);
+  if (!unanswered_orders_.empty())
+    out = std::max(out, *unanswered_orders_.rbegin() + OrderTransit());
+  return out;
 }
 
 bool OrderLease::holds(BootTime now) const {
@@ -239,7 +274,7 @@
 }
 
 std::optional<std::uint64_t> OrderLease::MayOrder(BootTime now) const {
-  if (!holds(now) || now < may_order_from_)
+  if (!holds(now) || now < may_order_from_ || now > OrdersEndAt())
     return std::nullopt;
   return record_->term;
 }
@@ -251,6 +286,7 @@
     return std::nullopt;
   OrderLeaseStep step = WriteStep(now, record_->term);
   step.record.holder = HostId();
+  step.record.orders_arrived = last_order_bound() <= now;
   return step;
 }
 
--- a/unittests/membership/order_lease_restore_test.cc
+++ b/unittests/membership/order_lease_restore_test.cc
@@ -1,5 +1,6 @@
 // The order lease when its store is restored from an older copy. In each test
 // the store of the first timeline is restored in the second one.
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -45,6 +46,17 @@
   return FirstOrder(host, store, kStart);
 }
 
+/// Runs `host` until it renews the lease and returns when that is.
+BootTime NextRenewal(OrderLease& host, LeaseStore& store, BootTime from) {
+  const StorePosition end = store.end;
+  BootTime now = from;
+  while (store.end == end && now < from + seconds(5)) {
+    now += kStep;
+    RunSteps(host, store, now);
+  }
+  return now;
+}
+
 /// The copy shows `old_holder`, which has lost the lease to `holder` since.
 struct TakenOver {
   LeaseStore store = MakeStore();
@@ -172,7 +184,7 @@
 Test(order_lease_restore, valid_holder_does_not_wait_for_its_next_retry) {
   LeaseStore store = MakeStore();
   OrderLease a = MakeHost("a");
-  const BootTime held = MakeHolder(a, store);
+  const BootTime held = NextRenewal(a, store, MakeHolder(a, store));
   const BootTime renewed = held + milliseconds(1050);
   cr_assert_eq(a.Next(renewed).kind, OrderLeaseStep::Kind::kWrite);
   a.OnWriteUnknown(renewed);
@@ -236,8 +248,10 @@
   OrderLease c = MakeHost("c");
   const BootTime first = FirstOrder(c, it.store, it.now);
   const OrderLeaseSettings waits;
+  const Duration orders_arrive = waits.resign_after + waits.order_transit;
   const Duration limit =
-      waits.validity + waits.takeover_margin + waits.settle + 2 * kStep;
+      std::max(waits.validity + waits.takeover_margin, orders_arrive) +
+      waits.settle + 2 * kStep;
   cr_assert_leq((first - it.now).count(), limit.count());
 }
 
--- a/unittests/membership/order_lease_soak.cc
+++ b/unittests/membership/order_lease_soak.cc
@@ -1,8 +1,9 @@
 // Hosts compete for the order lease while the store loses responses, performs
-// writes late, is unreachable or is restored from an older copy, and hosts
-// pause, restart and lose each other's datagrams. Orders of different hosts
-// must be at least `kMinOrderGap` apart and have different terms, which never
-// decrease, and a host must be able to send orders once the faults have ended.
+// writes late, is unreachable or is restored from an older copy, hosts pause,
+// restart and lose each other's datagrams, and engines are silent for a time
+// before they read an order. Orders of different hosts must arrive at least
+// `kMinOrderGap` apart and have different terms, which never decrease, and a
+// host must be able to send orders once the faults have ended.
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -25,8 +26,12 @@
 using std::chrono::seconds;
 
 constexpr Duration kStep = milliseconds(50);
-/// Minimum time between orders of two hosts.
+/// Minimum time between the arrivals of two hosts' orders.
 constexpr Duration kMinOrderGap = seconds(3);
+/// How long a sound engine may be silent, and how long a host waits for its
+/// answer.
+constexpr Duration kLongestSilence = milliseconds(1500);
+constexpr Duration kOrderTimeout = milliseconds(1500);
 constexpr int kHosts = 4;
 /// Faults are injected up to this step of each cycle. The rest of the cycle
 /// runs without faults.
@@ -63,11 +68,17 @@
   }
 
  private:
+  struct Order {
+    BootTime sent;
+    BootTime arrives;
+  };
   struct Host {
     std::unique_ptr<OrderLease> lease;
     std::uint64_t incarnation = 0;
     BootTime paused_until;
     bool store_unreachable = false;
+    /// Orders whose calls have not ended.
+    std::vector<Order> orders;
   };
   struct Copy {
     std::optional<OrderLeaseRecord> record;
@@ -84,6 +95,7 @@
   void Start(int i) {
     Host& host = hosts_[i];
     ++host.incarnation;
+    host.orders.clear();
     host.lease = std::make_unique<OrderLease>(
         Name(i), host.incarnation, OrderLeaseSettings{}, milliseconds(40 * i));
     progress_.Note("start " + Name(i).value());
@@ -180,6 +192,7 @@
   void StepHost(int i) {
     Host& host = hosts_[i];
     OrderLease& lease = *host.lease;
+    EndOrders(host);
     const OrderLeaseStep step = lease.Next(now_);
     if (step.kind == OrderLeaseStep::Kind::kRead) {
       if (host.store_unreachable || (store_faulty_ && Chance(5)))
@@ -194,21 +207,40 @@
     SendUpdates(i);
   }
 
+  /// Ends the calls of orders that were answered or have timed out.
+  void EndOrders(Host& host) {
+    std::erase_if(host.orders, [&](const Order& it) {
+      const bool timed_out = now_ - it.sent >= kOrderTimeout;
+      const bool answered = now_ >= it.arrives && !timed_out;
+      if (answered || timed_out)
+        host.lease->NoteOrderEnd(now_, it.sent, answered);
+      return answered || timed_out;
+    });
+  }
+
+  void SendOrder(int i) {
+    BootTime arrives = now_;
+    if (store_faulty_ && Chance(4))
+      arrives += milliseconds(random_() % (kLongestSilence / milliseconds(1)));
+    for (const auto& [other, last] : last_arrivals_) {
+      CheckInvariant(other == i || arrives - last >= kMinOrderGap,
+                     "orders of two hosts arrive at least 3 s apart", [&] {
+                       return Name(i).value() + " after " + Name(other).value();
+                     });
+    }
+    last_arrivals_[i] = std::max(last_arrivals_[i], arrives);
+    hosts_[i].lease->NoteOrder(now_);
+    hosts_[i].orders.push_back({.sent = now_, .arrives = arrives});
+  }
+
   void CheckOrder(int i, std::uint64_t term) {
-    const bool changed = last_sender_ && *last_sender_ != i;
-    CheckInvariant(!changed || now_ - last_order_ >= kMinOrderGap,
-                   "orders of two hosts are at least 3 s apart", [&] {
-                     return Name(i).value() + " after " +
-                            Name(*last_sender_).value();
-                   });
+    SendOrder(i);
     CheckInvariant(term >= last_term_, "terms never decrease",
                    [&] { return std::to_string(term); });
     const auto [sender, is_new] = senders_.try_emplace(term, i);
     CheckInvariant(sender->second == i, "a term has one holder",
                    [&] { return std::to_string(term); });
-    last_sender_ = i;
     last_order_ = now_;
-    hosts_[i].lease->NoteOrder(now_);
     last_term_ = term;
   }
 
@@ -223,7 +255,7 @@
       other.OnTimeline(lease.timeline(), now_);
       if (lease.holds(now_))
         other.OnHolderUpdate(now_, Name(i), lease.record()->term);
-      else if (lease.resigned_term() != 0)
+      else if (lease.resigned_term() != 0 && lease.last_order_bound() <= now_)
         other.OnHolderResigned(now_, Name(i), lease.resigned_term(),
                                lease.last_order_bound());
     }
@@ -239,8 +271,9 @@
   std::vector<LateWrite> late_writes_;
   bool store_faulty_ = false;
   bool updates_lost_ = false;
-  std::optional<int> last_sender_;
   BootTime last_order_;
+  /// When the last order of each host arrived, or will arrive.
+  std::map<int, BootTime> last_arrivals_;
   std::uint64_t last_term_ = 0;
   std::map<std::uint64_t, int> senders_;
 };
@@ -253,7 +286,8 @@
   return mangoport::SoakMain(
       argc, argv,
       {"order_lease_not_settled", "order_terms_without_timeline",
-       "empty_log_is_trusted", "restored_record_counts"},
+       "empty_log_is_trusted", "order_arrives_when_sent",
+       "restored_record_counts"},
       [](const mangoport::SoakOptions& options,
          mangoport::SoakProgress& progress) {
         LeaseSimulation simulation(options, progress);
--- a/unittests/membership/order_lease_test.cc
+++ b/unittests/membership/order_lease_test.cc
@@ -69,7 +69,8 @@
   LeaseStore store;
   OrderLease a = MakeHost("a");
   RunSteps(a, store, kStart);
-  cr_assert(a.MayOrder(kStart + seconds(2)));
+  cr_assert(a.MayOrder(kStart + milliseconds(1400)));
+  cr_assert_not(a.MayOrder(kStart + milliseconds(1600)));
   cr_assert_not(a.MayOrder(kStart + seconds(3)));
 }
 
@@ -166,6 +167,89 @@
   cr_assert(b.MayOrder(kStart + milliseconds(4300)));
 }
 
+/// Runs `host` until it may send an order, or for 30 s; returns when that is.
+BootTime FirstOrder(OrderLease& host, LeaseStore& store, BootTime from) {
+  BootTime now = from;
+  while (now < from + seconds(30) && !host.MayOrder(now)) {
+    now += milliseconds(50);
+    RunSteps(host, store, now);
+  }
+  return now;
+}
+
+/// A sound engine may read nothing for a second or so.
+constexpr Duration kSilence = milliseconds(1500);
+
+// An engine that was silent read the last order of a holder a second after it
+// was sent, and the next holder's order 2.3 s after that.
+Test(order_lease, order_under_way_at_resignation_is_waited_for) {
+  LeaseStore store;
+  OrderLease a = MakeHost("a");
+  RunSteps(a, store, kStart);
+  const BootTime sent = kStart + seconds(1);
+  a.NoteOrder(sent);
+  cr_assert(a.last_order_bound() >= sent + kSilence);
+  // The holder has given the call up; the engine may still read the order.
+  a.NoteOrderEnd(sent + milliseconds(500), sent, /*answered=*/false);
+  cr_assert(a.last_order_bound() >= sent + kSilence);
+}
+
+// Waiting for orders that have arrived leaves engines without orders for no
+// reason.
+Test(order_lease, answered_order_has_arrived) {
+  LeaseStore store;
+  OrderLease a = MakeHost("a");
+  RunSteps(a, store, kStart);
+  const BootTime sent = kStart + seconds(1);
+  const BootTime answered = sent + milliseconds(10);
+  a.NoteOrder(sent);
+  a.NoteOrderEnd(answered, sent, /*answered=*/true);
+  cr_assert(a.last_order_bound() == answered);
+}
+
+// The same if the holder ended and could report nothing.
+Test(order_lease, order_under_way_at_a_crash_is_waited_for) {
+  LeaseStore store;
+  OrderLease a = MakeHost("a");
+  OrderLease b = MakeHost("b");
+  RunSteps(a, store, kStart);
+  RunSteps(b, store, kStart);
+  BootTime last_order = kStart;
+  for (BootTime now = kStart; now < kStart + seconds(9);
+       now += milliseconds(10)) {
+    if (a.MayOrder(now))
+      last_order = now;
+  }
+  const BootTime first = FirstOrder(b, store, kStart);
+  cr_assert_geq((first - last_order).count(),
+                Duration(kSilence + seconds(3)).count());
+}
+
+// The same if the holder released the lease because it was stopped.
+Test(order_lease, order_under_way_at_a_release_is_waited_for) {
+  for (const bool answered : {false, true}) {
+    LeaseStore store;
+    OrderLease a = MakeHost("a");
+    RunSteps(a, store, kStart);
+    a.NoteOrder(kStart);
+    a.NoteOrderEnd(kStart + milliseconds(10), kStart, answered);
+    const BootTime released = kStart + milliseconds(20);
+    const auto release = a.Release(released);
+    cr_assert(release.has_value());
+    cr_assert_eq(release->record.orders_arrived, answered);
+    cr_assert(store.Append(*release));
+    OrderLease b = MakeHost("b");
+    RunSteps(b, store, released);
+    const Duration wait = FirstOrder(b, store, released) - released;
+    cr_assert_geq(
+        wait.count(),
+        Duration(answered ? seconds(3) : seconds(3) + kSilence).count());
+    cr_assert_leq(
+        wait.count(),
+        Duration(answered ? milliseconds(3300) : milliseconds(5100)).count());
+  }
+}
+
 Test(order_lease, released_lease_can_be_claimed_immediately) {
   LeaseStore store;
   OrderLease a = MakeHost("a");
