Demand is counted for adapters that exist, not for any name

Cause: demand is kept by name and for good, and whatever stood behind a configured model's name counted as an adapter of it.

Change: adapters are numbered and the configuration says how many a model has, so ModelSpec::HasAdapter knows a name or not. A request for an unknown one is refused at once, as for an unknown model, and leaves no trace.

--- a/include/mangoport/fleet/fleet_config.h
+++ b/include/mangoport/fleet/fleet_config.h
@@ -68,7 +68,13 @@
 };
 
 /// The size and load times of a model.
+/// Returns the name of a model's adapter; they are numbered from 1.
+AdapterId NumberedAdapter(std::uint32_t number);
+
 struct ModelSpec {
+  /// True if `name` is the name of one of the model's adapters.
+  bool HasAdapter(std::string_view name) const;
+
   ModelId model;
   std::uint64_t weights_mb = 0;
   /// Load times from the weight store, the engine's disk and its memory.
--- a/lib/fleet/fleet_config.cc
+++ b/lib/fleet/fleet_config.cc
@@ -1,11 +1,14 @@
 #include "mangoport/fleet/fleet_config.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace mangoport {
 namespace {
 
+constexpr char kAdapterPrefix = 'a';
+
 std::string NormalizeHost(std::string_view host) {
   std::string out(host.substr(0, host.find(':')));
   std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) {
@@ -36,6 +39,21 @@
     services_.emplace(it.id, &it);
 }
 
+AdapterId NumberedAdapter(std::uint32_t number) {
+  return AdapterId(kAdapterPrefix + std::to_string(number));
+}
+
+bool ModelSpec::HasAdapter(std::string_view name) const {
+  if (name.empty() || name.front() != kAdapterPrefix)
+    return false;
+  std::uint32_t number = 0;
+  const std::string_view digits = name.substr(1);
+  const auto parsed =
+      std::from_chars(digits.data(), digits.data() + digits.size(), number);
+  return parsed.ec == std::errc() && number >= 1 && number <= adapter_count &&
+         NumberedAdapter(number).value() == name;
+}
+
 const RouteSpec* FleetConfigView::FindRoute(std::string_view host,
                                             std::string_view path) const {
   const auto entry = hosts_.find(NormalizeHost(host));
--- a/lib/forward/request_admission.cc
+++ b/lib/forward/request_admission.cc
@@ -69,19 +69,19 @@
   return std::min(stated, static_cast<std::int64_t>(most));
 }
 
-/// True if orders can name `model`: one of the engine's models, or an adapter
-/// of one. Callers may send any bytes, and demand goes to other hosts as text.
+/// True if `model` is one of the engine's models, or an adapter of one. Callers
+/// may send any name, and demand is kept by name and told to other hosts.
 bool CanBeLoaded(const ModelId& model, const EngineCapacity& engine) {
   const std::string_view name = model.value();
   const std::size_t slash = name.find('/');
-  const auto visible = [](char c) { return c > ' ' && c <= '~'; };
-  const bool is_text = slash == std::string_view::npos ||
-                       std::all_of(name.begin() + slash, name.end(), visible);
-  return is_text &&
-         std::any_of(engine.models.begin(), engine.models.end(),
-                     [&](const ModelSpec& it) {
-                       return it.model.value() == name.substr(0, slash);
-                     });
+  const std::string_view base = name.substr(0, slash);
+  const auto spec = std::find_if(
+      engine.models.begin(), engine.models.end(),
+      [base](const ModelSpec& it) { return it.model.value() == base; });
+  if (spec == engine.models.end())
+    return false;
+  return slash == std::string_view::npos ||
+         spec->HasAdapter(name.substr(slash + 1));
 }
 
 /// The parts that requests share: all but the last, which is the request's own.
--- a/lib/placement/copy_planner_adapters.cc
+++ b/lib/placement/copy_planner_adapters.cc
@@ -59,7 +59,7 @@
     for (std::uint32_t i = 1; i <= model.spec->adapter_count; ++i) {
       Adapter adapter;
       adapter.model = id;
-      adapter.adapter = AdapterId("a" + std::to_string(i));
+      adapter.adapter = NumberedAdapter(i);
       const ModelId name = AdapterName(id, adapter.adapter);
       adapter.load = AdapterLoad(demand, name);
       const auto current = demand.find(name);
--- a/unittests/fleet/fleet_test.cc
+++ b/unittests/fleet/fleet_test.cc
@@ -55,6 +55,17 @@
   cr_assert_null(view.FindAccountByKey("key2"));
 }
 
+// Callers name adapters as they like; only those that the configuration has may
+// be kept by name.
+Test(fleet_config, a_model_has_the_adapters_that_are_configured) {
+  const ModelSpec model{.model = ModelId("m1"), .adapter_count = 24};
+  for (const char* it : {"a1", "a9", "a24"})
+    cr_assert(model.HasAdapter(it), "%s", it);
+  for (const char* it : {"", "a", "a0", "a25", "a01", "a1x", "a-1", "a 1", "b1",
+                         "a99999999999999999999"})
+    cr_assert_not(model.HasAdapter(it), "%s", it);
+}
+
 Test(server_directory, without_an_outage_a_removal_takes_effect_at_once) {
   ServerDirectory list;
   list.Apply(kStart, {ServerId("a"), Entry("a")});
--- a/unittests/process/hostile_callers_test.cc
+++ b/unittests/process/hostile_callers_test.cc
@@ -31,6 +31,10 @@
 constexpr int kPipelines = 60;
 constexpr int kPipelined = 5000;
 constexpr int kSlowCallers = 400;
+/// Requests for as many models and adapters, with the longest names that a head
+/// of legal size holds.
+constexpr int kUnknownNames = 3000;
+constexpr std::size_t kNameBytes = 15000;
 /// Looks at the peak, 20 ms apart, that must be the same.
 constexpr int kStableLooks = 50;
 /// Descriptors that a host may have for each caller, its connection and one to
@@ -81,6 +85,17 @@
     return n;
   }
 
+  /// The operator adds a model, which no server holds.
+  void AddModel() {
+    edge_.store_.Put("keyed.op", "config", ConfigWithModel(2, /*load_s=*/4));
+  }
+
+  /// Returns the error code of the answer to a request for `model`.
+  std::string AskForModel(const std::string& model) {
+    const auto reply = edge_.Ask("/stream/x", {{"X-Model", model}});
+    return reply ? reply->body : std::string();
+  }
+
   std::uint16_t callers() const { return edge_.callers_; }
   std::uint16_t readiness() const { return edge_.readiness_; }
 
@@ -234,6 +249,22 @@
   }
 }
 
+// Each name of an adapter that does not exist was kept for good.
+Test(hostile_callers, names_of_adapters_that_do_not_exist, .timeout = 240) {
+  SmallHost host;
+  host.AddModel();
+  cr_assert(EdgeFixture::Within(seconds(10), [&host] {
+    return host.AskForModel("none").find("unknown_model") != std::string::npos;
+  }));
+  const std::string rest(kNameBytes, 'x');
+  for (int i = 0; i < kUnknownNames; ++i) {
+    const std::string name = "m1/x" + std::to_string(i) + rest;
+    if (host.AskForModel(name).empty())
+      break;
+  }
+  host.RequireSound({});
+}
+
 // Callers that send a byte now and then, or stop half-way.
 Test(hostile_callers, callers_that_send_slowly, .timeout = 120) {
   SmallHost host;
