What has been written to a slow reader is freed

Cause: TcpStream kept what waits in a string and erased it from the front, which keeps the capacity, some 300 KB, for as long as the connection lives. CallerMemory was told the size and not what is allocated, and did not hear when an answer had left.

Change: SendBuffer keeps blocks of 1 to 16 KiB and frees each one when its bytes are written; no byte moves any more. What is allocated is what counts, and is stated anew once everything has left. Connections to servers use the same stream.

--- a/include/mangoport/forward/tcp_stream.h
+++ b/include/mangoport/forward/tcp_stream.h
@@ -6,10 +6,10 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
-#include <string>
 #include <string_view>
 
 #include "mangoport/core/time.h"
+#include "mangoport/forward/send_buffer.h"
 
 namespace mangoport {
 
@@ -78,7 +78,9 @@
   bool IsQuiet();
 
   bool is_open() const { return open_; }
+  /// The bytes that wait to be written, and what is allocated for them.
   std::size_t unsent() const { return out_.size(); }
+  std::size_t unsent_memory() const { return out_.memory(); }
   /// True if any byte has been given to the system.
   bool has_written() const { return has_written_; }
 
@@ -98,7 +100,7 @@
   /// On the heap, so that a hook which closes the stream stays where it is
   /// until it returns.
   std::unique_ptr<TcpStreamHooks> hooks_;
-  std::string out_;
+  SendBuffer out_;
   bool open_ = true;
   bool started_ = false;
   bool reading_ = false;
--- a/lib/forward/client_session.cc
+++ b/lib/forward/client_session.cc
@@ -126,7 +126,8 @@
 void ClientSession::StateMemory() {
   const std::size_t unsent = stream_->unsent();
   const std::size_t bytes = body_.capacity() + ahead_.capacity() +
-                            parser_.head_memory() + unsent + request_memory_;
+                            parser_.head_memory() + stream_->unsent_memory() +
+                            request_memory_;
   const bool unfinished = !busy_ && (parser_.started() || unsent > 0);
   share_.Set(closed_ ? 0 : bytes,
              !closed_ && !ending_ && (unfinished || IsCallerBehind()));
@@ -171,6 +172,7 @@
 }
 
 void ClientSession::OnDrained() {
+  StateMemory();
   if (on_drained_) {
     on_drained_();
     return;
--- a/lib/forward/tcp_stream.cc
+++ b/lib/forward/tcp_stream.cc
@@ -163,12 +163,12 @@
   if (!open_ || data.empty())
     return;
   if (write_pending_) {
-    out_.append(data);
+    out_.Append(data);
     return;
   }
   if (!Flush(data) || data.empty())
     return;
-  out_.append(data);
+  out_.Append(data);
   WaitWritable();
 }
 
@@ -188,11 +188,14 @@
 }
 
 void TcpStream::OnWritable() {
-  std::string_view left = out_;
-  if (!Flush(left))
-    return;
-  out_.erase(0, out_.size() - left.size());
-  if (!out_.empty()) {
+  while (!out_.empty()) {
+    const std::string_view block = out_.front();
+    std::string_view left = block;
+    if (!Flush(left))
+      return;
+    out_.Consume(block.size() - left.size());
+    if (left.empty())
+      continue;
     WaitWritable();
     return;
   }
