Callers' connections are bounded below the descriptors of the process

2,950 callers with unfinished requests took all descriptors.

Cause: each connection was accepted until there was no descriptor left; then accept failed at once, again and again, without a pause or a log line. Nothing was given up for a new caller, and readiness did not know of it.

Change: Listener keeps three quarters of the process's descriptors for callers and 64 connections each for readiness and metrics. At the bound ConnectionTable picks the connection to close for a new one: unfinished longest, then idle longest, then with an answer not taken for longest; never one with a request under way. After a failed accept the host pauses, logs it and is not ready for a second.

Tests: connection_table_test; hostile_callers fills a host with 256 descriptors with 400 unfinished or silent callers: an ordinary caller isn't answered on the code before.

--- a/include/mangoport/edge/edge_host.h
+++ b/include/mangoport/edge/edge_host.h
@@ -2,7 +2,6 @@
 #define MANGOPORT_EDGE_EDGE_HOST_H_
 
 #include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
 #include <asio/signal_set.hpp>
 #include <functional>
 #include <memory>
@@ -14,6 +13,7 @@
 
 #include "mangoport/edge/feed_service.h"
 #include "mangoport/edge/holder_notice.h"
+#include "mangoport/edge/listener.h"
 #include "mangoport/edge/order_service.h"
 #include "mangoport/edge/soft_state_service.h"
 #include "mangoport/forward/backend_table.h"
@@ -57,23 +57,16 @@
   void Run();
 
  private:
-  /// A listening socket and the handler of its requests.
-  struct Listener {
-    Listener(asio::io_context& io, const Endpoint& endpoint);
-
-    asio::ip::tcp::acceptor acceptor;
-    std::function<void(std::shared_ptr<ClientSession>, HttpRequest)> on_request;
-  };
-  using SessionSet = std::set<std::shared_ptr<ClientSession>>;
-
-  void Listen(const Endpoint& endpoint,
-              std::function<void(std::shared_ptr<ClientSession>, HttpRequest)>
-                  on_request,
-              SessionSet& sessions);
-  void Accept(Listener& listener, SessionSet& sessions);
-  void OnAccepted(Listener& listener,
-                  SessionSet& sessions,
-                  asio::ip::tcp::socket socket);
+  using RequestHandler =
+      std::function<void(std::shared_ptr<ClientSession>, HttpRequest)>;
+
+  std::unique_ptr<Listener> Listen(const Endpoint& endpoint,
+                                   std::size_t max_connections,
+                                   RequestHandler on_request);
+  std::shared_ptr<ClientSession> MakeSession(TcpStream::Ptr stream,
+                                             RequestHandler on_request,
+                                             ClientSessionHooks hooks);
+  std::vector<std::shared_ptr<ClientSession>> CallerSessions() const;
   FeedHooks MakeFeedHooks();
   /// A backend server said that it leaves.
   void OnServerLeaving(const ServerId& server);
@@ -140,9 +133,9 @@
   FeedService feeds_;
   OrderService orders_;
   asio::signal_set signals_;
-  std::vector<std::unique_ptr<Listener>> listeners_;
-  SessionSet caller_sessions_;
-  SessionSet status_sessions_;
+  /// Set while the host serves.
+  std::unique_ptr<Listener> callers_;
+  std::vector<std::unique_ptr<Listener>> status_listeners_;
   /// The highest timeline of the store that this host knows.
   std::optional<StoreTimeline> store_timeline_;
   TimelineAge timeline_age_;
--- a/include/mangoport/forward/client_session.h
+++ b/include/mangoport/forward/client_session.h
@@ -12,6 +12,7 @@
 
 #include "mangoport/fleet/fleet_config.h"
 #include "mangoport/forward/caller_memory.h"
+#include "mangoport/forward/connection_table.h"
 #include "mangoport/forward/tcp_stream.h"
 #include "mangoport/forward/timer_queue.h"
 #include "mangoport/http/message.h"
@@ -44,16 +45,20 @@
 struct ClientSessionHooks {
   /// A request has arrived whole. The receiver answers it through the session,
   /// sooner or later, exactly once.
-  std::function<void(std::shared_ptr<ClientSession>, HttpRequest)> on_request;
+  std::function<void(std::shared_ptr<ClientSession>, HttpRequest)> on_request =
+      {};
   /// The session refused a request that was malformed or too slow.
-  std::function<void(int status, std::string_view reason)> on_refused;
+  std::function<void(int status, std::string_view reason)> on_refused = {};
   /// Something of a request or an answer is lost with the connection: `bytes`
   /// of it, with what is known of the request. Optional.
   std::function<
       void(std::string_view reason, const HttpHead& head, std::size_t bytes)>
       on_dropped = {};
+  /// What the connection is used for. Called whenever that may have changed.
+  /// Optional.
+  std::function<void(const ClientSession*, ConnectionUse use)> on_use = {};
   /// The connection is gone, and the session with it.
-  std::function<void(const ClientSession*)> on_closed;
+  std::function<void(const ClientSession*)> on_closed = {};
 };
 
 /// The callers' side of one connection: reads requests, one at a time, and
@@ -113,6 +118,10 @@
   /// From now on each answer asks the caller to close the connection.
   void Drain() { draining_ = true; }
 
+  /// Closes the connection since there are too many. What has arrived of a
+  /// request has not run.
+  void GiveUp();
+
   /// Closes the connection if no request is under way, partly read or still in
   /// the socket, and no answer is leaving.
   bool CloseIfIdle();
@@ -148,8 +157,8 @@
   /// Reports what is lost if the connection is closed now.
   void ReportLosses() const;
   bool ShouldClose() const;
-  /// States what the connection holds for its caller.
-  void StateMemory();
+  /// States what the connection holds for its caller, and what it is used for.
+  void StateUse();
   /// Refuses the request that has not arrived whole, or closes the connection
   /// of a caller that does not read.
   void GiveUpForMemory();
--- a/include/mangoport/forward/forward_metrics.h
+++ b/include/mangoport/forward/forward_metrics.h
@@ -43,6 +43,11 @@
   /// A read of the store's log stopped short of the log's end.
   void OnShortFeedRead();
 
+  /// A caller's connection was closed since there were too many.
+  void OnConnectionGivenUp();
+  /// A connection could not be accepted.
+  void OnAcceptError();
+
   void SetConfigVersion(std::uint64_t version);
   void SetActive(std::size_t requests);
   void SetOrderHolder(bool holds);
--- a/lib/edge/edge_host.cc
+++ b/lib/edge/edge_host.cc
@@ -1,5 +1,6 @@
 #include "mangoport/edge/edge_host.h"
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -19,6 +20,9 @@
 /// hosts alike.
 constexpr Duration kReadyContactAge = std::chrono::milliseconds(3200);
 
+/// The platform and a few operators ask for readiness and metrics.
+constexpr std::size_t kMaxStatusConnections = 64;
+
 /// Maximum random delay before a claim, so that hosts do not all claim at once.
 constexpr int kClaimSpreadMs = 500;
 
@@ -39,6 +43,14 @@
          static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
 }
 
+/// Returns how many descriptors this process may have.
+std::size_t DescriptorLimit() {
+  rlimit limit{};
+  // Cannot fail with these arguments.
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  return static_cast<std::size_t>(limit.rlim_cur);
+}
+
 OrderLeaseSettings LeaseSettingsFor(const EdgeBounds& bounds) {
   constexpr Duration kSettleMargin = std::chrono::milliseconds(300);
   OrderLeaseSettings out;
@@ -67,19 +79,6 @@
 
 }  // namespace
 
-EdgeHost::Listener::Listener(asio::io_context& io, const Endpoint& endpoint)
-    : acceptor(io) {
-  const asio::ip::tcp::endpoint address(asio::ip::make_address(endpoint.ip),
-                                        endpoint.port);
-  acceptor.open(address.protocol());
-  acceptor.set_option(asio::socket_base::reuse_address(true));
-  acceptor.bind(address);
-  // The accept queue must hold a burst of new connections.
-  constexpr int kBacklog = 4096;
-  acceptor.listen(kBacklog);
-  acceptor.non_blocking(true);
-}
-
 EdgeHost::EdgeHost(const EdgeSettings& settings,
                    ForwardDialect dialect,
                    const PlatformFactory& make_platform,
@@ -184,7 +183,7 @@
                 key_evidence_.OnConfigVersion(config->version());
                 forwarder_.SetConfig(now, config);
                 backends_.SetColdStarts(config->config().services);
-                for (const auto& it : caller_sessions_)
+                for (const auto& it : CallerSessions())
                   it->SetLimits(now, config->config().limits);
                 orders_.SetConfig(std::move(config));
               },
@@ -257,21 +256,23 @@
                  .Add("callers", ToString(settings_.callers))
                  .Add("store", ToString(settings_.store))
                  .Add("incarnation", soft_state_.incarnation()));
-  Listen(
-      settings_.callers,
-      [this](const std::shared_ptr<ClientSession>& session,
-             HttpRequest request) {
-        metrics_.SetActive(forwarder_.active() + 1);
-        forwarder_.OnRequest(session, std::move(request));
-      },
-      caller_sessions_);
+  const std::size_t max_callers = MaxCallerConnections(DescriptorLimit());
+  log_.Write(LogLine("caller_connections").Add("max", max_callers));
+  callers_ = Listen(settings_.callers, max_callers,
+                    [this](const std::shared_ptr<ClientSession>& session,
+                           HttpRequest request) {
+                      metrics_.SetActive(forwarder_.active() + 1);
+                      forwarder_.OnRequest(session, std::move(request));
+                    });
   const auto status = [this](const std::shared_ptr<ClientSession>& session,
                              const HttpRequest& request) {
     AnswerStatus(session, request);
   };
-  Listen(settings_.readiness, status, status_sessions_);
+  status_listeners_.push_back(
+      Listen(settings_.readiness, kMaxStatusConnections, status));
   if (settings_.metrics)
-    Listen(*settings_.metrics, status, status_sessions_);
+    status_listeners_.push_back(
+        Listen(*settings_.metrics, kMaxStatusConnections, status));
   soft_state_.Start();
   feeds_.Start();
   orders_.Start();
@@ -282,72 +283,71 @@
   log_.Flush();
 }
 
-void EdgeHost::Listen(
-    const Endpoint& endpoint,
-    std::function<void(std::shared_ptr<ClientSession>, HttpRequest)> on_request,
-    SessionSet& sessions) {
-  listeners_.push_back(std::make_unique<Listener>(io_, endpoint));
-  listeners_.back()->on_request = std::move(on_request);
-  Accept(*listeners_.back(), sessions);
+std::vector<std::shared_ptr<ClientSession>> EdgeHost::CallerSessions() const {
+  if (!callers_)
+    return {};
+  return callers_->sessions();
 }
 
-void EdgeHost::Accept(Listener& listener, SessionSet& sessions) {
-  listener.acceptor.async_accept(
-      [this, &listener, &sessions](const asio::error_code& ec,
-                                   asio::ip::tcp::socket socket) {
-        if (ec == asio::error::operation_aborted)
-          return;
-        if (!ec)
-          OnAccepted(listener, sessions, std::move(socket));
-        Accept(listener, sessions);
-      });
+std::unique_ptr<Listener> EdgeHost::Listen(const Endpoint& endpoint,
+                                           std::size_t max_connections,
+                                           RequestHandler on_request) {
+  ListenerHooks hooks{
+      .make_session =
+          [this, on_request = std::move(on_request)](
+              TcpStream::Ptr stream, ClientSessionHooks session_hooks) {
+            return MakeSession(std::move(stream), on_request,
+                               std::move(session_hooks));
+          },
+      .on_given_up =
+          [this](bool is_new) {
+            metrics_.OnConnectionGivenUp();
+            if (is_new)
+              log_.Write(LogLine("connection_refused")
+                             .Add("reason", "all connections are busy"));
+          },
+      .on_accept_error =
+          [this](const asio::error_code& ec) {
+            metrics_.OnAcceptError();
+            log_.Write(LogLine("accept_failed").Add("error", ec.message()));
+          }};
+  auto out = std::make_unique<Listener>(io_, timers_, endpoint, max_connections,
+                                        std::move(hooks));
+  out->Start();
+  return out;
 }
 
-void EdgeHost::OnAccepted(Listener& listener,
-                          SessionSet& sessions,
-                          asio::ip::tcp::socket socket) {
+std::shared_ptr<ClientSession> EdgeHost::MakeSession(TcpStream::Ptr stream,
+                                                     RequestHandler on_request,
+                                                     ClientSessionHooks hooks) {
+  hooks.on_request = std::move(on_request);
+  hooks.on_refused = [this](int status, std::string_view reason) {
+    metrics_.OnRefusal("unreadable");
+    log_.Write(LogLine("request_unreadable")
+                   .Add("status", status)
+                   .Add("reason", reason));
+  };
+  hooks.on_dropped = [this](std::string_view reason, const HttpHead& head,
+                            std::size_t bytes) {
+    log_.Write(LogLine("connection_dropped")
+                   .Add("id", FieldText(head.fields, dialect_.request_id))
+                   .Add("reason", reason)
+                   .Add("bytes", bytes)
+                   .Add("stopping", stopping_));
+  };
   const IngressLimits limits = forwarder_.config()
                                    ? forwarder_.config()->config().limits
                                    : IngressLimits();
-  const auto session = std::make_shared<ClientSession>(
-      std::make_shared<TcpStream>(std::move(socket)), timers_, caller_memory_,
-      limits,
-      ClientSessionHooks{
-          .on_request = listener.on_request,
-          .on_refused =
-              [this](int status, std::string_view reason) {
-                metrics_.OnRefusal("unreadable");
-                log_.Write(LogLine("request_unreadable")
-                               .Add("status", status)
-                               .Add("reason", reason));
-              },
-          .on_dropped =
-              [this](std::string_view reason, const HttpHead& head,
-                     std::size_t bytes) {
-                log_.Write(
-                    LogLine("connection_dropped")
-                        .Add("id", FieldText(head.fields, dialect_.request_id))
-                        .Add("reason", reason)
-                        .Add("bytes", bytes)
-                        .Add("stopping", stopping_));
-              },
-          .on_closed =
-              [&sessions](const ClientSession* closed) {
-                for (auto it = sessions.begin(); it != sessions.end(); ++it) {
-                  if (it->get() != closed)
-                    continue;
-                  sessions.erase(it);
-                  return;
-                }
-              }});
+  auto out = std::make_shared<ClientSession>(
+      std::move(stream), timers_, caller_memory_, limits, std::move(hooks));
   if (stopping_)
-    session->Drain();
-  sessions.insert(session);
-  session->Start(Now());
+    out->Drain();
+  return out;
 }
 
 bool EdgeHost::IsReady() const {
-  if (stopping_ || !feeds_.has_config() || !feeds_.has_servers())
+  if (stopping_ || !feeds_.has_config() || !feeds_.has_servers() ||
+      !callers_->Accepts(Now()))
     return false;
   const BootTime now = BootClock::now();
   if (!key_evidence_.Age(now))
@@ -413,9 +413,9 @@
   stop_began_ = now;
   log_.Write(LogLine("stopping")
                  .Add("active", forwarder_.active())
-                 .Add("connections", caller_sessions_.size()));
+                 .Add("connections", callers_->size()));
   log_.Flush();
-  for (const auto& it : caller_sessions_)
+  for (const auto& it : CallerSessions())
     it->Drain();
   soft_state_.AnnounceLeaving();
   orders_.Release([this] { released_ = true; });
@@ -427,14 +427,13 @@
       DecideStop({.passed = now - stop_began_,
                   .grace = settings_.bounds.stop_grace,
                   .active_requests = forwarder_.active(),
-                  .connections = caller_sessions_.size(),
+                  .connections = callers_->size(),
                   .lease_released = released_});
   if (decision.refuse_new)
     forwarder_.RefuseNew(
         now, stop_began_ + AnswersEndAfter(settings_.bounds.stop_grace));
   if (decision.close_idle) {
-    const SessionSet sessions = caller_sessions_;
-    for (const auto& it : sessions)
+    for (const auto& it : CallerSessions())
       it->CloseIfIdle();
   }
   if (decision.finish) {
--- a/lib/forward/client_session.cc
+++ b/lib/forward/client_session.cc
@@ -119,11 +119,11 @@
     stream_->SetReading(false);
     StartTimer(Now() + kLeaveCheckInterval);
   }
-  StateMemory();
+  StateUse();
   memory_.Enforce();
 }
 
-void ClientSession::StateMemory() {
+void ClientSession::StateUse() {
   const std::size_t unsent = stream_->unsent();
   const std::size_t bytes = body_.capacity() + ahead_.capacity() +
                             parser_.head_memory() + stream_->unsent_memory() +
@@ -131,6 +131,21 @@
   const bool unfinished = !busy_ && (parser_.started() || unsent > 0);
   share_.Set(closed_ ? 0 : bytes,
              !closed_ && !ending_ && (unfinished || IsCallerBehind()));
+  if (closed_ || !hooks_.on_use)
+    return;
+  ConnectionUse use = ConnectionUse::kIdle;
+  if (busy_)
+    use = ConnectionUse::kBusy;
+  else if (unsent > 0)
+    use = ConnectionUse::kDelivering;
+  else if (parser_.started())
+    use = ConnectionUse::kUnfinished;
+  hooks_.on_use(this, use);
+}
+
+void ClientSession::GiveUp() {
+  Report("connection_limit", body_.size());
+  Shut();
 }
 
 void ClientSession::GiveUpForMemory() {
@@ -142,7 +157,7 @@
   }
   Refuse(503, "too much is held for callers");
   FreeRequest();
-  StateMemory();
+  StateUse();
 }
 
 void ClientSession::FreeRequest() {
@@ -172,7 +187,7 @@
 }
 
 void ClientSession::OnDrained() {
-  StateMemory();
+  StateUse();
   if (on_drained_) {
     on_drained_();
     return;
@@ -336,7 +351,7 @@
   AppendPiece(out, piece);
   stream_->Send(out);
   if (stream_->unsent() > 0)
-    StateMemory();
+    StateUse();
 }
 
 void ClientSession::EndAnswer() {
@@ -359,7 +374,7 @@
   std::string().swap(body_);
   if (ahead_.empty())
     std::string().swap(ahead_);
-  StateMemory();
+  StateUse();
   // Otherwise the caller may have sent its next request already.
   if (close_announced_) {
     EndConnection();
@@ -436,7 +451,7 @@
   timers_.Cancel(timer_);
   stream_->Close();
   FreeRequest();
-  StateMemory();
+  StateUse();
   if (busy_ && on_gone_)
     std::exchange(on_gone_, nullptr)();
   busy_ = false;
--- a/lib/forward/forward_metrics.cc
+++ b/lib/forward/forward_metrics.cc
@@ -99,6 +99,18 @@
                  "Reads of the store's logs that stopped short of the log's "
                  "end, so that more had to be read")
           .Add({});
+  Counter& given_up_connections =
+      AddCounter(registry,
+                 "mangoport_forward_connections_given_up_total",
+                 "Connections of callers that were closed since there were too "
+                 "many")
+          .Add({});
+  Counter& accept_errors =
+      AddCounter(registry,
+                 "mangoport_forward_accept_errors_total",
+                 "Times at which no connection could be accepted, for want of "
+                 "descriptors or memory")
+          .Add({});
   Gauge& config_version = AddGauge(registry,
                                    "mangoport_forward_config_version",
                                    "Version of the configuration in force");
@@ -183,6 +195,14 @@
   state_->short_feed_reads.Increment();
 }
 
+void ForwardMetrics::OnConnectionGivenUp() {
+  state_->given_up_connections.Increment();
+}
+
+void ForwardMetrics::OnAcceptError() {
+  state_->accept_errors.Increment();
+}
+
 void ForwardMetrics::SetConfigVersion(std::uint64_t version) {
   state_->config_version.Set(static_cast<double>(version));
 }
--- a/unittests/process/hostile_callers_test.cc
+++ b/unittests/process/hostile_callers_test.cc
@@ -31,6 +31,10 @@
 constexpr int kPipelines = 60;
 constexpr int kPipelined = 5000;
 constexpr int kSlowCallers = 400;
+/// A host that may have so many descriptors, and a crowd that takes more.
+constexpr int kFewDescriptors = 256;
+constexpr int kDescriptorCallers = 400;
+constexpr Duration kTakesConnections = seconds(3);
 /// Requests for as many models and adapters, with the longest names that a head
 /// of legal size holds.
 constexpr int kUnknownNames = 3000;
@@ -57,7 +61,19 @@
 /// A host on a machine with `kMachineKb` of memory.
 class SmallHost {
  public:
-  SmallHost() : edge_("[memory]\nmachine_mb = 64\n") {}
+  explicit SmallHost(int max_descriptors = 0)
+      : edge_("[memory]\nmachine_mb = 64\n", max_descriptors) {}
+
+  /// Requires that an ordinary caller is answered within the time in which a
+  /// host that says it is ready must take a connection.
+  void RequireAnswerSoon() {
+    cr_assert(EdgeFixture::Within(kTakesConnections,
+                                  [this] {
+                                    const auto reply = edge_.Ask("/read/x");
+                                    return reply && reply->status == 200;
+                                  }),
+              "an ordinary request isn't answered");
+  }
 
   /// The peak of the process's memory.
   long PeakKb() const {
@@ -249,6 +265,20 @@
   }
 }
 
+// Callers with unfinished requests, and silent ones, took all descriptors: the
+// host said that it is ready and took no connection until they had gone.
+Test(hostile_callers, connections_that_take_all_descriptors, .timeout = 120) {
+  for (const std::string& bytes :
+       {UnfinishedBody("/once/x").substr(0, 400), std::string()}) {
+    SmallHost host(kFewDescriptors);
+    const Crowd crowd = Connect(host.callers(), kDescriptorCallers);
+    if (!bytes.empty())
+      SendInTurns(crowd, bytes, bytes.size());
+    host.RequireAnswerSoon();
+    host.RequireSound(crowd);
+  }
+}
+
 // Each name of an adapter that does not exist was kept for good.
 Test(hostile_callers, names_of_adapters_that_do_not_exist, .timeout = 240) {
   SmallHost host;
--- a/unittests/support/edge_fixture.cc
+++ b/unittests/support/edge_fixture.cc
@@ -93,7 +93,8 @@
   return out;
 }
 
-EdgeFixture::EdgeFixture(const std::string& bounds) : a_("i-a"), b_("i-b") {
+EdgeFixture::EdgeFixture(const std::string& bounds, int max_descriptors)
+    : a_("i-a"), b_("i-b") {
   store_.Put("keyed.op", "config", Config(1, R"("k1")"));
   List(a_, "ready");
   List(b_, "ready");
@@ -113,7 +114,7 @@
   out.close();
   process_ = std::make_unique<Process>(
       std::vector<std::string>{MANGOPORT_EDGE_BINARY, "--settings", settings_},
-      settings_ + ".log");
+      settings_ + ".log", max_descriptors);
   Require(Within(seconds(10), [this] { return Ready(); }),
           "the host is not ready");
 }
--- a/unittests/support/edge_fixture.h
+++ b/unittests/support/edge_fixture.h
@@ -36,8 +36,9 @@
 /// that are listed as ready.
 class EdgeFixture {
  public:
-  /// `bounds` are lines for the settings' table of that name.
-  explicit EdgeFixture(const std::string& bounds = "");
+  /// `bounds` are lines for the settings' table of that name. The host may have
+  /// `max_descriptors` open, zero for as many as the test.
+  explicit EdgeFixture(const std::string& bounds = "", int max_descriptors = 0);
   ~EdgeFixture();
 
   EdgeFixture(const EdgeFixture&) = delete;
--- a/unittests/support/process.cc
+++ b/unittests/support/process.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -15,7 +16,8 @@
 namespace mangoport {
 
 Process::Process(const std::vector<std::string>& command,
-                 const std::string& output)
+                 const std::string& output,
+                 int max_descriptors)
     : output_(output) {
   std::vector<char*> argv;
   for (const std::string& it : command)
@@ -26,6 +28,11 @@
     return;
   // The child goes with the test, however the test ends.
   prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (max_descriptors > 0) {
+    const auto max = static_cast<rlim_t>(max_descriptors);
+    const rlimit limit{.rlim_cur = max, .rlim_max = max};
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
   const int fd = open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   dup2(fd, STDOUT_FILENO);
   dup2(fd, STDERR_FILENO);
--- a/unittests/support/process.h
+++ b/unittests/support/process.h
@@ -15,7 +15,10 @@
 /// reaped when the object goes.
 class Process {
  public:
-  Process(const std::vector<std::string>& command, const std::string& output);
+  /// The process may have `max_descriptors` open, zero for as many as this one.
+  Process(const std::vector<std::string>& command,
+          const std::string& output,
+          int max_descriptors = 0);
   ~Process();
 
   Process(const Process&) = delete;
