The machine's memory comes from the environment, not from a section

The deploy file passes the memory in MANGOPORT_MACHINE_MB, which is empty where the platform states none; machine_mb in the settings goes before it. A value that is no number of MB is reported and the host does not start.

Tests: the template has plain fields only, and none that stand-ins lack; the deploy file's variable gives the 182 MB that the section gave, and nothing where the platform states nothing; the order of both sources. Three findings of the linter in new code are mended too.

--- a/include/mangoport/settings/edge_settings.h
+++ b/include/mangoport/settings/edge_settings.h
@@ -58,6 +58,16 @@
                                const std::string& file,
                                Findings& findings);
 
+/// Takes the machine's memory in MB from the text of an environment variable,
+/// unless the settings file has stated it. An empty text states nothing; what
+/// is no number of MB is added to `findings`.
+void ApplyMachineMemory(std::string_view text,
+                        EdgeSettings& settings,
+                        Findings& findings);
+
+/// The environment variable that has the machine's memory.
+inline constexpr char kMachineMemoryVariable[] = "MANGOPORT_MACHINE_MB";
+
 }  // namespace mangoport
 
 #endif  // MANGOPORT_SETTINGS_EDGE_SETTINGS_H_
--- a/lib/forward/send_buffer.cc
+++ b/lib/forward/send_buffer.cc
@@ -38,7 +38,8 @@
 std::string_view SendBuffer::front() const {
   if (blocks_.empty())
     return {};
-  return std::string_view(blocks_.front()).substr(offset_);
+  const std::string_view block = blocks_.front();
+  return block.substr(offset_);
 }
 
 void SendBuffer::Consume(std::size_t n) {
--- a/lib/settings/edge_settings.cc
+++ b/lib/settings/edge_settings.cc
@@ -1,5 +1,7 @@
 #include "mangoport/settings/edge_settings.h"
 
+#include <charconv>
+
 #include "toml_table.h"
 
 namespace mangoport {
@@ -72,8 +74,10 @@
   table.Finish();
 }
 
+/// The greatest memory of a machine, in MB.
+constexpr double kMostMb = 16.0 * 1024 * 1024;
+
 void ReadMemory(TomlTable table, EdgeSettings& settings) {
-  constexpr double kMostMb = 16.0 * 1024 * 1024;
   if (table.Number("machine_mb"))
     settings.machine_memory_mb = static_cast<std::uint64_t>(
         ReadNumber(table, "machine_mb", 0, 1, kMostMb));
@@ -82,6 +86,25 @@
 
 }  // namespace
 
+void ApplyMachineMemory(std::string_view text,
+                        EdgeSettings& settings,
+                        Findings& findings) {
+  if (text.empty() || settings.machine_memory_mb)
+    return;
+  std::uint64_t mb = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), mb);
+  if (parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() &&
+      mb >= 1 && static_cast<double>(mb) <= kMostMb) {
+    settings.machine_memory_mb = mb;
+    return;
+  }
+  findings.push_back(
+      {.place = {.file = kMachineMemoryVariable, .line = 0, .column = 0},
+       .message = "is no number of MB: " + std::string(text),
+       .suggestion = {}});
+}
+
 EdgeSettings ParseEdgeSettings(std::string_view text,
                                const std::string& file,
                                Findings& findings) {
--- a/tools/mangoport-edge/main.cc
+++ b/tools/mangoport-edge/main.cc
@@ -55,7 +55,10 @@
   out << "usage: mangoport-edge --settings FILE [--check]\n"
          "  Serves callers on the users' platform until SIGTERM; SIGHUP reads\n"
          "  the settings anew.\n"
-         "  --check  only check the settings\n";
+         "  --check  only check the settings\n"
+         "environment:\n"
+         "  MANGOPORT_MACHINE_MB  the machine's memory in MB, unless the\n"
+         "                        settings state it\n";
 }
 
 std::optional<mangoport::EdgeSettings> ReadSettings(const std::string& file) {
@@ -69,6 +72,8 @@
   mangoport::Findings findings;
   mangoport::EdgeSettings settings =
       mangoport::ParseEdgeSettings(text, file, findings);
+  const char* memory = std::getenv(mangoport::kMachineMemoryVariable);
+  mangoport::ApplyMachineMemory(memory ? memory : "", settings, findings);
   for (const mangoport::Finding& it : findings)
     std::cerr << mangoport::FormatFinding(it) << "\n";
   if (!findings.empty())
--- a/unittests/fleet/log_catch_up_test.cc
+++ b/unittests/fleet/log_catch_up_test.cc
@@ -44,16 +44,14 @@
 // keys again.
 Test(log_catch_up, a_log_that_grows_faster_than_it_is_read_is_confirmed) {
   LogCatchUp it;
-  for (int i = 0; i < 1000; ++i) {
-    const std::uint64_t end = 100 + 3 * i;
+  for (std::uint64_t i = 0; i < 1000; ++i) {
     const std::uint64_t position = 2 * i;
-    it.OnRead(SentAt(kStart + seconds(i)), end, position);
+    it.OnRead(SentAt(kStart + seconds(i)), /*log_end=*/100 + 3 * i, position);
     if (!it.confirmation())
       continue;
-    // Of the confirmed read, all up to its end has been read, and the age of
-    // the confirmation is near the time that it took to read that far.
-    const auto age = kStart + seconds(i) - it.confirmation()->sent_at;
-    const std::int64_t sent = i - age / seconds(1);
+    // All up to the end that the confirmed read stated has been read.
+    const Duration sent_after = it.confirmation()->sent_at - kStart;
+    const auto sent = static_cast<std::uint64_t>(sent_after / seconds(1));
     cr_assert_leq(100 + 3 * sent, position);
   }
   cr_assert(it.confirmation().has_value());
--- a/unittests/membership/order_lease_soak.cc
+++ b/unittests/membership/order_lease_soak.cc
@@ -222,7 +222,9 @@
     BootTime arrives = now_;
     if (store_faulty_ && Chance(4))
       arrives += milliseconds(random_() % (kLongestSilence / milliseconds(1)));
-    for (const auto& [other, last] : last_arrivals_) {
+    for (const auto& it : last_arrivals_) {
+      const int other = it.first;
+      const BootTime last = it.second;
       CheckInvariant(other == i || arrives - last >= kMinOrderGap,
                      "orders of two hosts arrive at least 3 s apart", [&] {
                        return Name(i).value() + " after " + Name(other).value();
--- a/unittests/platform/settings_template_test.cc
+++ b/unittests/platform/settings_template_test.cc
@@ -34,26 +34,20 @@
           {"Bounds.FailClosed", "true"}};
 }
 
-std::string TemplateText() {
-  std::ifstream in(MANGOPORT_SOURCE_DIR "/deploy/edge.toml.in");
+std::string FileText(const std::string& path) {
+  std::ifstream in(MANGOPORT_SOURCE_DIR + path);
   std::ostringstream out;
   out << in.rdbuf();
   return out.str();
 }
 
-/// Fills in the sections and fields; a field that is missing leaves its section
-/// out, and is nothing elsewhere.
+std::string TemplateText() {
+  return FileText("/deploy/edge.toml.in");
+}
+
+/// Fills in plain fields; one that is missing is nothing.
 std::string Render(std::string text,
                    const std::map<std::string, std::string>& fields) {
-  const std::regex section(R"(\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\})");
-  for (std::smatch it; std::regex_search(text, it, section);) {
-    const auto field = fields.find(it[1]);
-    std::string inner = field == fields.end() ? std::string() : it[2].str();
-    const std::size_t dot = inner.find("{{.}}");
-    if (dot != std::string::npos)
-      inner.replace(dot, 5, field->second);
-    text = it.prefix().str() + inner + it.suffix().str();
-  }
   const std::regex placeholder(R"(\{\{([\w.]+)\}\})");
   for (std::smatch it; std::regex_search(text, it, placeholder);) {
     const auto field = fields.find(it[1]);
@@ -64,12 +58,34 @@
   return text;
 }
 
+/// The settings of a host that the deploy file starts with these fields.
+EdgeSettings Start(const std::map<std::string, std::string>& fields,
+                   Findings& findings) {
+  EdgeSettings out =
+      ParseEdgeSettings(Render(TemplateText(), fields), "edge.toml", findings);
+  const std::string deploy = FileText("/deploy/system.toml");
+  const std::regex variable(std::string(kMachineMemoryVariable) +
+                            R"( = "([^"]*)\")");
+  std::smatch it;
+  cr_assert(std::regex_search(deploy, it, variable));
+  ApplyMachineMemory(Render(it[1], fields), out, findings);
+  return out;
+}
+
+// The users' own stand-ins fill in plain fields and no sections, and know no
+// machine's memory: with a section in the template no host of theirs started.
+Test(settings_template, needs_plain_fields_only) {
+  const std::regex plain(R"(\{\{[A-Za-z0-9_.]+\}\})");
+  const std::string rest = std::regex_replace(TemplateText(), plain, "");
+  cr_assert_eq(rest.find("{{"), std::string::npos, "%s", rest.c_str());
+  cr_assert_eq(TemplateText().find("Limits."), std::string::npos);
+}
+
 // A field that the platform does not have left a key without a value: no host
 // started.
 Test(settings_template, a_host_accepts_what_the_platform_fills_in) {
   Findings findings;
-  const EdgeSettings settings = ParseEdgeSettings(
-      Render(TemplateText(), PlatformFields()), "edge.toml", findings);
+  const EdgeSettings settings = Start(PlatformFields(), findings);
   cr_assert(findings.empty());
   cr_assert(settings.machine_memory_mb == 182);
 }
@@ -79,11 +95,26 @@
   std::map<std::string, std::string> fields = PlatformFields();
   fields.erase("Limits.MemoryMb");
   Findings findings;
-  const EdgeSettings settings =
-      ParseEdgeSettings(Render(TemplateText(), fields), "edge.toml", findings);
+  const EdgeSettings settings = Start(fields, findings);
   cr_assert(findings.empty());
   cr_assert_not(settings.machine_memory_mb);
 }
 
+// What an operator writes into the settings goes before the environment, and a
+// wrong value must not be taken for none.
+Test(settings_template, the_settings_go_before_the_environment) {
+  EdgeSettings settings;
+  Findings findings;
+  ApplyMachineMemory("64", settings, findings);
+  ApplyMachineMemory("182", settings, findings);
+  cr_assert(settings.machine_memory_mb == 64);
+  for (const char* it : {"0", "-1", "12x", "1.5", " 64"}) {
+    EdgeSettings wrong;
+    Findings reported;
+    ApplyMachineMemory(it, wrong, reported);
+    cr_assert_eq(reported.size(), 1, "%s", it);
+  }
+}
+
 }  // namespace
 }  // namespace mangoport
