--- a/lib/edge/feed_service.cc
+++ b/lib/edge/feed_service.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "lib/edge/feed_log.h"
+
 namespace mangoport {
 namespace {
 
@@ -42,24 +44,6 @@
   return "none";
 }
 
-std::string_view ReadUseName(FeedReadUse use) {
-  switch (use) {
-    case FeedReadUse::kApply:
-      return "none";
-    case FeedReadUse::kPassed:
-      return "passed_by_update";
-    case FeedReadUse::kNoContinuation:
-      return "no_continuation";
-    case FeedReadUse::kEarlierTimeline:
-      return "earlier_timeline";
-  }
-  return "none";
-}
-
-std::string PositionText(const FeedPosition& position) {
-  return position ? ToString(*position) : "none";
-}
-
 /// A time within `spread` for this host.
 Duration Draw(std::mt19937_64& random, Duration spread) {
   std::uniform_real_distribution<> draw(0, 1);
@@ -180,47 +164,6 @@
     log_.Write(LogLine("dependency_regained").Add("name", feed.name));
 }
 
-void FeedService::LogProblems(const Feed& feed,
-                              const std::vector<std::string>& problems) {
-  for (const std::string& it : problems)
-    log_.Write(LogLine("record_passed_over")
-                   .Add("feed", feed.name)
-                   .Add("problem", it));
-}
-
-void FeedService::LogRestart(const Feed& feed,
-                             const FeedPosition& position,
-                             std::string_view reason) {
-  log_.Write(LogLine("feed_restarted")
-                 .Add("feed", feed.name)
-                 .Add("position", PositionText(position))
-                 .Add("reason", reason));
-}
-
-void FeedService::LogShortRead(const Feed& feed,
-                               const StorePosition& next,
-                               std::uint64_t log_end) {
-  if (next.offset >= log_end)
-    return;
-  log_.Write(LogLine("feed_read_short")
-                 .Add("feed", feed.name)
-                 .Add("asked", PositionText(feed.asked))
-                 .Add("next", ToString(next))
-                 .Add("log_end", log_end)
-                 .Add("after", BootClock::now() - feed.sent_at));
-  hooks_.on_short_read();
-}
-
-void FeedService::LogDiscarded(const Feed& feed,
-                               FeedReadUse use,
-                               const StorePosition& next) {
-  log_.Write(LogLine("feed_read_discarded")
-                 .Add("feed", feed.name)
-                 .Add("asked", PositionText(feed.asked))
-                 .Add("next", ToString(next))
-                 .Add("reason", ReadUseName(use)));
-}
-
 void FeedService::OnStoreTimeline(StoreTimeline timeline,
                                   TimelineSource source) {
   if (stopped_)
