A connection with a pipelined request under way counts as busy

With a connection limit, a session says what its connection is used for after each read and each answer, but not when it goes on with the next request that had come already: that connection counted as idle and could be closed for a new one with a request under way. Found by reading the change; no caller has met it.

The use is stated at the end of each parse.

--- a/lib/forward/client_session.cc
+++ b/lib/forward/client_session.cc
@@ -176,6 +176,7 @@
     ParseNext();
   } while (answered_ && MayParse());
   parsing_ = false;
+  StateUse();
 }
 
 bool ClientSession::MayParse() const {
--- a/unittests/forward/client_session_test.cc
+++ b/unittests/forward/client_session_test.cc
@@ -108,6 +108,8 @@
         IngressLimits(),
         ClientSessionHooks{.on_request = std::move(on_request),
                            .on_refused = {},
+                           .on_use = [this](const ClientSession*,
+                                            ConnectionUse use) { use_ = use; },
                            .on_closed = {}});
     session_->Start(std::chrono::steady_clock::now());
   }
@@ -128,6 +130,9 @@
 
   ClientSession& session() { return *session_; }
 
+  /// What the session said last of the use of its connection.
+  ConnectionUse use() const { return use_; }
+
   /// All that the caller has read so far.
   const std::string& received() const { return received_; }
 
@@ -167,9 +172,24 @@
   std::shared_ptr<ClientSession> session_;
   std::string unsent_;
   std::string received_;
+  ConnectionUse use_ = ConnectionUse::kIdle;
   bool reads_ = true;
 };
 
+// The second of two requests that came together was under way on a connection
+// that counted as idle, so it could be closed for a new one.
+Test(client_session, a_connection_is_busy_with_each_request) {
+  Conversation caller(
+      [](const std::shared_ptr<ClientSession>&, const HttpRequest&) {});
+  caller.Send(std::string(kRequest) + kRequest + "GET /a/ HT");
+  for (int i = 0; i < 2; ++i) {
+    cr_assert_eq(caller.use(), ConnectionUse::kBusy);
+    caller.session().Answer({.status = 200});
+    caller.Settle();
+  }
+  cr_assert_eq(caller.use(), ConnectionUse::kUnfinished);
+}
+
 // While the first request is served, its caller sends thousands ahead that are
 // all refused at once. None may be answered inside the call of another one, or
 // the stack ends before the requests do.
