A status of other than three digits, or below 100, is no answer

Callers of run-once routes waited until their deadline for an answer with the status 000, 099 or 20, and got 504; measured from outside, so did callers of streams, and idempotent requests lost 0.7 s up to their repeat. A sound answer that stood behind a 000 on the connection was passed on. "0200" and "00404" were passed on as 200 and 404.

Cause: http_parser adds up the digits of a status, however many there are, and whatever is below 200 was taken for an interim head.

LineChecker now reads the status line before http_parser does: version, blank, three digits of which the first isn't 0, then a blank or the end of the line. What doesn't fit ends the attempt as broken at once, like any other bytes that are no HTTP. The calls to the store, reports and orders have the same reader.

--- /dev/null
+++ b/lib/http/line_checker.cc
@@ -0,0 +1,63 @@
+#include "lib/http/line_checker.h"
+
+namespace mangoport {
+namespace {
+
+/// How a status line begins; '#' stands for a digit.
+constexpr std::string_view kStatusLineStart = "HTTP/#.# ###";
+/// Where in it the status is, which is 100 or more.
+constexpr std::size_t kStatusAt = kStatusLineStart.find(" #") + 1;
+
+bool IsDigit(char c) {
+  return c >= '0' && c <= '9';
+}
+
+}  // namespace
+
+void LineChecker::Begin(HttpLine kind) {
+  *this = LineChecker();
+  kind_ = kind;
+}
+
+std::size_t LineChecker::Feed(std::string_view data) {
+  std::size_t n = 0;
+  while (n < data.size() && !ended_) {
+    if (!Accepts(data[n]))
+      return 0;
+    ended_ = data[n] == '\n';
+    ++size_;
+    ++n;
+  }
+  return n;
+}
+
+bool LineChecker::Accepts(char c) {
+  if (c == '\r' || c == '\n')
+    return MayEnd();
+  switch (kind_) {
+    case HttpLine::kRequestLine:
+    case HttpLine::kField:
+      return true;
+    case HttpLine::kStatusLine:
+      return AcceptsInStatusLine(c);
+  }
+  return false;
+}
+
+bool LineChecker::AcceptsInStatusLine(char c) const {
+  if (size_ == kStatusAt)
+    return c >= '1' && c <= '9';
+  if (size_ == kStatusLineStart.size())
+    return c == ' ';
+  if (size_ > kStatusLineStart.size())
+    return true;
+  const char expected = kStatusLineStart[size_];
+  return expected == '#' ? IsDigit(c) : c == expected;
+}
+
+bool LineChecker::MayEnd() const {
+  // A server may leave out the blank before an empty reason.
+  return kind_ != HttpLine::kStatusLine || size_ >= kStatusLineStart.size();
+}
+
+}  // namespace mangoport
--- a/lib/http/message_parser.cc
+++ b/lib/http/message_parser.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "lib/http/line_checker.h"
+
 namespace mangoport {
 namespace {
 
@@ -64,6 +66,7 @@
   std::size_t head_bytes = 0;
   HttpHead head;
   std::string* body = nullptr;
+  LineChecker line;
   bool last_was_value = false;
   bool bodyless = false;
   bool started = false;
@@ -77,6 +80,15 @@
   static const http_parser_settings& Callbacks();
 
   void Init();
+  /// Takes in bytes of one line of the head or of the body, and returns how
+  /// many.
+  std::size_t Step(std::string_view data);
+  std::size_t Execute(std::string_view data);
+  void BeginLine();
+  HttpLine NextLine() const;
+  bool ended() const {
+    return message_complete || error != HttpParseError::kNone;
+  }
   int Count(std::size_t bytes);
   int OnName(std::string_view text);
   int OnValue(std::string_view text);
@@ -94,6 +106,42 @@
   started = false;
   head_complete = false;
   message_complete = false;
+  BeginLine();
+}
+
+HttpLine MessageParser::State::NextLine() const {
+  if (started)
+    return HttpLine::kField;
+  return kind == HttpMessageKind::kRequest ? HttpLine::kRequestLine
+                                           : HttpLine::kStatusLine;
+}
+
+void MessageParser::State::BeginLine() {
+  line.Begin(NextLine());
+}
+
+std::size_t MessageParser::State::Step(std::string_view data) {
+  if (head_complete)
+    return Execute(data);
+  const std::size_t n = line.Feed(data);
+  if (n == 0) {
+    Refuse();
+    return 0;
+  }
+  const std::size_t used = Execute(data.substr(0, n));
+  if (line.ended())
+    BeginLine();
+  return used;
+}
+
+std::size_t MessageParser::State::Execute(std::string_view data) {
+  const std::size_t used =
+      http_parser_execute(&parser, &Callbacks(), data.data(), data.size());
+  const http_errno code = HTTP_PARSER_ERRNO(&parser);
+  if (code != HPE_OK && code != HPE_PAUSED && error == HttpParseError::kNone)
+    error = code == HPE_HEADER_OVERFLOW ? HttpParseError::kHeadTooLarge
+                                        : HttpParseError::kMalformed;
+  return used;
 }
 
 int MessageParser::State::Count(std::size_t bytes) {
@@ -213,24 +261,17 @@
 
 std::size_t MessageParser::Feed(std::string_view data, std::string& body) {
   State& state = *state_;
-  if (data.empty() || state.message_complete ||
-      state.error != HttpParseError::kNone)
-    return 0;
   state.body = &body;
-  const std::size_t used = http_parser_execute(
-      &state.parser, &State::Callbacks(), data.data(), data.size());
+  std::size_t used = 0;
+  while (used < data.size() && !state.ended())
+    used += state.Step(data.substr(used));
   state.body = nullptr;
-  const http_errno code = HTTP_PARSER_ERRNO(&state.parser);
-  if (code != HPE_OK && code != HPE_PAUSED &&
-      state.error == HttpParseError::kNone)
-    state.error = code == HPE_HEADER_OVERFLOW ? HttpParseError::kHeadTooLarge
-                                              : HttpParseError::kMalformed;
   return used;
 }
 
 void MessageParser::FeedEnd() {
   State& state = *state_;
-  if (state.message_complete || state.error != HttpParseError::kNone)
+  if (state.ended())
     return;
   std::string unused;
   state.body = &unused;
--- a/unittests/forward/http_caller_test.cc
+++ b/unittests/forward/http_caller_test.cc
@@ -104,6 +104,21 @@
   }
 }
 
+// Calls to the store, reports and orders are made here. "0200" was taken for
+// 200.
+Test(http_caller, an_answer_that_is_no_http_is_none) {
+  const std::string body = "Content-Length: 2\r\n\r\nok";
+  for (const std::string& bytes :
+       {"HTTP/1.1 000 Odd\r\n" + body, "HTTP/1.1 0200 OK\r\n" + body,
+        "HTTP/1.1 20 OK\r\n" + body, "HTTP/1.1 200 OK\r\nA b: c\r\n" + body}) {
+    OneCall call;
+    call.Answer(bytes);
+    cr_expect_eq(call.Result().status, 0, "%s", bytes.c_str());
+    cr_expect_eq(call.Result().body, "", "%s", bytes.c_str());
+    cr_expect(call.Result().sent);
+  }
+}
+
 // An answer without end was gathered until the process had no memory left.
 Test(http_caller, an_answer_that_is_too_large_is_none) {
   for (const std::size_t size : {kMaxAnswerBytes, kMaxAnswerBytes + 1}) {
--- /dev/null
+++ b/unittests/http/broken_messages_test.cc
@@ -0,0 +1,106 @@
+// Answers that are no HTTP/1.1: none may be taken for an answer, however its
+// bytes arrive.
+#include <string>
+#include <string_view>
+
+#include <criterion/criterion.h>
+
+#include "mangoport/http/message_parser.h"
+
+namespace mangoport {
+namespace {
+
+constexpr std::size_t kHeadBytes = 1024;
+constexpr char kLength[] = "Content-Length: 2\r\n\r\nok";
+constexpr char kChunked[] = "Transfer-Encoding: chunked\r\n\r\n";
+
+/// What a parser makes of one message.
+struct Parsed {
+  bool whole = false;
+  HttpParseError error = HttpParseError::kNone;
+  HttpHead head;
+  std::string body;
+};
+
+/// Parses `text` in pieces of up to `piece` bytes, after which the connection
+/// ends.
+Parsed Parse(HttpMessageKind kind, std::string_view text, std::size_t piece) {
+  MessageParser parser(kind, kHeadBytes);
+  Parsed out;
+  while (!text.empty() && !parser.message_complete() &&
+         parser.error() == HttpParseError::kNone) {
+    const std::string_view next = text.substr(0, piece);
+    text.remove_prefix(next.size());
+    parser.Feed(next, out.body);
+  }
+  parser.FeedEnd();
+  out.whole = parser.message_complete();
+  out.error = parser.error();
+  out.head = parser.head();
+  return out;
+}
+
+/// Expects that a message is malformed, in one piece and in single bytes.
+void ExpectMalformed(HttpMessageKind kind, const std::string& text) {
+  for (const std::size_t piece : {std::size_t{1}, text.size()}) {
+    const Parsed parsed = Parse(kind, text, piece);
+    cr_expect_not(parsed.whole, "pieces of %zu: %s", piece, text.c_str());
+    cr_expect_eq(parsed.error, HttpParseError::kMalformed, "pieces of %zu: %s",
+                 piece, text.c_str());
+  }
+}
+
+void ExpectBroken(const std::string& answer) {
+  ExpectMalformed(HttpMessageKind::kResponse, answer);
+}
+
+/// Expects that an answer is whole, in one piece and in single bytes.
+void ExpectWhole(const std::string& answer,
+                 int status,
+                 const std::string& body) {
+  for (const std::size_t piece : {std::size_t{1}, answer.size()}) {
+    const Parsed parsed = Parse(HttpMessageKind::kResponse, answer, piece);
+    cr_expect(parsed.whole, "pieces of %zu: %s", piece, answer.c_str());
+    cr_expect_eq(parsed.head.status, status, "%s", answer.c_str());
+    cr_expect_eq(parsed.body, body, "%s", answer.c_str());
+  }
+}
+
+// NOLINTBEGIN: Criterion's macros
+// They were taken for interim heads, and the answer was waited for until the
+// caller's deadline.
+Test(broken_answers, a_status_below_100_is_none) {
+  for (const char* status : {"000", "001", "010", "020", "099", "20", "2", "0"})
+    ExpectBroken("HTTP/1.1 " + std::string(status) + " Odd\r\n" + kLength);
+}
+
+// "0200" was served as 200.
+Test(broken_answers, a_status_of_other_than_three_digits_is_none) {
+  for (const char* status : {"0200", "00200", "2000", "2e2", "+20", " 200",
+                             "200x", "20O", "", "0x200", "\t200"})
+    ExpectBroken("HTTP/1.1 " + std::string(status) + " Odd\r\n" + kLength);
+  ExpectBroken(std::string("HTTP/1.1 20\r\n") + kLength);
+}
+
+Test(sound_answers, are_taken) {
+  ExpectWhole(std::string("HTTP/1.1 200 OK\r\n") + kLength, 200, "ok");
+  ExpectWhole(std::string("HTTP/1.0 200 OK\r\n") + kLength, 200, "ok");
+  ExpectWhole(std::string("HTTP/1.1 200 \r\n") + kLength, 200, "ok");
+  ExpectWhole(std::string("HTTP/1.1 200\r\n") + kLength, 200, "ok");
+  ExpectWhole(std::string("HTTP/1.1 200 \tO K \xe9\r\n") + kLength, 200, "ok");
+  ExpectWhole(std::string("HTTP/1.1 599 Odd\r\n") + kLength, 599, "ok");
+  ExpectWhole(std::string("HTTP/1.1 200 OK\r\nX-A:\r\nX-B: \t\r\n"
+                          "!#$%&'*+-.^_`|~: \xe9\t\x80\r\n") +
+                  kLength,
+              200, "ok");
+  ExpectWhole("HTTP/1.1 200 OK\r\n" +
+                  (kChunked + std::string("02\r\nok\r\nA;a=\"\xe9\\\"\";b\r\n"
+                                          "0123\r\n6789\r\n00\r\nX-A: b\r\n"
+                                          "X-B:\r\n\r\n")),
+              200, "ok0123\r\n6789");
+  ExpectWhole("HTTP/1.1 200 OK\r\n\r\nto the end\n \r", 200, "to the end\n \r");
+}
+// NOLINTEND
+
+}  // namespace
+}  // namespace mangoport
--- /dev/null
+++ b/unittests/process/broken_answers_test.cc
@@ -0,0 +1,130 @@
+// Backend servers whose answers are no HTTP/1.1: callers must not
+// get them, nor wait for them until their deadline.
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include "unittests/support/scripted_fleet.h"
+
+namespace mangoport {
+namespace {
+
+constexpr char kIds[] = "X-Attempt-Id: id1\r\nX-Server-Seal: s\r\n";
+constexpr char kBody[] = "Content-Length: 3\r\n\r\nbad";
+constexpr char kManyRepeats[] = "repeat_ratio = 1\nrepeat_extra = 100\n";
+
+/// One form of a broken answer.
+struct Form {
+  /// The end of the request's path.
+  std::string name;
+  std::string bytes;
+};
+
+/// An answer whose head begins with `line`.
+std::string WithStatusLine(const std::string& line) {
+  return line + "\r\n" + kIds + kBody;
+}
+
+/// Both servers answer with the form that the path names, and well if the path
+/// begins with "/read/" or "/stream/" and it is not the first time.
+class BrokenFleet {
+ public:
+  explicit BrokenFleet(const std::vector<Form>& forms)
+      : forms_(forms),
+        fleet_([this](const SeenRequest& it, int) { return Next(it); },
+               kManyRepeats) {}
+
+  /// Asks for the form on each kind of route, and on the first two once more
+  /// for a good answer.
+  void Expect(const Form& form) {
+    ExpectFailed(form);
+    ExpectServed("/read/" + form.name, "ok", form);
+    ExpectServed("/stream/" + form.name, Events(1, 2), form);
+    fleet_.Warm();
+  }
+
+ private:
+  ScriptedAnswer Next(const SeenRequest& request) {
+    const std::lock_guard lock(mutex_);
+    const bool first = answers_[request.target]++ == 0;
+    const std::size_t last = request.target.rfind('/');
+    const std::string route = request.target.substr(0, last);
+    if (!first && route == "/read")
+      return {.pieces = {ScriptedFleet::GoodAnswer()}};
+    if (!first && route == "/stream")
+      return {.pieces = {std::string("HTTP/1.1 200 OK\r\n") + kIds +
+                         "Content-Type: text/event-stream\r\nContent-Length: " +
+                         std::to_string(Events(1, 2).size()) + "\r\n\r\n" +
+                         Events(1, 2)}};
+    for (const Form& it : forms_) {
+      if (it.name == request.target.substr(last + 1))
+        return {.pieces = {it.bytes}};
+    }
+    return {.pieces = {ScriptedFleet::GoodAnswer()}};
+  }
+
+  /// What runs once is sent once, and fails before its deadline.
+  void ExpectFailed(const Form& form) {
+    const std::string path = "/once/" + form.name;
+    const auto reply = fleet_.Ask(path);
+    cr_assert(reply, "%s: no answer", path.c_str());
+    cr_expect_eq(reply->status, 502, "%s: the caller got %d %s", path.c_str(),
+                 reply->status, reply->body.c_str());
+    cr_expect_neq(reply->body.find("\"not_run\":false"), std::string::npos,
+                  "%s: %s", path.c_str(), reply->body.c_str());
+    cr_expect_not(reply->has_header("X-Server-Seal"), "%s", path.c_str());
+    cr_expect_eq(fleet_.Sends(path).size(), 1, "%s", path.c_str());
+  }
+
+  void ExpectServed(const std::string& path,
+                    const std::string& body,
+                    const Form& form) {
+    const auto reply = fleet_.Ask(path);
+    cr_assert(reply, "%s: no answer", path.c_str());
+    cr_expect_eq(reply->status, 200, "%s: the caller got %d %s", path.c_str(),
+                 reply->status, reply->body.c_str());
+    cr_expect_eq(reply->body, body, "%s: the caller got %s", path.c_str(),
+                 reply->body.c_str());
+    cr_expect_eq(fleet_.Sends(path).size(), 2, "%s: sent %zu times (%s)",
+                 path.c_str(), fleet_.Sends(path).size(), form.name.c_str());
+  }
+
+  std::vector<Form> forms_;
+  std::mutex mutex_;
+  std::map<std::string, int> answers_;
+  ScriptedFleet fleet_;
+};
+
+void ExpectNotPassedOn(const std::vector<Form>& forms) {
+  BrokenFleet fleet(forms);
+  for (const Form& it : forms)
+    fleet.Expect(it);
+}
+
+// NOLINTBEGIN: Criterion's macros
+// An interim head was taken from them: callers waited until their deadline.
+Test(broken_answers, a_status_below_100_ends_the_attempt, .timeout = 60) {
+  ExpectNotPassedOn({{"000", WithStatusLine("HTTP/1.1 000 Odd")},
+                     {"099", WithStatusLine("HTTP/1.1 099 Odd")},
+                     {"20", WithStatusLine("HTTP/1.1 20 Odd")}});
+}
+
+// The answer that followed a status of 000 was passed on.
+Test(broken_answers, nothing_is_read_behind_a_status_of_000, .timeout = 60) {
+  const std::string good = ScriptedFleet::GoodAnswer();
+  ExpectNotPassedOn({{"bare", "HTTP/1.1 000 Odd\r\n\r\n" + good},
+                     {"body", WithStatusLine("HTTP/1.1 000 Odd") + good}});
+}
+
+// "0200" was passed on as 200.
+Test(broken_answers, a_status_has_three_digits, .timeout = 60) {
+  ExpectNotPassedOn({{"0200", WithStatusLine("HTTP/1.1 0200 OK")},
+                     {"00404", WithStatusLine("HTTP/1.1 00404 None")}});
+}
+// NOLINTEND
+
+}  // namespace
+}  // namespace mangoport
