A switch of protocols is no interim head

Callers waited until their deadline (504) when a server answered 101, which no request of the host asks for. Cause: every status below 200 was taken for an interim head behind which the answer comes; behind a 101 there is no HTTP.

MessageParser refuses a 101, as it refuses requests for another protocol.

Evidence: broken_answers_test.a_switch_of_protocols_ends_the_attempt on the code before: 504 "deadline" on /once, with and without Upgrade. After: 502 at once, and the repeat of an idempotent request or a stream is served.

--- a/lib/http/message_parser.cc
+++ b/lib/http/message_parser.cc
@@ -15,6 +15,7 @@
 
 constexpr int kContinue = 0;
 constexpr int kStop = -1;
+constexpr int kSwitchingProtocols = 101;
 /// What http_parser takes from the end-of-head callback for "no body follows".
 constexpr int kSkipBody = 1;
 
@@ -93,6 +94,7 @@
   int OnName(std::string_view text);
   int OnValue(std::string_view text);
   int OnHeadComplete();
+  int OnAnswerHead();
   int Refuse();
 };
 
@@ -195,16 +197,22 @@
     return Refuse();
   head.keep_alive = http_should_keep_alive(&parser) != 0;
   head_complete = true;
-  if (kind == HttpMessageKind::kResponse) {
-    head.status = parser.status_code;
-    return bodyless ? kSkipBody : kContinue;
-  }
+  if (kind == HttpMessageKind::kResponse)
+    return OnAnswerHead();
   if (hosts != 1 || parser.upgrade != 0 || HasControl(head.target))
     return Refuse();
   head.method = http_method_str(static_cast<http_method>(parser.method));
   return kContinue;
 }
 
+int MessageParser::State::OnAnswerHead() {
+  head.status = parser.status_code;
+  // No request asks for another protocol.
+  if (head.status == kSwitchingProtocols)
+    return Refuse();
+  return bodyless ? kSkipBody : kContinue;
+}
+
 const http_parser_settings& MessageParser::State::Callbacks() {
   static const http_parser_settings kSettings = [] {
     http_parser_settings out;
--- a/unittests/forward/http_caller_test.cc
+++ b/unittests/forward/http_caller_test.cc
@@ -110,7 +110,9 @@
   const std::string body = "Content-Length: 2\r\n\r\nok";
   for (const std::string& bytes :
        {"HTTP/1.1 000 Odd\r\n" + body, "HTTP/1.1 0200 OK\r\n" + body,
-        "HTTP/1.1 20 OK\r\n" + body, "HTTP/1.1 200 OK\r\nA b: c\r\n" + body}) {
+        "HTTP/1.1 20 OK\r\n" + body,
+        std::string("HTTP/1.1 101 Switching\r\n\r\n"),
+        "HTTP/1.1 200 OK\r\nA b: c\r\n" + body}) {
     OneCall call;
     call.Answer(bytes);
     cr_expect_eq(call.Result().status, 0, "%s", bytes.c_str());
--- a/unittests/http/broken_messages_test.cc
+++ b/unittests/http/broken_messages_test.cc
@@ -82,6 +82,15 @@
   ExpectBroken(std::string("HTTP/1.1 20\r\n") + kLength);
 }
 
+// No request asks for another protocol. A 101 was waited on like an interim
+// head.
+Test(broken_answers, a_switch_of_protocols_is_none) {
+  ExpectBroken("HTTP/1.1 101 Switching Protocols\r\n\r\n");
+  ExpectBroken(
+      "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n"
+      "Upgrade: x\r\n\r\n");
+}
+
 Test(sound_answers, are_taken) {
   ExpectWhole(std::string("HTTP/1.1 200 OK\r\n") + kLength, 200, "ok");
   ExpectWhole(std::string("HTTP/1.0 200 OK\r\n") + kLength, 200, "ok");
--- a/unittests/process/broken_answers_test.cc
+++ b/unittests/process/broken_answers_test.cc
@@ -124,6 +124,14 @@
   ExpectNotPassedOn({{"0200", WithStatusLine("HTTP/1.1 0200 OK")},
                      {"00404", WithStatusLine("HTTP/1.1 00404 None")}});
 }
+
+// Callers waited for the answer until their deadline.
+Test(broken_answers, a_switch_of_protocols_ends_the_attempt, .timeout = 60) {
+  ExpectNotPassedOn({{"101", "HTTP/1.1 101 Switching\r\n\r\n"},
+                     {"upgrade",
+                      "HTTP/1.1 101 Switching\r\nConnection: upgrade\r\n"
+                      "Upgrade: x\r\n\r\n"}});
+}
 // NOLINTEND
 
 }  // namespace
