A status above 599 is no answer

Callers got answers with the statuses 600 and 999, passed on as they were, which no caller can know. So they are broken answers: 502 for what ran once, with not_run false, a repeat for what may be repeated.

Cause: http_parser takes every number of three digits.

Evidence: broken_answers_test.a_status_above_599_ends_the_attempt on the code before: 600 and 999 reached the caller of /once with the body. After: 502, one send; the repeats of the other two kinds of route are served.

--- a/lib/http/line_checker.cc
+++ b/lib/http/line_checker.cc
@@ -5,7 +5,7 @@
 
 /// How a status line begins; '#' stands for a digit.
 constexpr std::string_view kStatusLineStart = "HTTP/#.# ###";
-/// Where in it the status is, which is 100 or more.
+/// Where in it the status is, which is 100 to 599.
 constexpr std::size_t kStatusAt = kStatusLineStart.find(" #") + 1;
 
 bool IsDigit(char c) {
@@ -46,7 +46,7 @@
 
 bool LineChecker::AcceptsInStatusLine(char c) const {
   if (size_ == kStatusAt)
-    return c >= '1' && c <= '9';
+    return c >= '1' && c <= '5';
   if (size_ == kStatusLineStart.size())
     return c == ' ';
   if (size_ > kStatusLineStart.size())
--- a/unittests/http/broken_messages_test.cc
+++ b/unittests/http/broken_messages_test.cc
@@ -82,6 +82,11 @@
   ExpectBroken(std::string("HTTP/1.1 20\r\n") + kLength);
 }
 
+Test(broken_answers, a_status_above_599_is_none) {
+  for (const char* status : {"600", "700", "999"})
+    ExpectBroken("HTTP/1.1 " + std::string(status) + " Odd\r\n" + kLength);
+}
+
 // No request asks for another protocol. A 101 was waited on like an interim
 // head.
 Test(broken_answers, a_switch_of_protocols_is_none) {
--- a/unittests/process/broken_answers_test.cc
+++ b/unittests/process/broken_answers_test.cc
@@ -132,6 +132,12 @@
                       "HTTP/1.1 101 Switching\r\nConnection: upgrade\r\n"
                       "Upgrade: x\r\n\r\n"}});
 }
+
+// Passed on with their status, which callers cannot know.
+Test(broken_answers, a_status_above_599_ends_the_attempt, .timeout = 60) {
+  ExpectNotPassedOn({{"600", WithStatusLine("HTTP/1.1 600 Odd")},
+                     {"999", WithStatusLine("HTTP/1.1 999 Odd")}});
+}
 // NOLINTEND
 
 }  // namespace
