A message of another version than HTTP/1 is refused

Callers got answers that began with HTTP/9.9 or HTTP/2.0 as if they were HTTP/1.1, also where only an interim head did. Cause: http_parser takes any two digits for a version.

LineChecker wants HTTP/1 in a status line. Requests have the same reader: they get 400 for another version, which was served before.

--- a/lib/http/line_checker.cc
+++ b/lib/http/line_checker.cc
@@ -4,7 +4,7 @@
 namespace {
 
 /// How a status line begins; '#' stands for a digit.
-constexpr std::string_view kStatusLineStart = "HTTP/#.# ###";
+constexpr std::string_view kStatusLineStart = "HTTP/1.# ###";
 /// Where in it the status is, which is 100 to 599.
 constexpr std::size_t kStatusAt = kStatusLineStart.find(" #") + 1;
 
--- a/lib/http/message_parser.cc
+++ b/lib/http/message_parser.cc
@@ -15,6 +15,7 @@
 
 constexpr int kContinue = 0;
 constexpr int kStop = -1;
+constexpr unsigned short kHttpMajor = 1;
 constexpr int kSwitchingProtocols = 101;
 /// What http_parser takes from the end-of-head callback for "no body follows".
 constexpr int kSkipBody = 1;
@@ -199,7 +200,8 @@
   head_complete = true;
   if (kind == HttpMessageKind::kResponse)
     return OnAnswerHead();
-  if (hosts != 1 || parser.upgrade != 0 || HasControl(head.target))
+  if (parser.http_major != kHttpMajor || hosts != 1 || parser.upgrade != 0 ||
+      HasControl(head.target))
     return Refuse();
   head.method = http_method_str(static_cast<http_method>(parser.method));
   return kContinue;
--- a/unittests/http/broken_messages_test.cc
+++ b/unittests/http/broken_messages_test.cc
@@ -54,6 +54,10 @@
   ExpectMalformed(HttpMessageKind::kResponse, answer);
 }
 
+void ExpectRefused(const std::string& request) {
+  ExpectMalformed(HttpMessageKind::kRequest, request);
+}
+
 /// Expects that an answer is whole, in one piece and in single bytes.
 void ExpectWhole(const std::string& answer,
                  int status,
@@ -96,6 +100,14 @@
       "Upgrade: x\r\n\r\n");
 }
 
+Test(broken_answers, another_version_is_none) {
+  for (const char* version : {"HTTP/9.9", "HTTP/2.0", "HTTP/0.9", "HTTP/11.1",
+                              "HTTP/1.10", "HTTP/1", "http/1.1", "ICY"})
+    ExpectBroken(std::string(version) + " 200 OK\r\n" + kLength);
+  for (const char* version : {"HTTP/9.9", "HTTP/2.0", "HTTP/0.9"})
+    ExpectRefused("GET / " + std::string(version) + "\r\nHost: x\r\n\r\n");
+}
+
 Test(sound_answers, are_taken) {
   ExpectWhole(std::string("HTTP/1.1 200 OK\r\n") + kLength, 200, "ok");
   ExpectWhole(std::string("HTTP/1.0 200 OK\r\n") + kLength, 200, "ok");
--- a/unittests/process/broken_answers_test.cc
+++ b/unittests/process/broken_answers_test.cc
@@ -138,6 +138,20 @@
   ExpectNotPassedOn({{"600", WithStatusLine("HTTP/1.1 600 Odd")},
                      {"999", WithStatusLine("HTTP/1.1 999 Odd")}});
 }
+
+Test(broken_answers, another_version_ends_the_attempt, .timeout = 60) {
+  ExpectNotPassedOn({{"9.9", WithStatusLine("HTTP/9.9 200 OK")},
+                     {"2.0", WithStatusLine("HTTP/2.0 200 OK")}});
+}
+
+// A bad interim head is no sound one.
+Test(broken_answers, a_bad_interim_head_ends_the_attempt, .timeout = 60) {
+  const std::string good = ScriptedFleet::GoodAnswer();
+  ExpectNotPassedOn(
+      {{"name", "HTTP/1.1 103 Hints\r\nX Bad: 1\r\n\r\n" + good},
+       {"blank", "HTTP/1.1 103 Hints\r\n X-Bad: 1\r\n\r\n" + good},
+       {"version", "HTTP/3.1 100 Continue\r\n\r\n" + good}});
+}
 // NOLINTEND
 
 }  // namespace
