A control byte in the reason of an answer breaks it

Callers got the control bytes that a server wrote in the reason of its status line; a line end among them ended the line early, and what followed was passed on as a field of the answer, or lost.

Cause: http_parser, in the loose mode in which it is packaged, takes any bytes for a reason, a lone LF for a line end, and skips the byte behind a CR unread.

LineChecker refuses control bytes in all lines of a head, a CR without its LF, and in answers an LF without its CR. Requests may still end their lines with a lone LF, which RFC 9112, 2.2 leaves to the reader.

Evidence: broken_answers_test.a_control_byte_in_the_reason_ends_it on the code before: 200 with the broken body for LF, CR and ESC on /once and /read. After: 502 on /once, one send, and repeats on the other routes.

--- a/include/mangoport/http/message.h
+++ b/include/mangoport/http/message.h
@@ -18,6 +18,12 @@
 /// Header fields in the order of the message.
 using HttpFields = std::vector<HttpField>;
 
+/// True if `c` is a control byte, which no line holds. A tab is none.
+bool IsControl(char c);
+
+/// True if the text could not be passed on as a part of one line.
+bool HasControl(std::string_view text);
+
 /// True if both texts are equal apart from the case of ASCII letters.
 bool EqualsIgnoringCase(std::string_view a, std::string_view b);
 
--- a/lib/http/line_checker.cc
+++ b/lib/http/line_checker.cc
@@ -1,5 +1,7 @@
 #include "lib/http/line_checker.h"
 
+#include "mangoport/http/message.h"
+
 namespace mangoport {
 namespace {
 
@@ -14,9 +16,10 @@
 
 }  // namespace
 
-void LineChecker::Begin(HttpLine kind) {
+void LineChecker::Begin(HttpLine kind, bool allows_bare_lf) {
   *this = LineChecker();
   kind_ = kind;
+  allows_bare_lf_ = allows_bare_lf;
 }
 
 std::size_t LineChecker::Feed(std::string_view data) {
@@ -24,6 +27,7 @@
   while (n < data.size() && !ended_) {
     if (!Accepts(data[n]))
       return 0;
+    after_cr_ = data[n] == '\r';
     ended_ = data[n] == '\n';
     ++size_;
     ++n;
@@ -32,8 +36,14 @@
 }
 
 bool LineChecker::Accepts(char c) {
-  if (c == '\r' || c == '\n')
+  if (after_cr_)
+    return c == '\n';
+  if (c == '\r')
     return MayEnd();
+  if (c == '\n')
+    return allows_bare_lf_;
+  if (IsControl(c))
+    return false;
   switch (kind_) {
     case HttpLine::kRequestLine:
     case HttpLine::kField:
--- a/lib/http/line_checker.h
+++ b/lib/http/line_checker.h
@@ -14,12 +14,13 @@
   kField,
 };
 
-/// Checks the grammar of these lines where http_parser is lenient: in status
-/// lines. What it accepts is still http_parser's to judge.
+/// Checks the grammar of these lines where http_parser is lenient: line ends,
+/// control bytes and status lines. What it accepts is still http_parser's to
+/// judge.
 class LineChecker {
  public:
-  /// A line begins.
-  void Begin(HttpLine kind);
+  /// A line begins. `allows_bare_lf` says that it may end without CR.
+  void Begin(HttpLine kind, bool allows_bare_lf);
 
   /// Takes in bytes, up to the end of the line at most, and returns how many.
   /// Zero if the line is malformed.
@@ -36,6 +37,8 @@
   HttpLine kind_ = HttpLine::kField;
   /// Bytes of the line so far.
   std::size_t size_ = 0;
+  bool allows_bare_lf_ = false;
+  bool after_cr_ = false;
   bool ended_ = false;
 };
 
--- a/lib/http/message.cc
+++ b/lib/http/message.cc
@@ -26,6 +26,15 @@
 
 }  // namespace
 
+bool IsControl(char c) {
+  const auto code = static_cast<unsigned char>(c);
+  return (code < 0x20 && c != '\t') || code == 0x7f;
+}
+
+bool HasControl(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), IsControl);
+}
+
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
   return a.size() == b.size() &&
          std::equal(a.begin(), a.end(), b.begin(),
--- a/lib/http/message_parser.cc
+++ b/lib/http/message_parser.cc
@@ -49,16 +49,6 @@
   return codings == (chunked ? 1 : 0);
 }
 
-/// True if the value could not be passed on as one line.
-bool HasControl(std::string_view text) {
-  for (const char c : text) {
-    const auto code = static_cast<unsigned char>(c);
-    if ((code < 0x20 && c != '\t') || code == 0x7f)
-      return true;
-  }
-  return false;
-}
-
 }  // namespace
 
 struct MessageParser::State {
@@ -120,7 +110,8 @@
 }
 
 void MessageParser::State::BeginLine() {
-  line.Begin(NextLine());
+  line.Begin(NextLine(),
+             /*allows_bare_lf=*/kind == HttpMessageKind::kRequest);
 }
 
 std::size_t MessageParser::State::Step(std::string_view data) {
--- a/unittests/forward/http_caller_test.cc
+++ b/unittests/forward/http_caller_test.cc
@@ -113,6 +113,7 @@
         "HTTP/1.1 20 OK\r\n" + body,
         std::string("HTTP/1.1 101 Switching\r\n\r\n"),
         "HTTP/1.1 600 Odd\r\n" + body, "HTTP/9.9 200 OK\r\n" + body,
+        "HTTP/1.1 200 O\rK\r\n" + body,
         "HTTP/1.1 200 OK\r\nA b: c\r\n" + body}) {
     OneCall call;
     call.Answer(bytes);
--- a/unittests/http/broken_messages_test.cc
+++ b/unittests/http/broken_messages_test.cc
@@ -108,6 +108,24 @@
     ExpectRefused("GET / " + std::string(version) + "\r\nHost: x\r\n\r\n");
 }
 
+// A control byte was passed on, or ended the line, and the rest of the reason
+// was passed on as a field.
+Test(broken_answers, a_reason_with_a_control_byte_is_none) {
+  for (const char* reason : {"O\nX-Bad: 1", "O\rX-Bad: 1", "O\r", "O\x01K",
+                             "O\x1bK", "O\x7fK", "\x0bOK", "O\r\r"})
+    ExpectBroken("HTTP/1.1 200 " + std::string(reason) + "\r\n" + kLength);
+  using std::string_literals::operator""s;
+  ExpectBroken("HTTP/1.1 200 O\0K\r\n"s + kLength);
+}
+
+Test(broken_answers, a_line_that_ends_otherwise_is_none) {
+  for (const char* line :
+       {"HTTP/1.1 200 OK\n", "HTTP/1.1 200 OK\r\nX-A: b\n",
+        "HTTP/1.1 200 OK\r\nX-A: b\rX-B: c\r\n",
+        "HTTP/1.1 200 OK\r\nX-A: b\r\r\n", "\r\nHTTP/1.1 200 OK\r\n"})
+    ExpectBroken(std::string(line) + kLength);
+}
+
 Test(sound_answers, are_taken) {
   ExpectWhole(std::string("HTTP/1.1 200 OK\r\n") + kLength, 200, "ok");
   ExpectWhole(std::string("HTTP/1.0 200 OK\r\n") + kLength, 200, "ok");
--- a/unittests/process/broken_answers_test.cc
+++ b/unittests/process/broken_answers_test.cc
@@ -144,6 +144,13 @@
                      {"2.0", WithStatusLine("HTTP/2.0 200 OK")}});
 }
 
+// Passed on in the reason, or what followed was passed on as a field.
+Test(broken_answers, a_control_byte_in_the_reason_ends_it, .timeout = 60) {
+  ExpectNotPassedOn({{"lf", WithStatusLine("HTTP/1.1 200 O\nX-Bad: 1")},
+                     {"cr", WithStatusLine("HTTP/1.1 200 O\rX-Bad: 1")},
+                     {"esc", WithStatusLine("HTTP/1.1 200 O\x1bK")}});
+}
+
 // A bad interim head is no sound one.
 Test(broken_answers, a_bad_interim_head_ends_the_attempt, .timeout = 60) {
   const std::string good = ScriptedFleet::GoodAnswer();
