A line that continues a field breaks an answer

Callers got answers in which a line that began with a blank or a tab had been joined to the field before it. Where that was the signature, they got another signature than the server's: "s X-Bad: 1".

Cause: http_parser undoes line folding, which RFC 9112, 5.2 leaves to no sender any more.

LineChecker refuses a field line that begins with a blank. Requests have the same reader: one with such a line gets 400, and its server no longer a joined field.

Evidence: broken_answers_test.a_continued_line_ends_the_attempt on the code before: 200 with the line on /once and /read, for a blank and a tab; the host's own calls took such answers as well (http_caller_test). After: 502 on /once, repeats on the other routes, no answer for the host's own calls.

--- a/lib/http/line_checker.cc
+++ b/lib/http/line_checker.cc
@@ -14,6 +14,10 @@
   return c >= '0' && c <= '9';
 }
 
+bool IsBlank(char c) {
+  return c == ' ' || c == '\t';
+}
+
 }  // namespace
 
 void LineChecker::Begin(HttpLine kind, bool allows_bare_lf) {
@@ -46,10 +50,12 @@
     return false;
   switch (kind_) {
     case HttpLine::kRequestLine:
-    case HttpLine::kField:
       return true;
     case HttpLine::kStatusLine:
       return AcceptsInStatusLine(c);
+    case HttpLine::kField:
+      // A line that continues the one before it.
+      return size_ > 0 || !IsBlank(c);
   }
   return false;
 }
--- a/lib/http/line_checker.h
+++ b/lib/http/line_checker.h
@@ -15,8 +15,8 @@
 };
 
 /// Checks the grammar of these lines where http_parser is lenient: line ends,
-/// control bytes and status lines. What it accepts is still http_parser's to
-/// judge.
+/// control bytes, continuation lines and status lines. What it accepts is still
+/// http_parser's to judge.
 class LineChecker {
  public:
   /// A line begins. `allows_bare_lf` says that it may end without CR.
--- a/unittests/forward/http_caller_test.cc
+++ b/unittests/forward/http_caller_test.cc
@@ -105,7 +105,7 @@
 }
 
 // Calls to the store, reports and orders are made here. "0200" was taken for
-// 200.
+// 200, a continued line for a part of the field before it.
 Test(http_caller, an_answer_that_is_no_http_is_none) {
   const std::string body = "Content-Length: 2\r\n\r\nok";
   for (const std::string& bytes :
@@ -114,6 +114,7 @@
         std::string("HTTP/1.1 101 Switching\r\n\r\n"),
         "HTTP/1.1 600 Odd\r\n" + body, "HTTP/9.9 200 OK\r\n" + body,
         "HTTP/1.1 200 O\rK\r\n" + body,
+        "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n" + body,
         "HTTP/1.1 200 OK\r\nA b: c\r\n" + body}) {
     OneCall call;
     call.Answer(bytes);
--- a/unittests/http/broken_messages_test.cc
+++ b/unittests/http/broken_messages_test.cc
@@ -126,6 +126,19 @@
     ExpectBroken(std::string(line) + kLength);
 }
 
+// The line was appended to the field before it: a signature was passed on
+// changed.
+Test(broken_answers, a_line_that_begins_with_a_blank_is_none) {
+  for (const char* line :
+       {" X-Bad: 1\r\n", "\tX-Bad: 1\r\n", " \r\n", "\t\r\n", "  joined\r\n"}) {
+    ExpectBroken("HTTP/1.1 200 OK\r\nX-Seal: i-0\r\n" + std::string(line) +
+                 kLength);
+    ExpectBroken("HTTP/1.1 200 OK\r\n" + std::string(line) + "X-Seal: i-0\r\n" +
+                 kLength);
+    ExpectRefused("GET / HTTP/1.1\r\nHost: x\r\n" + std::string(line) + "\r\n");
+  }
+}
+
 Test(sound_answers, are_taken) {
   ExpectWhole(std::string("HTTP/1.1 200 OK\r\n") + kLength, 200, "ok");
   ExpectWhole(std::string("HTTP/1.0 200 OK\r\n") + kLength, 200, "ok");
--- a/unittests/process/broken_answers_test.cc
+++ b/unittests/process/broken_answers_test.cc
@@ -28,6 +28,11 @@
   return line + "\r\n" + kIds + kBody;
 }
 
+/// An answer in whose head `line` stands behind the signature.
+std::string WithLine(const std::string& line) {
+  return std::string("HTTP/1.1 200 OK\r\n") + kIds + line + "\r\n" + kBody;
+}
+
 /// Both servers answer with the form that the path names, and well if the path
 /// begins with "/read/" or "/stream/" and it is not the first time.
 class BrokenFleet {
@@ -139,6 +144,12 @@
                      {"999", WithStatusLine("HTTP/1.1 999 Odd")}});
 }
 
+// Callers got the signature "s X-Bad: 1".
+Test(broken_answers, a_continued_line_ends_the_attempt, .timeout = 60) {
+  ExpectNotPassedOn(
+      {{"blank", WithLine(" X-Bad: 1")}, {"tab", WithLine("\tX-Bad: 1")}});
+}
+
 Test(broken_answers, another_version_ends_the_attempt, .timeout = 60) {
   ExpectNotPassedOn({{"9.9", WithStatusLine("HTTP/9.9 200 OK")},
                      {"2.0", WithStatusLine("HTTP/2.0 200 OK")}});
