A chunk must end with its line

Callers got a whole 200 whose body was not what the server had sent: what stood behind a chunk's data, where CRLF must stand, was skipped unread, and a size such as "3 3" was read as 3.

Cause: http_parser in its loose mode does not look at the two bytes behind a chunk, takes whatever follows a blank behind a size for an extension, and a lone LF for a line end.

MessageParser follows the chunks: the lines between them pass LineChecker, which wants an empty line behind the data, digits alone or with an extension for a size, and lines that end with CRLF. Requests have the same reader.

--- a/lib/http/line_checker.cc
+++ b/lib/http/line_checker.cc
@@ -14,6 +14,10 @@
   return c >= '0' && c <= '9';
 }
 
+bool IsHexDigit(char c) {
+  return IsDigit(c) || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+}
+
 bool IsBlank(char c) {
   return c == ' ' || c == '\t';
 }
@@ -56,6 +60,10 @@
     case HttpLine::kField:
       // A line that continues the one before it.
       return size_ > 0 || !IsBlank(c);
+    case HttpLine::kChunkSize:
+      return AcceptsInChunkSize(c);
+    case HttpLine::kChunkEnd:
+      return false;
   }
   return false;
 }
@@ -71,6 +79,18 @@
   return expected == '#' ? IsDigit(c) : c == expected;
 }
 
+bool LineChecker::AcceptsInChunkSize(char c) {
+  if (chunk_size_part_ == ChunkSizePart::kExtension)
+    return true;
+  if (c == ';')
+    chunk_size_part_ = ChunkSizePart::kExtension;
+  else if (IsBlank(c))
+    chunk_size_part_ = ChunkSizePart::kBlanks;
+  else
+    return chunk_size_part_ == ChunkSizePart::kDigits && IsHexDigit(c);
+  return true;
+}
+
 bool LineChecker::MayEnd() const {
   // A server may leave out the blank before an empty reason.
   return kind_ != HttpLine::kStatusLine || size_ >= kStatusLineStart.size();
--- a/lib/http/line_checker.h
+++ b/lib/http/line_checker.h
@@ -6,17 +6,20 @@
 
 namespace mangoport {
 
-/// The lines of the head of an HTTP/1.1 message.
+/// The lines that frame an HTTP/1.1 message.
 enum class HttpLine {
   kRequestLine,
   kStatusLine,
-  /// A field of the head, or the empty line behind it.
+  /// A field of the head or of the trailers, or the empty line behind them.
   kField,
+  kChunkSize,
+  /// The empty line behind a chunk's data.
+  kChunkEnd,
 };
 
-/// Checks the grammar of these lines where http_parser is lenient: line ends,
-/// control bytes, continuation lines and status lines. What it accepts is still
-/// http_parser's to judge.
+/// Checks the grammar of framing lines where http_parser is lenient: line ends,
+/// control bytes, continuation lines, status lines and chunk sizes. What it
+/// accepts is still http_parser's to judge.
 class LineChecker {
  public:
   /// A line begins. `allows_bare_lf` says that it may end without CR.
@@ -30,11 +33,16 @@
   bool ended() const { return ended_; }
 
  private:
+  /// How far a line with the size of a chunk has been read.
+  enum class ChunkSizePart { kDigits, kBlanks, kExtension };
+
   bool Accepts(char c);
   bool AcceptsInStatusLine(char c) const;
+  bool AcceptsInChunkSize(char c);
   bool MayEnd() const;
 
   HttpLine kind_ = HttpLine::kField;
+  ChunkSizePart chunk_size_part_ = ChunkSizePart::kDigits;
   /// Bytes of the line so far.
   std::size_t size_ = 0;
   bool allows_bare_lf_ = false;
--- a/lib/http/message_parser.cc
+++ b/lib/http/message_parser.cc
@@ -2,6 +2,8 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "lib/http/line_checker.h"
@@ -15,6 +17,8 @@
 
 constexpr int kContinue = 0;
 constexpr int kStop = -1;
+/// Stands for a body that no chunks divide: http_parser finds its end.
+constexpr std::uint64_t kUndivided = std::numeric_limits<std::uint64_t>::max();
 constexpr unsigned short kHttpMajor = 1;
 constexpr int kSwitchingProtocols = 101;
 /// What http_parser takes from the end-of-head callback for "no body follows".
@@ -59,8 +63,13 @@
   HttpHead head;
   std::string* body = nullptr;
   LineChecker line;
+  /// Bytes of the body, or of the chunk, up to the next line.
+  std::uint64_t body_left = 0;
   bool last_was_value = false;
   bool bodyless = false;
+  /// A chunk has begun, and the line behind its data has not ended.
+  bool chunk_open = false;
+  bool trailers_begun = false;
   bool started = false;
   bool head_complete = false;
   bool message_complete = false;
@@ -72,8 +81,7 @@
   static const http_parser_settings& Callbacks();
 
   void Init();
-  /// Takes in bytes of one line of the head or of the body, and returns how
-  /// many.
+  /// Takes in bytes of one line or of the body, and returns how many.
   std::size_t Step(std::string_view data);
   std::size_t Execute(std::string_view data);
   void BeginLine();
@@ -86,6 +94,7 @@
   int OnValue(std::string_view text);
   int OnHeadComplete();
   int OnAnswerHead();
+  int OnChunkHeader();
   int Refuse();
 };
 
@@ -99,31 +108,40 @@
   started = false;
   head_complete = false;
   message_complete = false;
+  body_left = 0;
+  chunk_open = false;
+  trailers_begun = false;
   BeginLine();
 }
 
 HttpLine MessageParser::State::NextLine() const {
-  if (started)
+  if (!started)
+    return kind == HttpMessageKind::kRequest ? HttpLine::kRequestLine
+                                             : HttpLine::kStatusLine;
+  if (!head_complete || trailers_begun)
     return HttpLine::kField;
-  return kind == HttpMessageKind::kRequest ? HttpLine::kRequestLine
-                                           : HttpLine::kStatusLine;
+  return chunk_open ? HttpLine::kChunkEnd : HttpLine::kChunkSize;
 }
 
 void MessageParser::State::BeginLine() {
-  line.Begin(NextLine(),
-             /*allows_bare_lf=*/kind == HttpMessageKind::kRequest);
+  line.Begin(
+      NextLine(),
+      /*allows_bare_lf=*/kind == HttpMessageKind::kRequest && !head_complete);
 }
 
 std::size_t MessageParser::State::Step(std::string_view data) {
-  if (head_complete)
-    return Execute(data);
-  const std::size_t n = line.Feed(data);
+  const bool in_body = body_left > 0;
+  const std::size_t n = in_body
+                            ? std::min<std::uint64_t>(data.size(), body_left)
+                            : line.Feed(data);
   if (n == 0) {
     Refuse();
     return 0;
   }
   const std::size_t used = Execute(data.substr(0, n));
-  if (line.ended())
+  if (in_body && body_left != kUndivided)
+    body_left -= used;
+  if (body_left == 0 && (in_body || line.ended()))
     BeginLine();
   return used;
 }
@@ -189,6 +207,8 @@
     return Refuse();
   head.keep_alive = http_should_keep_alive(&parser) != 0;
   head_complete = true;
+  if (!head.chunked)
+    body_left = kUndivided;
   if (kind == HttpMessageKind::kResponse)
     return OnAnswerHead();
   if (parser.http_major != kHttpMajor || hosts != 1 || parser.upgrade != 0 ||
@@ -206,6 +226,13 @@
   return bodyless ? kSkipBody : kContinue;
 }
 
+int MessageParser::State::OnChunkHeader() {
+  body_left = parser.content_length;
+  chunk_open = body_left > 0;
+  trailers_begun = body_left == 0;
+  return kContinue;
+}
+
 const http_parser_settings& MessageParser::State::Callbacks() {
   static const http_parser_settings kSettings = [] {
     http_parser_settings out;
@@ -237,6 +264,13 @@
       Of(parser).body->append(at, n);
       return kContinue;
     };
+    out.on_chunk_header = [](http_parser* parser) {
+      return Of(parser).OnChunkHeader();
+    };
+    out.on_chunk_complete = [](http_parser* parser) {
+      Of(parser).chunk_open = false;
+      return kContinue;
+    };
     out.on_message_complete = [](http_parser* parser) {
       Of(parser).message_complete = true;
       http_parser_pause(parser, 1);
--- a/unittests/forward/http_caller_test.cc
+++ b/unittests/forward/http_caller_test.cc
@@ -108,6 +108,7 @@
 // 200, a continued line for a part of the field before it.
 Test(http_caller, an_answer_that_is_no_http_is_none) {
   const std::string body = "Content-Length: 2\r\n\r\nok";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
   for (const std::string& bytes :
        {"HTTP/1.1 000 Odd\r\n" + body, "HTTP/1.1 0200 OK\r\n" + body,
         "HTTP/1.1 20 OK\r\n" + body,
@@ -115,7 +116,8 @@
         "HTTP/1.1 600 Odd\r\n" + body, "HTTP/9.9 200 OK\r\n" + body,
         "HTTP/1.1 200 O\rK\r\n" + body,
         "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n" + body,
-        "HTTP/1.1 200 OK\r\nA b: c\r\n" + body}) {
+        "HTTP/1.1 200 OK\r\nA b: c\r\n" + body,
+        "HTTP/1.1 200 OK\r\n" + chunked + "2\r\nokXX0\r\n\r\n"}) {
     OneCall call;
     call.Answer(bytes);
     cr_expect_eq(call.Result().status, 0, "%s", bytes.c_str());
--- a/unittests/http/broken_messages_test.cc
+++ b/unittests/http/broken_messages_test.cc
@@ -139,6 +139,32 @@
   }
 }
 
+// The bytes behind a chunk's data were skipped unread.
+Test(broken_answers, a_chunk_must_end_with_its_line) {
+  for (const char* body :
+       {"2\r\nokXX0\r\n\r\n", "2\r\nok\rX0\r\n\r\n", "2\r\nokX\n0\r\n\r\n",
+        "2\r\nok\n\n0\r\n\r\n", "2\r\nok0\r\n\r\n", "2\r\nokay\r\n0\r\n\r\n",
+        "2\r\nok\n0\r\n\r\n"}) {
+    ExpectBroken("HTTP/1.1 200 OK\r\n" + (kChunked + std::string(body)));
+    ExpectRefused("POST / HTTP/1.1\r\nHost: x\r\n" +
+                  (kChunked + std::string(body)));
+  }
+}
+
+Test(broken_answers, a_chunk_size_must_be_its_line) {
+  for (const char* body :
+       {"2\nok\r\n0\r\n\r\n", "2\rXok\r\n0\r\n\r\n", "2 2\r\nok\r\n0\r\n\r\n",
+        "2 x\r\nok\r\n0\r\n\r\n", "2;a=\x01\r\nok\r\n0\r\n\r\n",
+        "2;a\rb\r\nok\r\n0\r\n\r\n", " 2\r\nok\r\n0\r\n\r\n",
+        "+2\r\nok\r\n0\r\n\r\n", "-2\r\nok\r\n0\r\n\r\n",
+        "0x2\r\nok\r\n0\r\n\r\n", "\r\nok\r\n0\r\n\r\n",
+        "10000000000000002\r\nok\r\n0\r\n\r\n", ";a\r\nok\r\n0\r\n\r\n"}) {
+    ExpectBroken("HTTP/1.1 200 OK\r\n" + (kChunked + std::string(body)));
+    ExpectRefused("POST / HTTP/1.1\r\nHost: x\r\n" +
+                  (kChunked + std::string(body)));
+  }
+}
+
 Test(sound_answers, are_taken) {
   ExpectWhole(std::string("HTTP/1.1 200 OK\r\n") + kLength, 200, "ok");
   ExpectWhole(std::string("HTTP/1.0 200 OK\r\n") + kLength, 200, "ok");
--- a/unittests/process/broken_answers_test.cc
+++ b/unittests/process/broken_answers_test.cc
@@ -1,5 +1,7 @@
 // Backend servers whose answers are no HTTP/1.1: callers must not
 // get them, nor wait for them until their deadline.
+#include <chrono>
+#include <cstdio>
 #include <map>
 #include <mutex>
 #include <string>
@@ -14,6 +16,7 @@
 
 constexpr char kIds[] = "X-Attempt-Id: id1\r\nX-Server-Seal: s\r\n";
 constexpr char kBody[] = "Content-Length: 3\r\n\r\nbad";
+constexpr char kChunked[] = "Transfer-Encoding: chunked\r\n\r\n";
 constexpr char kManyRepeats[] = "repeat_ratio = 1\nrepeat_extra = 100\n";
 
 /// One form of a broken answer.
@@ -33,6 +36,22 @@
   return std::string("HTTP/1.1 200 OK\r\n") + kIds + line + "\r\n" + kBody;
 }
 
+std::string WithChunks(const std::string& body) {
+  return std::string("HTTP/1.1 200 OK\r\n") + kIds + kChunked + body;
+}
+
+std::string Chunk(const std::string& data) {
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+  return size + data + "\r\n";
+}
+
+/// The chunk without the end of its line.
+std::string WithoutEnd(std::string chunk) {
+  chunk.resize(chunk.size() - 2);
+  return chunk;
+}
+
 /// Both servers answer with the form that the path names, and well if the path
 /// begins with "/read/" or "/stream/" and it is not the first time.
 class BrokenFleet {
@@ -162,6 +181,13 @@
                      {"esc", WithStatusLine("HTTP/1.1 200 O\x1bK")}});
 }
 
+// Callers got a whole answer with a body that was not sent.
+Test(broken_answers, a_chunk_without_its_end_is_not_whole, .timeout = 60) {
+  ExpectNotPassedOn({{"other", WithChunks("3\r\nbadXX0\r\n\r\n")},
+                     {"long", WithChunks("3\r\nbadly\r\n0\r\n\r\n")},
+                     {"size", WithChunks("3 3\r\nbad\r\n0\r\n\r\n")}});
+}
+
 // A bad interim head is no sound one.
 Test(broken_answers, a_bad_interim_head_ends_the_attempt, .timeout = 60) {
   const std::string good = ScriptedFleet::GoodAnswer();
@@ -170,6 +196,29 @@
        {"blank", "HTTP/1.1 103 Hints\r\n X-Bad: 1\r\n\r\n" + good},
        {"version", "HTTP/3.1 100 Continue\r\n\r\n" + good}});
 }
+
+// Only the events before the break stand; the rest comes from elsewhere.
+Test(broken_answers, a_stream_with_a_broken_chunk_goes_on, .timeout = 60) {
+  ScriptedFleet fleet(
+      [](const SeenRequest& request, int) {
+        const std::string head = std::string("HTTP/1.1 200 OK\r\n") + kIds +
+                                 "Content-Type: text/event-stream\r\n" +
+                                 kChunked;
+        const std::string last = request.Field("Last-Event-Id");
+        if (last == "3")
+          return ScriptedAnswer{
+              .pieces = {head + Chunk(Events(4, 6)) + "0\r\n\r\n"}};
+        return ScriptedAnswer{
+            .pieces = {head + WithoutEnd(Chunk(Events(1, 3))),
+                       "XX" + Chunk(Events(4, 5)) + "0\r\n\r\n"},
+            .pause = std::chrono::milliseconds(100)};
+      },
+      kManyRepeats);
+  const auto reply = fleet.Ask("/stream/x");
+  cr_assert(reply);
+  cr_expect_eq(reply->body, Events(1, 6), "the caller got %s",
+               reply->body.c_str());
+}
 // NOLINTEND
 
 }  // namespace
