A trailer with a bad name breaks an answer

Callers got answers whose trailers hold what no head may: a name with a blank. Trailers are dropped, but a server that writes such ones doesn't write HTTP, and its body is no safer than its head.

Cause: names were checked at the end of the head only; http_parser in its loose mode takes a blank for a part of a name.

MessageParser checks the names of trailers as they come; their lines pass LineChecker already. Requests have the same reader.

--- a/include/mangoport/http/message.h
+++ b/include/mangoport/http/message.h
@@ -24,6 +24,12 @@
 /// True if the text could not be passed on as a part of one line.
 bool HasControl(std::string_view text);
 
+/// True if no other characters are in the text than those of a token.
+bool HasOnlyTokenChars(std::string_view text);
+
+/// True if the text can be the name of a field.
+bool IsToken(std::string_view text);
+
 /// True if both texts are equal apart from the case of ASCII letters.
 bool EqualsIgnoringCase(std::string_view a, std::string_view b);
 
--- a/lib/http/message.cc
+++ b/lib/http/message.cc
@@ -24,6 +24,13 @@
   return text;
 }
 
+bool IsTokenChar(char c) {
+  if ((c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+      (c >= '0' && c <= '9'))
+    return true;
+  return std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
 }  // namespace
 
 bool IsControl(char c) {
@@ -35,6 +42,14 @@
   return std::any_of(text.begin(), text.end(), IsControl);
 }
 
+bool HasOnlyTokenChars(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), IsTokenChar);
+}
+
+bool IsToken(std::string_view text) {
+  return !text.empty() && HasOnlyTokenChars(text);
+}
+
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
   return a.size() == b.size() &&
          std::equal(a.begin(), a.end(), b.begin(),
--- a/lib/http/message_parser.cc
+++ b/lib/http/message_parser.cc
@@ -24,21 +24,6 @@
 /// What http_parser takes from the end-of-head callback for "no body follows".
 constexpr int kSkipBody = 1;
 
-bool IsTokenChar(char c) {
-  if ((c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-      (c >= '0' && c <= '9'))
-    return true;
-  return std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
-}
-
-bool IsToken(std::string_view text) {
-  for (const char c : text) {
-    if (!IsTokenChar(c))
-      return false;
-  }
-  return !text.empty();
-}
-
 /// True if the body's transfer coding, if any, is chunks and nothing else.
 /// `chunked` says that they will be undone.
 bool CanDecode(const HttpFields& fields, bool chunked) {
@@ -165,9 +150,9 @@
 }
 
 int MessageParser::State::OnName(std::string_view text) {
-  // Trailers of a chunked body are dropped.
+  // Trailers of a chunked body are checked and dropped.
   if (head_complete)
-    return kContinue;
+    return HasOnlyTokenChars(text) ? kContinue : Refuse();
   const bool is_new = last_was_value || head.fields.empty();
   if (is_new)
     head.fields.emplace_back();
--- a/unittests/forward/http_caller_test.cc
+++ b/unittests/forward/http_caller_test.cc
@@ -117,7 +117,8 @@
         "HTTP/1.1 200 O\rK\r\n" + body,
         "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n" + body,
         "HTTP/1.1 200 OK\r\nA b: c\r\n" + body,
-        "HTTP/1.1 200 OK\r\n" + chunked + "2\r\nokXX0\r\n\r\n"}) {
+        "HTTP/1.1 200 OK\r\n" + chunked + "2\r\nokXX0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + chunked + "2\r\nok\r\n0\r\nA b: c\r\n\r\n"}) {
     OneCall call;
     call.Answer(bytes);
     cr_expect_eq(call.Result().status, 0, "%s", bytes.c_str());
--- a/unittests/http/broken_messages_test.cc
+++ b/unittests/http/broken_messages_test.cc
@@ -165,6 +165,18 @@
   }
 }
 
+// Trailers are dropped, but a server that writes such ones is broken.
+Test(broken_answers, a_trailer_is_read_like_a_field) {
+  for (const char* line :
+       {"X Bad: 1\r\n", "X-Bad : 1\r\n", " X-Bad: 1\r\n", "X-A: b\r\n c\r\n",
+        "X-\x01: 1\r\n", "X-A: \x01\r\n", "X-A: b\n", "X-A: b\rc\r\n",
+        "X-Bad\r\n", ": 1\r\n"}) {
+    const std::string body = "2\r\nok\r\n0\r\n" + std::string(line) + "\r\n";
+    ExpectBroken("HTTP/1.1 200 OK\r\n" + (kChunked + body));
+    ExpectRefused("POST / HTTP/1.1\r\nHost: x\r\n" + (kChunked + body));
+  }
+}
+
 Test(sound_answers, are_taken) {
   ExpectWhole(std::string("HTTP/1.1 200 OK\r\n") + kLength, 200, "ok");
   ExpectWhole(std::string("HTTP/1.0 200 OK\r\n") + kLength, 200, "ok");
--- a/unittests/process/broken_answers_test.cc
+++ b/unittests/process/broken_answers_test.cc
@@ -188,6 +188,12 @@
                      {"size", WithChunks("3 3\r\nbad\r\n0\r\n\r\n")}});
 }
 
+Test(broken_answers, a_bad_trailer_ends_the_attempt, .timeout = 60) {
+  ExpectNotPassedOn(
+      {{"name", WithChunks("3\r\nbad\r\n0\r\nX Bad: 1\r\n\r\n")},
+       {"blank", WithChunks("3\r\nbad\r\n0\r\n X-Bad: 1\r\n\r\n")}});
+}
+
 // A bad interim head is no sound one.
 Test(broken_answers, a_bad_interim_head_ends_the_attempt, .timeout = 60) {
   const std::string good = ScriptedFleet::GoodAnswer();
