An answer that has no body ends with its head

Callers got 504 for a sound 304 that states the length of the body it stands for: the body was waited for until their deadline. An interim head or a 204 with a length took what followed it for its body.

Cause: http_parser goes by the length alone. RFC 9112, 6.3 ends these answers with their head, whatever it states.

MessageParser ends them there. A 204 that states a body is passed on, and its connection isn't kept, since more may follow.

Evidence: sound_answers.a_304_ends_with_its_head on the code before: 504 on /once and /read. After: 304 on both.

--- a/include/mangoport/http/message.h
+++ b/include/mangoport/http/message.h
@@ -30,6 +30,10 @@
 /// True if the text can be the name of a field.
 bool IsToken(std::string_view text);
 
+/// True if an answer with this status ends with its head, whatever length the
+/// head states.
+bool HasNoBody(int status);
+
 /// True if both texts are equal apart from the case of ASCII letters.
 bool EqualsIgnoringCase(std::string_view a, std::string_view b);
 
--- a/lib/forward/client_session.cc
+++ b/lib/forward/client_session.cc
@@ -21,11 +21,6 @@
 
 constexpr std::string_view kContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
-/// An answer with this status has no body, whatever was asked.
-bool HasNoBody(int status) {
-  return status / 100 == 1 || status == 204 || status == 304;
-}
-
 MonoTime Now() {
   return std::chrono::steady_clock::now();
 }
--- a/lib/http/message.cc
+++ b/lib/http/message.cc
@@ -50,6 +50,10 @@
   return !text.empty() && HasOnlyTokenChars(text);
 }
 
+bool HasNoBody(int status) {
+  return status / 100 == 1 || status == 204 || status == 304;
+}
+
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
   return a.size() == b.size() &&
          std::equal(a.begin(), a.end(), b.begin(),
--- a/lib/http/message_parser.cc
+++ b/lib/http/message_parser.cc
@@ -21,6 +21,7 @@
 constexpr std::uint64_t kUndivided = std::numeric_limits<std::uint64_t>::max();
 constexpr unsigned short kHttpMajor = 1;
 constexpr int kSwitchingProtocols = 101;
+constexpr int kNotModified = 304;
 /// What http_parser takes from the end-of-head callback for "no body follows".
 constexpr int kSkipBody = 1;
 
@@ -208,7 +209,14 @@
   // No request asks for another protocol.
   if (head.status == kSwitchingProtocols)
     return Refuse();
-  return bodyless ? kSkipBody : kContinue;
+  if (!HasNoBody(head.status))
+    return bodyless ? kSkipBody : kContinue;
+  // The length of a 304 is that of a body which isn't sent. Elsewhere it says
+  // that more may follow, and the connection can't be kept.
+  const bool states_body = head.chunked || head.content_length.value_or(0) > 0;
+  if (states_body && head.status != kNotModified)
+    head.keep_alive = false;
+  return kSkipBody;
 }
 
 int MessageParser::State::OnChunkHeader() {
--- a/unittests/http/broken_messages_test.cc
+++ b/unittests/http/broken_messages_test.cc
@@ -195,6 +195,20 @@
               200, "ok0123\r\n6789");
   ExpectWhole("HTTP/1.1 200 OK\r\n\r\nto the end\n \r", 200, "to the end\n \r");
 }
+
+// The length of a 304 is that of a body that isn't there, which was waited for.
+Test(sound_answers, without_a_body_end_with_their_head) {
+  for (const char* status : {"304", "204", "100", "103"}) {
+    const Parsed parsed =
+        Parse(HttpMessageKind::kResponse,
+              "HTTP/1.1 " + std::string(status) + " None\r\n" + kLength, 1);
+    cr_expect(parsed.whole, "%s", status);
+    cr_expect_eq(parsed.body, "", "%s", status);
+    // The length of a 304 promises no bytes; other ones may come late.
+    cr_expect_eq(parsed.head.keep_alive, std::string(status) == "304", "%s",
+                 status);
+  }
+}
 // NOLINTEND
 
 }  // namespace
--- a/unittests/process/broken_answers_test.cc
+++ b/unittests/process/broken_answers_test.cc
@@ -203,6 +203,20 @@
        {"version", "HTTP/3.1 100 Continue\r\n\r\n" + good}});
 }
 
+// The body whose length a 304 names was waited for until the deadline.
+Test(sound_answers, a_304_ends_with_its_head, .timeout = 60) {
+  ScriptedFleet fleet([](const SeenRequest&, int) {
+    return ScriptedAnswer{.pieces = {std::string("HTTP/1.1 304 Same\r\n") +
+                                     kIds + "Content-Length: 9\r\n\r\n"}};
+  });
+  for (const char* path : {"/once/x", "/read/x"}) {
+    const auto reply = fleet.Ask(path);
+    cr_assert(reply);
+    cr_expect_eq(reply->status, 304, "%s: the caller got %d", path,
+                 reply->status);
+  }
+}
+
 // Only the events before the break stand; the rest comes from elsewhere.
 Test(broken_answers, a_stream_with_a_broken_chunk_goes_on, .timeout = 60) {
   ScriptedFleet fleet(
