serve: answers with a broken head are no answers

Callers of `mangoport serve` got the statuses 0, 99, 101, 103 and 600 of a plain service, and answers in whose head the name of a field held a blank or a control byte. Where that field was the length or the coding, the body was another: with its chunk framing in it, or cut ("1, 1" was read as 1). Orders answered in such a way counted as refused, so as not carried out.

Cause: cpp-httplib takes any three digits for a final status (but 100), any text up to a colon for a name, and a coding that it doesn't know for none.

All calls of lib/adapters go through `Send`, which ends a call whose answer has a head that isn't sound. Such a call has been sent, and its outcome is unknown. An interim head other than 100 ends the call as well: cpp-httplib shows it as the answer.

--- a/lib/adapters/http_backends.cc
+++ b/lib/adapters/http_backends.cc
@@ -186,7 +186,7 @@
                                            std::uint64_t /*total*/) {
       return receiver.OnBytes({data, n});
     };
-    return receiver.Finish(client.send(request));
+    return receiver.Finish(Send(client, std::move(request)));
   }
 
   void Cancel(const Endpoint& engine, const RequestId& request) override {
@@ -198,7 +198,7 @@
   std::optional<EngineReport> Report(const Endpoint& engine,
                                      Duration timeout) override {
     httplib::Client client = MakeHttpClient(engine, timeout, timeout);
-    const httplib::Result result = client.Get("/control/report");
+    const httplib::Result result = Get(client, "/control/report");
     if (!result || result->status != 200)
       return std::nullopt;
     const json answer = ParseJson(result->body);
@@ -221,7 +221,7 @@
         {"kind", order.kind},         {"name", order.name},
         {"version", order.version},   {"size_mb", order.size_mb}};
     const httplib::Result result =
-        client.Post("/control/orders", body.dump(), "application/json");
+        Post(client, "/control/orders", body.dump(), "application/json");
     if (!result)
       return OrderStatus::kUnknown;
     if (result->status == 202)
@@ -246,7 +246,7 @@
     request.set_header("X-Request-Id", call.request.value());
     if (!call.content_type.empty())
       request.set_header("Content-Type", call.content_type);
-    const httplib::Result result = client.send(request);
+    const httplib::Result result = Send(client, std::move(request));
     if (!result) {
       return {NothingSent(result.error()) ? PlainStatus::kNotSent
                                           : PlainStatus::kUnknown,
--- a/lib/adapters/http_client.h
+++ b/lib/adapters/http_client.h
@@ -3,6 +3,8 @@
 
 #include <httplib.h>
 
+#include <string>
+
 #include "mangoport/core/time.h"
 #include "mangoport/settings/host_settings.h"
 
@@ -28,6 +30,23 @@
          error == httplib::Error::BindIPAddress;
 }
 
+/// True if the head of an answer is HTTP/1.1, as far as cpp-httplib shows it:
+/// a final status, names and values that fields can have, and one framing.
+bool HasSoundHead(const httplib::Response& response);
+
+/// Sends a request. The call fails, after its request has been sent, if the
+/// head of the answer isn't sound.
+httplib::Result Send(httplib::Client& client, httplib::Request request);
+
+/// The same for a request without a body.
+httplib::Result Get(httplib::Client& client, const std::string& path);
+
+/// The same for a request with a body.
+httplib::Result Post(httplib::Client& client,
+                     const std::string& path,
+                     std::string body,
+                     const std::string& content_type);
+
 }  // namespace mangoport
 
 #endif  // MANGOPORT_LIB_ADAPTERS_HTTP_CLIENT_H_
--- a/lib/adapters/http_operator.cc
+++ b/lib/adapters/http_operator.cc
@@ -22,7 +22,7 @@
                                                Duration timeout) const {
   httplib::Client client = MakeHttpClient(endpoint_, timeout, timeout);
   client.set_bearer_token_auth(token_);
-  return BodyOf(client.Get(path));
+  return BodyOf(mangoport::Get(client, path));
 }
 
 std::optional<std::string> OperatorClient::Post(const std::string& path,
@@ -30,7 +30,7 @@
                                                 Duration timeout) const {
   httplib::Client client = MakeHttpClient(endpoint_, timeout, timeout);
   client.set_bearer_token_auth(token_);
-  return BodyOf(client.Post(path, body, "application/json"));
+  return BodyOf(mangoport::Post(client, path, body, "application/json"));
 }
 
 }  // namespace mangoport
--- a/lib/adapters/http_platform.cc
+++ b/lib/adapters/http_platform.cc
@@ -45,9 +45,8 @@
                       Duration timeout) override {
     httplib::Client client =
         MakeHttpClient(endpoint_, std::min(timeout, kConnectTimeout), timeout);
-    const httplib::Result result =
-        client.Post(Path(stream), payload.data(), payload.size(),
-                    "application/octet-stream");
+    const httplib::Result result = Post(
+        client, Path(stream), std::string(payload), "application/octet-stream");
     if (!result) {
       return {NothingSent(result.error()) ? AppendStatus::kRefused
                                           : AppendStatus::kUnknown,
@@ -72,7 +71,7 @@
         Path(stream) + "?from=" + std::to_string(from) +
         "&max=" + std::to_string(max_entries) +
         "&wait_ms=" + std::to_string(duration_cast<milliseconds>(wait).count());
-    const httplib::Result result = client.Get(path);
+    const httplib::Result result = Get(client, path);
     if (!result || result->status != 200)
       return {};
     return ParsePage(ParseJson(result->body));
@@ -118,8 +117,8 @@
   HostListPage Read(Duration timeout) override {
     httplib::Client client =
         MakeHttpClient(endpoint_, std::min(timeout, kConnectTimeout), timeout);
-    const nlohmann::json hosts = Get(client, "/v1/hosts");
-    const nlohmann::json servers = Get(client, "/v1/servers");
+    const nlohmann::json hosts = ReadJson(client, "/v1/hosts");
+    const nlohmann::json servers = ReadJson(client, "/v1/servers");
     if (!hosts.is_object() || !servers.is_object())
       return {};
     HostListPage page;
@@ -146,8 +145,9 @@
   }
 
  private:
-  static nlohmann::json Get(httplib::Client& client, const std::string& path) {
-    const httplib::Result result = client.Get(path);
+  static nlohmann::json ReadJson(httplib::Client& client,
+                                 const std::string& path) {
+    const httplib::Result result = Get(client, path);
     return result && result->status == 200 ? ParseJson(result->body)
                                            : nlohmann::json();
   }
