--- a/unittests/http/broken_messages_test.cc
+++ b/unittests/http/broken_messages_test.cc
@@ -139,6 +139,16 @@
   }
 }
 
+Test(broken_answers, a_name_that_is_no_token_is_none) {
+  for (const char* line :
+       {"X Bad: 1", "X-Bad : 1", "X\tBad: 1", "X-\x01: 1", "X-\x7f: 1", ": 1",
+        "X-Bad", "X(: 1", "X-\xe9: 1", "X-A: b\x01", "X-A: b\x7f"})
+    ExpectBroken("HTTP/1.1 200 OK\r\n" + std::string(line) + "\r\n" + kLength);
+  using std::string_literals::operator""s;
+  ExpectBroken("HTTP/1.1 200 OK\r\nX-\0: 1\r\n"s + kLength);
+  ExpectBroken("HTTP/1.1 200 OK\r\nX-A: \0\r\n"s + kLength);
+}
+
 // The bytes behind a chunk's data were skipped unread.
 Test(broken_answers, a_chunk_must_end_with_its_line) {
   for (const char* body :
--- a/unittests/process/broken_answers_test.cc
+++ b/unittests/process/broken_answers_test.cc
@@ -181,6 +181,14 @@
                      {"esc", WithStatusLine("HTTP/1.1 200 O\x1bK")}});
 }
 
+Test(broken_answers, a_bad_name_or_value_ends_the_attempt, .timeout = 60) {
+  ExpectNotPassedOn({{"blank", WithLine("X Bad: 1")},
+                     {"before-colon", WithLine("X-Bad : 1")},
+                     {"control", WithLine("X-\x01: 1")},
+                     {"value", WithLine("X-Bad: \x01")},
+                     {"length", WithLine("Content-Length : 1")}});
+}
+
 // Callers got a whole answer with a body that was not sent.
 Test(broken_answers, a_chunk_without_its_end_is_not_whole, .timeout = 60) {
   ExpectNotPassedOn({{"other", WithChunks("3\r\nbadXX0\r\n\r\n")},
@@ -203,6 +211,21 @@
        {"version", "HTTP/3.1 100 Continue\r\n\r\n" + good}});
 }
 
+Test(sound_answers, behind_interim_heads_are_passed_on, .timeout = 60) {
+  ScriptedFleet fleet([](const SeenRequest&, int) {
+    return ScriptedAnswer{
+        .pieces = {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
+                   "Link: </a>\r\n\r\n" +
+                   ScriptedFleet::GoodAnswer()}};
+  });
+  for (const char* path : {"/once/x", "/read/x"}) {
+    const auto reply = fleet.Ask(path);
+    cr_assert(reply && reply->status == 200, "%s", path);
+    cr_expect_eq(reply->body, "ok");
+    cr_expect_not(reply->has_header("Link"));
+  }
+}
+
 // The body whose length a 304 names was waited for until the deadline.
 Test(sound_answers, a_304_ends_with_its_head, .timeout = 60) {
   ScriptedFleet fleet([](const SeenRequest&, int) {
@@ -217,6 +240,22 @@
   }
 }
 
+// What followed an answer on its connection reaches no other caller.
+Test(broken_answers, bytes_behind_an_answer_reach_nobody, .timeout = 60) {
+  ScriptedFleet fleet([](const SeenRequest& request, int) {
+    const bool bad = request.target.ends_with("/bad");
+    return ScriptedAnswer{.pieces = {ScriptedFleet::GoodAnswer() +
+                                     (bad ? "HTTP/1.1 000 Odd\r\n\r\n" : "")}};
+  });
+  for (int i = 0; i < 5; ++i) {
+    for (const char* path : {"/once/bad", "/once/good", "/read/good"}) {
+      const auto reply = fleet.Ask(path);
+      cr_assert(reply && reply->status == 200, "%s", path);
+      cr_expect_eq(reply->body, "ok");
+    }
+  }
+}
+
 // Only the events before the break stand; the rest comes from elsewhere.
 Test(broken_answers, a_stream_with_a_broken_chunk_goes_on, .timeout = 60) {
   ScriptedFleet fleet(
