--- a/unittests/process/broken_answers_test.cc
+++ b/unittests/process/broken_answers_test.cc
@@ -1,5 +1,5 @@
-// Backend servers whose answers are no HTTP/1.1: callers must not
-// get them, nor wait for them until their deadline.
+// Backend servers whose answers are no HTTP/1.1: callers must not get them, nor
+// wait for them until their deadline.
 #include <chrono>
 #include <cstdio>
 #include <map>
@@ -240,6 +240,28 @@
   }
 }
 
+// A server that never gets beyond interim heads is left by the deadline, and
+// what it sends is not gathered.
+Test(broken_answers, interim_heads_without_end_are_left, .timeout = 60) {
+  constexpr std::size_t kMemoryBytes = std::size_t{182} * 1024 * 1024;
+  std::string heads;
+  for (int i = 0; i < 100; ++i)
+    heads += "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+  ScriptedFleet fleet([&heads](const SeenRequest& request, int) {
+    const bool bad = request.target.ends_with("/bad");
+    return ScriptedAnswer{.pieces = {bad ? heads : ScriptedFleet::GoodAnswer()},
+                          .endless = bad};
+  });
+  const auto reply = fleet.Ask("/once/bad");
+  cr_assert(reply);
+  cr_expect_geq(reply->status, 502, "the caller got %d", reply->status);
+  cr_expect_neq(reply->body.find("\"not_run\":false"), std::string::npos);
+  cr_expect_eq(fleet.Sends("/once/bad").size(), 1);
+  const auto next = fleet.Ask("/once/good");
+  cr_expect(next && next->status == 200);
+  cr_expect_lt(fleet.host().process_->PeakMemory(), kMemoryBytes);
+}
+
 // What followed an answer on its connection reaches no other caller.
 Test(broken_answers, bytes_behind_an_answer_reach_nobody, .timeout = 60) {
   ScriptedFleet fleet([](const SeenRequest& request, int) {
