--- a/unittests/peer/broken_replies_test.cc
+++ b/unittests/peer/broken_replies_test.cc
@@ -20,7 +20,6 @@
 namespace {
 
 using std::chrono::seconds;
-using std::string_literals::operator""s;
 
 constexpr std::uint8_t kData = 0x0;
 constexpr std::uint8_t kHeaders = 0x1;
@@ -34,18 +33,18 @@
                   std::uint8_t flags,
                   std::uint8_t stream,
                   std::string_view payload) {
-  std::string out = "\0\0"s;
+  std::string out(2, '\0');
   for (const std::size_t it :
        {payload.size(), std::size_t{type}, std::size_t{flags}})
     out.push_back(static_cast<char>(it));
-  out += "\0\0\0"s;
+  out.append(3, '\0');
   out.push_back(static_cast<char>(stream));
   return out.append(payload);
 }
 
 /// A header field as HPACK has it without tables and without Huffman codes.
 std::string Field(std::string_view name, std::string_view value) {
-  std::string out = "\0"s;
+  std::string out(1, '\0');
   for (const std::string_view it : {name, value}) {
     out.push_back(static_cast<char>(it.size()));
     out.append(it);
@@ -114,7 +113,7 @@
 
 Test(broken_replies, bytes_that_are_no_frames_are_no_reply, .timeout = 60) {
   for (const std::string& bytes :
-       {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"s,
+       {std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"),
         Frame(kData, kEndStream, kFirstStream, "ok"),
         Reply("\xff\xff\xff\xff\xff\xff\xff\xff")}) {
     const PeerReply reply = ReplyTo(bytes);
