--- a/review/support-3/reset_answer.cc
+++ b/review/support-3/reset_answer.cc
@@ -66,9 +66,9 @@
 
 bool Run(const std::string& folder) {
   const bool trouble = TroubleIsOn();
-  Store store;
-  Server engine([trouble](int fd) { ServeEngine(fd, trouble); }, 0,
-                kEngineWindow);
+  Store& store = Make<Store>();
+  Server& engine = Make<Server>(
+      [trouble](int fd) { ServeEngine(fd, trouble); }, 0, kEngineWindow);
   store.Put("keyed.op", "config", kConfig);
   store.Put("keyed.servers", "i-a",
             EngineEntry("s", engine.address(), "ready", 1700000000000));
--- a/review/support-3/standin.h
+++ b/review/support-3/standin.h
@@ -702,6 +702,12 @@
   return !trouble || std::string(trouble) != "0";
 }
 
+// A stand-in that lives as long as the program, since its threads do.
+template <typename T, typename... Args>
+T& Make(Args&&... args) {
+  return *new T(std::forward<Args>(args)...);
+}
+
 // Runs a case: `argv[1]` is a temporary folder, `argv[2]` the record. The case
 // returns true if the rule held.
 inline int Main(int argc,
@@ -714,10 +720,11 @@
   try {
     const bool held = run(argv[1]);
     RECORD("%s", held ? "the rule held" : "the rule was broken");
-    return held ? 0 : 1;
+    // Threads of the stand-ins may still run.
+    ::_exit(held ? 0 : 1);
   } catch (const std::exception& error) {
     RECORD("the case could not run: %s", error.what());
-    return 2;
+    ::_exit(2);
   }
 }
 
