--- a/review/support-3/engine.h
+++ b/review/support-3/engine.h
@@ -20,17 +20,19 @@
               std::string service,
               long long born,
               int load_ms,
-              Run run)
+              Run run,
+              std::set<std::string> models = {})
       : store_(store),
         id_(std::move(id)),
         service_(std::move(service)),
         born_(born),
         load_ms_(load_ms),
         run_(std::move(run)),
+        models_(std::move(models)),
         server_([this](int fd) { Serve(fd); }) {
     Beat();
     std::thread([this] {
-      while (true) {
+      while (!has_crashed_) {
         Sleep(1200);
         Beat();
       }
@@ -39,6 +41,12 @@
 
   const std::string& id() const { return id_; }
 
+  // Called with what the engine holds when it is ordered to load a model that
+  // it doesn't hold. False if the order is too much for it, and it crashes.
+  std::function<bool(const std::set<std::string>& held,
+                     const std::string& model)>
+      may_load;
+
   // Registers the engine in the store.
   void Beat() {
     const std::lock_guard lock(mutex_);
@@ -96,6 +104,10 @@
     const bool load = op == "load";
     if (models_.contains(model) == load)
       return Json(200, "{}");
+    if (load && may_load && !may_load(models_, model)) {
+      has_crashed_ = true;
+      return {};
+    }
     busy_ = true;
     ++orders_;
     std::thread([this, load, model] {
@@ -124,15 +136,17 @@
     std::string buf;
     Message request;
     bool goes_on = true;
-    while (goes_on && ReadHead(fd, buf, request) &&
+    while (goes_on && !has_crashed_ && ReadHead(fd, buf, request) &&
            ReadBody(fd, buf, request)) {
+      if (has_crashed_)
+        break;
       const std::string expected = request.Field("X-Expect-Instance");
       if (!expected.empty() && expected != id_)
         goes_on = SendAll(fd, EngineAnswer(request, 421, id_, ""));
       else if (request.target == "/mangoport/report")
         goes_on = SendAll(fd, Report());
       else if (request.target == "/mangoport/order")
-        goes_on = SendAll(fd, Order(request));
+        goes_on = SendAll(fd, Order(request)) && !has_crashed_;
       else if (AnswerQuery(fd, request, id_))
         continue;
       else if (!Holds(request.Field("X-Model")))
@@ -149,11 +163,12 @@
   long long born_;
   int load_ms_;
   Run run_;
-  std::mutex mutex_;
   std::set<std::string> models_;
+  std::mutex mutex_;
   int beats_ = 0;
   int orders_ = 0;
   bool busy_ = false;
+  std::atomic<bool> has_crashed_{false};
   Server server_;
 };
 
