--- a/review/support-3/reset_answer.cc
+++ b/review/support-3/reset_answer.cc
@@ -15,9 +15,7 @@
     R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},)"
     R"("Tenants":[{"Name":"t1","ApiKeys":["k1"],"RatePerS":0,"Burst":0}]})";
 
-constexpr int kBodyBytes = 4000000;
-// The engine's system keeps no more of a body that the engine doesn't read.
-constexpr int kEngineWindow = 65536;
+constexpr int kBodyBytes = 2000000;
 const std::string kFirstHalf = "the first half of the engine's answer; ";
 const std::string kSecondHalf = "the second half.";
 
@@ -67,8 +65,9 @@
 bool Run(const std::string& folder) {
   const bool trouble = TroubleIsOn();
   Store& store = Make<Store>();
-  Server& engine = Make<Server>([trouble](int fd) { ServeEngine(fd, trouble); },
-                                0, kEngineWindow);
+  Server& engine =
+      Make<Server>([trouble](int fd) { ServeEngine(fd, trouble); }, /*port=*/0,
+                   /*as_on_a_network=*/true);
   store.Put("keyed.op", "config", kConfig);
   store.Put("keyed.servers", "i-a",
             EngineEntry("s", engine.address(), "ready", 1700000000000));
--- a/review/support-3/standin.h
+++ b/review/support-3/standin.h
@@ -241,13 +241,21 @@
  public:
   using Handler = std::function<void(int fd)>;
 
-  // `window` bounds what the system keeps of a connection's unread bytes, if it
-  // isn't zero.
-  explicit Server(Handler serve, std::uint16_t port = 0, int window = 0)
+  // With `as_on_a_network`, segments have the size that they have on a network
+  // (on loopback they are many times larger, and so are the sender's buffers),
+  // and the system keeps no more than `kWindow` of a connection's unread bytes.
+  explicit Server(Handler serve,
+                  std::uint16_t port = 0,
+                  bool as_on_a_network = false)
       : serve_(std::move(serve)), port_(port) {
+    constexpr int kSegment = 1460;
+    constexpr int kWindow = 65536;
     listener_ = Listen(port_);
-    if (window > 0)
-      ::setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
+    if (as_on_a_network) {
+      ::setsockopt(listener_, IPPROTO_TCP, TCP_MAXSEG, &kSegment,
+                   sizeof(kSegment));
+      ::setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &kWindow, sizeof(kWindow));
+    }
     std::thread([this] { Accept(); }).detach();
   }
 
