--- a/review/support-3/forgotten_rest.cc
+++ b/review/support-3/forgotten_rest.cc
@@ -12,29 +12,31 @@
     R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},)"
     R"("Tenants":[{"Name":"t1","ApiKeys":["k1"],"RatePerS":0,"Burst":0}]})";
 
-constexpr int kRestS = 4;
-constexpr int kDownMs = 500;
+constexpr int kEngines = 6;
+constexpr int kClients = 12;
+constexpr int kRestS = 8;
+constexpr int kDownMs = 200;
 // From the start of the engine to its first entry in the store; it writes there
 // each 1,200 ms (HeartbeatMs).
-constexpr int kRegisterMs = 1000;
+constexpr int kRegisterMs = 1200;
 
 class Engine {
  public:
-  explicit Engine(Store& store) : store_(store) {
+  Engine(Store& store, std::string id) : store_(store), id_(std::move(id)) {
     listener_ = Listen(port_);
     std::thread([this] { Accept(); }).detach();
     Register();
   }
 
   void Register() {
-    store_.Put("keyed.servers", "i-a",
+    store_.Put("keyed.servers", id_,
                EngineEntry("s", "127.0.0.1:" + std::to_string(port_), "ready",
                            born_, 1));
   }
 
   // Ends the process and starts it again, with the same id and address.
   void Restart() {
-    RECORD("engine: its process ends");
+    RECORD("engine i-0: its process ends");
     {
       const std::lock_guard lock(mutex_);
       up_ = false;
@@ -51,7 +53,7 @@
       listener_ = Listen(port_);
     }
     std::thread([this] { Accept(); }).detach();
-    RECORD("engine: has started again under its id");
+    RECORD("engine i-0: has started again under its id");
   }
 
   // From now on the first request is turned away for a rest.
@@ -82,7 +84,7 @@
     std::string buf;
     Message request;
     while (ReadHead(fd, buf, request) && ReadBody(fd, buf, request)) {
-      if (AnswerQuery(fd, request, "i-a"))
+      if (AnswerQuery(fd, request, id_))
         continue;
       if (!SendAll(fd, Answer(request)))
         break;
@@ -97,7 +99,7 @@
     const double now = Seconds();
     if (wants_rest_.exchange(false)) {
       asked_at_ = now;
-      RECORD("engine: answers %s 503, X-Not-Executed, Retry-After: %d",
+      RECORD("engine i-0: answers %s 503, X-Not-Executed, Retry-After: %d",
              id.c_str(), kRestS);
       return EngineAnswer(request, 503, "seal-a", "",
                           "X-Not-Executed: 1\r\nRetry-After: " +
@@ -106,13 +108,14 @@
     const double since = now - asked_at_;
     if (asked_at_ > 0 && since > 0.5 && since < kRestS) {
       ++in_rest_;
-      RECORD("engine: %s reaches it, %.3f s after it has asked for %d s",
+      RECORD("engine i-0: %s reaches it, %.3f s after it has asked for %d s",
              id.c_str(), since, kRestS);
     }
     return EngineAnswer(request, 200, "seal-a", "answer");
   }
 
   Store& store_;
+  std::string id_;
   std::mutex mutex_;
   int listener_ = -1;
   std::uint16_t port_ = 0;
@@ -128,13 +131,15 @@
   const bool trouble = TroubleIsOn();
   Store& store = Make<Store>();
   store.Put("keyed.op", "config", kConfig);
-  Engine& engine = Make<Engine>(store);
+  Engine& engine = Make<Engine>(store, "i-0");
+  for (int i = 1; i < kEngines; ++i)
+    Make<Engine>(store, "i-" + std::to_string(i));
   Edge edge(folder, "edge-1", store.address());
   edge.AwaitReady();
   std::atomic<bool> stop{false};
   std::atomic<int> served{0};
   std::vector<std::thread> clients;
-  for (int i = 0; i < 4; ++i)
+  for (int i = 0; i < kClients; ++i)
     clients.emplace_back([&, i] {
       for (int n = 0; !stop; ++n) {
         const std::string id =
@@ -143,7 +148,7 @@
             edge.callers(),
             Request("GET", "/read/x", id, "", "X-Deadline-Ms: 1000\r\n"), 1500);
         served += reply.status == 200 ? 1 : 0;
-        Sleep(100);
+        Sleep(50);
       }
     });
   Sleep(2500);
@@ -154,7 +159,7 @@
   engine.WantRest();
   Sleep(kRegisterMs);
   if (trouble) {
-    RECORD("engine: registers its new start");
+    RECORD("engine i-0: registers its new start");
     engine.Register();
   }
   Sleep(kRestS * 1000);
--- a/review/support-3/reset_answer.cc
+++ b/review/support-3/reset_answer.cc
@@ -16,6 +16,8 @@
     R"("Tenants":[{"Name":"t1","ApiKeys":["k1"],"RatePerS":0,"Burst":0}]})";
 
 constexpr int kBodyBytes = 2000000;
+// Requests on each route; the connection of the last one is reset.
+constexpr int kRequests = 20;
 const std::string kFirstHalf = "the first half of the engine's answer; ";
 const std::string kSecondHalf = "the second half.";
 
@@ -24,9 +26,9 @@
          "\n\n";
 }
 
-// Answers at once, without a length, in two pieces. Reads the body meanwhile
-// only if there is no trouble.
-void ServeEngine(int fd, bool trouble) {
+// Answers at once, without a length, in two pieces, and reads the body between
+// them; or its connection is reset there.
+void ServeEngine(int fd, const std::atomic<bool>& resets) {
   std::string buf;
   Message request;
   do {
@@ -47,7 +49,7 @@
                                 : "Content-Type: text/plain\r\n") +
                   first);
   Sleep(150);
-  if (trouble) {
+  if (resets) {
     RECORD("engine: its connection is reset");
     ResetAndClose(fd);
     return;
@@ -64,9 +66,10 @@
 
 bool Run(const std::string& folder) {
   const bool trouble = TroubleIsOn();
+  std::atomic<bool>& resets = Make<std::atomic<bool>>(false);
   Store& store = Make<Store>();
   Server& engine =
-      Make<Server>([trouble](int fd) { ServeEngine(fd, trouble); }, /*port=*/0,
+      Make<Server>([&resets](int fd) { ServeEngine(fd, resets); }, /*port=*/0,
                    /*as_on_a_network=*/true);
   store.Put("keyed.op", "config", kConfig);
   store.Put("keyed.servers", "i-a",
@@ -77,7 +80,8 @@
   const std::string body(kBodyBytes, 'b');
   int n = 0;
   for (const std::string path : {"/read/x", "/once/x", "/stream/x"}) {
-    for (int i = 0; i < 3; ++i) {
+    for (int i = 1; i <= kRequests; ++i) {
+      resets = trouble && i == kRequests;
       const std::string id = "id" + std::to_string(++n);
       const bool stream = path == "/stream/x";
       const std::string all = stream ? Event(1) + Event(2) + Event(3) +
@@ -98,7 +102,7 @@
                id.c_str());
         held = false;
       }
-      if (!trouble && !(success && reply.whole))
+      if (!resets && !(success && reply.whole))
         throw std::runtime_error("a request isn't served without trouble");
     }
   }
