A reset that a write or a look has met is no end of an answer

Callers got a part of an answer as a whole one: a server answered a long upload at once, with 200 and no length, sent part of the body and reset the connection, or closed it over unread bytes, while the upload was still being written. A run-once caller and an idempotent one got 200 with the first part or with an empty body, a stream's caller the first events and its last chunk.

Cause: the system tells of a reset in one call on the socket only. Here that was the write, which comes before the read in a turn of the loop; it told the owner of the loss later. The read behind it found an end of file, and TcpStream took it for the peer's orderly close, which ends an answer without a length. A look at the socket (PeerHasClosed, HasUnread, IsQuiet) takes the error away as well; no look at a connection with an answer under way was found.

Change: TcpStream remembers the first error that a write or a look has met. An end of file after it is told as that loss. All readers of HTTP/1.1 answers in the host (requests, repeats, streams, health checks, reports, orders, the store, other hosts' calls) go through this one place. An upload that was lost so fails as any other: 502 with not_run false, or a repeat.

--- a/include/mangoport/forward/tcp_stream.h
+++ b/include/mangoport/forward/tcp_stream.h
@@ -17,7 +17,7 @@
 struct TcpStreamHooks {
   /// Bytes have arrived; they are valid during the call only.
   std::function<void(std::string_view data)> on_data;
-  /// The peer has closed its side in order.
+  /// The peer has closed its side in order, and no call has met an error.
   std::function<void()> on_end;
   /// The connection is lost.
   std::function<void(const asio::error_code& ec)> on_error;
@@ -88,6 +88,8 @@
   /// Success if a byte has arrived that has not been read, else the reason why
   /// there is none: an end, a reset, or that nothing has come.
   asio::error_code Peek();
+  /// Remembers an error that a write or a look has met.
+  void NoteLoss(const asio::error_code& ec);
   void WaitReadable();
   void OnReadable(const asio::error_code& ec);
   void WaitWritable();
@@ -101,6 +103,9 @@
   /// until it returns.
   std::unique_ptr<TcpStreamHooks> hooks_;
   SendBuffer out_;
+  /// The first error of the connection. The system tells of it in one call
+  /// only; a read after that finds an end of file, which is no orderly end.
+  asio::error_code loss_;
   bool open_ = true;
   bool started_ = false;
   bool reading_ = false;
--- a/lib/forward/tcp_stream.cc
+++ b/lib/forward/tcp_stream.cc
@@ -99,6 +99,10 @@
     return;
   }
   if (read_ec == asio::error::eof) {
+    if (loss_) {
+      Fail(loss_);
+      return;
+    }
     reading_ = false;
     hooks_->on_end();
     return;
@@ -116,9 +120,18 @@
   std::array<char, 1> next{};
   asio::error_code ec;
   socket_.receive(asio::buffer(next), asio::ip::tcp::socket::message_peek, ec);
+  const bool is_open =
+      !ec || ec == asio::error::would_block || ec == asio::error::interrupted;
+  if (!is_open && ec != asio::error::eof)
+    NoteLoss(ec);
   return ec;
 }
 
+void TcpStream::NoteLoss(const asio::error_code& ec) {
+  if (!loss_)
+    loss_ = ec;
+}
+
 bool TcpStream::PeerHasClosed() {
   const asio::error_code ec = Peek();
   if (ec)
@@ -146,6 +159,7 @@
     if (ec == asio::error::interrupted)
       continue;
     if (ec) {
+      NoteLoss(ec);
       // The owner is in the middle of a call; it hears of the loss later.
       asio::post(socket_.get_executor(), [self = shared_from_this(), ec] {
         if (self->open_)
--- a/unittests/support/scripted_backend.cc
+++ b/unittests/support/scripted_backend.cc
@@ -1,6 +1,7 @@
 #include "unittests/support/scripted_backend.h"
 
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <strings.h>
 #include <sys/socket.h>
@@ -58,8 +59,22 @@
   return {};
 }
 
-/// Reads a request with a length from `fd`, and what follows it into `buf`.
-std::optional<SeenRequest> ReadRequest(int fd, std::string& buf) {
+/// Lets connections take little of what they are sent, in segments as on a
+/// network: those of loopback are many times larger, and so are its buffers.
+void LimitBuffers(int listener) {
+  constexpr int kSegmentBytes = 1460;
+  constexpr int kBufferBytes = 64 * 1024;
+  ::setsockopt(listener, IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes,
+               sizeof(kSegmentBytes));
+  ::setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &kBufferBytes,
+               sizeof(kBufferBytes));
+}
+
+/// Reads a request with a length from `fd`, but `max_body_bytes` of its body at
+/// most, and what follows it into `buf`.
+std::optional<SeenRequest> ReadRequest(int fd,
+                                       std::string& buf,
+                                       std::size_t max_body_bytes) {
   std::size_t end = 0;
   while ((end = buf.find("\r\n\r\n")) == std::string::npos) {
     if (!ReadMore(fd, buf))
@@ -68,7 +83,8 @@
   SeenRequest out = ParseHead(buf.substr(0, end + 2));
   buf.erase(0, end + 4);
   const std::string length = FieldOf(out, "Content-Length");
-  const std::size_t size = length.empty() ? 0 : std::stoul(length);
+  const std::size_t size =
+      std::min(length.empty() ? 0 : std::stoul(length), max_body_bytes);
   while (buf.size() < size) {
     if (!ReadMore(fd, buf))
       return std::nullopt;
@@ -87,9 +103,15 @@
   return false;
 }
 
-ScriptedBackend::ScriptedBackend(std::string id, Script script)
-    : id_(std::move(id)), script_(std::move(script)) {
+ScriptedBackend::ScriptedBackend(std::string id,
+                                 Script script,
+                                 std::size_t max_body_bytes)
+    : id_(std::move(id)),
+      script_(std::move(script)),
+      max_body_bytes_(max_body_bytes) {
   listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+  if (max_body_bytes_ != kWholeBody)
+    LimitBuffers(listener_);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -164,7 +186,7 @@
   std::optional<SeenRequest> last;
   bool goes_on = true;
   while (!stopping_ && goes_on) {
-    std::optional<SeenRequest> request = ReadRequest(fd, buf);
+    std::optional<SeenRequest> request = ReadRequest(fd, buf, max_body_bytes_);
     if (!request)
       break;
     last = std::move(request);
--- a/unittests/support/scripted_backend.h
+++ b/unittests/support/scripted_backend.h
@@ -3,8 +3,10 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <list>
 #include <mutex>
 #include <string>
@@ -37,8 +39,15 @@
   /// queries for reports; from several threads.
   using Script = std::function<ScriptedAnswer(const SeenRequest&, int number)>;
 
-  /// Throws std::runtime_error if no port is free.
-  ScriptedBackend(std::string id, Script script);
+  static constexpr std::size_t kWholeBody =
+      std::numeric_limits<std::size_t>::max();
+
+  /// Answers once it has read `max_body_bytes` of a request's body; what is
+  /// left of it stays unread, so only an answer that ends its connection may
+  /// follow a larger one. Throws std::runtime_error if no port is free.
+  ScriptedBackend(std::string id,
+                  Script script,
+                  std::size_t max_body_bytes = kWholeBody);
   ~ScriptedBackend();
 
   ScriptedBackend(const ScriptedBackend&) = delete;
@@ -72,6 +81,7 @@
 
   std::string id_;
   Script script_;
+  std::size_t max_body_bytes_;
   int listener_ = -1;
   std::uint16_t port_ = 0;
   std::atomic<bool> stopping_{false};
--- a/unittests/support/scripted_fleet.h
+++ b/unittests/support/scripted_fleet.h
@@ -18,10 +18,15 @@
 /// well, nor about what is outside the host's routes.
 class ScriptedFleet {
  public:
-  /// `bounds` are lines for the settings' table of that name.
-  explicit ScriptedFleet(const ScriptedBackend::Script& script,
-                         const std::string& bounds = "")
-      : it_(bounds), x_("i-x", Guarded(script)), y_("i-y", Guarded(script)) {
+  /// `bounds` are lines for the settings' table of that name. The servers read
+  /// `max_body_bytes` of a request's body before they answer.
+  explicit ScriptedFleet(
+      const ScriptedBackend::Script& script,
+      const std::string& bounds = "",
+      std::size_t max_body_bytes = ScriptedBackend::kWholeBody)
+      : it_(bounds),
+        x_("i-x", Guarded(script), max_body_bytes),
+        y_("i-y", Guarded(script), max_body_bytes) {
     it_.Unlist(it_.a_.id());
     it_.Unlist(it_.b_.id());
     it_.List(x_, "ready");
