An answer without a length ends once its request has been taken

Callers would get the first part of an answer as a whole one, from a server that ends its side while the upload is still being written and resets the connection behind that. A process that is killed ends so, if it has read what had arrived until then. Found beside the users' form of the fault, by looking at what else can stand before an end of file; not reported.

Cause: the end of the connection was taken for the end of the answer at once, and the exchange was over before the reset came.

Change: at the end of an answer without a length or chunks, HttpConnection asks whether the peer's system has acknowledged the whole request, and waits until it has. A reset, or 3 s without an acknowledgement (the user timeout, as before), makes the answer a broken one. A server that ends its side and reads on is served as before, once it has read the rest; one that stops reading for good now fails after those 3 s. An answer to a request that has been read, as almost all are, still ends at once: the acknowledgement came with it.

--- a/include/mangoport/forward/tcp_stream.h
+++ b/include/mangoport/forward/tcp_stream.h
@@ -77,6 +77,11 @@
   /// hear.
   bool IsQuiet();
 
+  /// True if the peer's system has acknowledged all that was sent. Asks the
+  /// system, and tells the owner if that knows of a loss: after the peer's end
+  /// nothing else does.
+  bool IsAcknowledged();
+
   bool is_open() const { return open_; }
   /// The bytes that wait to be written, and what is allocated for them.
   std::size_t unsent() const { return out_.size(); }
@@ -95,6 +100,8 @@
   void WaitWritable();
   void OnWritable();
   void Fail(const asio::error_code& ec);
+  /// Fails with the remembered error after the call that is running.
+  void FailLater();
   /// Writes what the system takes; false if the connection is lost.
   bool Flush(std::string_view& data);
 
--- a/lib/forward/http_connection.cc
+++ b/lib/forward/http_connection.cc
@@ -18,6 +18,9 @@
 /// a request does not cross its close.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(700);
 
+/// Between looks at whether a peer that has ended its side has the request.
+constexpr Duration kTakenCheckInterval = std::chrono::milliseconds(10);
+
 MonoTime Now() {
   return std::chrono::steady_clock::now();
 }
@@ -209,7 +212,20 @@
     Fail(KindOfLoss(), /*by_peer=*/true);
     return;
   }
-  Complete(/*keep=*/false);
+  CompleteWhenTaken();
+}
+
+void HttpConnection::CompleteWhenTaken() {
+  if (stream_->IsAcknowledged()) {
+    Complete(/*keep=*/false);
+    return;
+  }
+  taken_timer_ = timers_.Add(Now() + kTakenCheckInterval,
+                             [weak = weak_from_this()](MonoTime) {
+                               const Ptr self = weak.lock();
+                               if (self && self->state_ == State::kBusy)
+                                 self->CompleteWhenTaken();
+                             });
 }
 
 HttpFailure::Kind HttpConnection::KindOfLoss() const {
@@ -244,6 +260,7 @@
     return;
   state_ = State::kClosed;
   timers_.Cancel(connect_timer_);
+  timers_.Cancel(taken_timer_);
   stream_->Close(reset);
   on_state_(shared_from_this(), /*reusable=*/false);
 }
--- a/lib/forward/tcp_stream.cc
+++ b/lib/forward/tcp_stream.cc
@@ -1,8 +1,11 @@
 #include "mangoport/forward/tcp_stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <asio/buffer.hpp>
@@ -19,6 +22,10 @@
 using UserTimeoutOption =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
+/// The error that a socket has met and not told of.
+using SocketErrorOption =
+    asio::detail::socket_option::integer<SOL_SOCKET, SO_ERROR>;
+
 /// The loop's scratch buffer; a read's bytes are used up before the next.
 std::array<char, kScratchBytes>& Scratch() {
   thread_local std::array<char, kScratchBytes> scratch;
@@ -149,6 +156,24 @@
   return Peek() == asio::error::would_block;
 }
 
+bool TcpStream::IsAcknowledged() {
+  if (!open_)
+    return false;
+  SocketErrorOption error;
+  asio::error_code ec;
+  socket_.get_option(error, ec);
+  if (error.value() != 0)
+    NoteLoss(
+        asio::error_code(error.value(), asio::error::get_system_category()));
+  if (loss_) {
+    FailLater();
+    return false;
+  }
+  int unacknowledged = 0;
+  ::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged);
+  return out_.empty() && unacknowledged == 0;
+}
+
 bool TcpStream::Flush(std::string_view& data) {
   while (!data.empty()) {
     asio::error_code ec;
@@ -160,11 +185,7 @@
       continue;
     if (ec) {
       NoteLoss(ec);
-      // The owner is in the middle of a call; it hears of the loss later.
-      asio::post(socket_.get_executor(), [self = shared_from_this(), ec] {
-        if (self->open_)
-          self->Fail(ec);
-      });
+      FailLater();
       return false;
     }
     has_written_ = true;
@@ -229,6 +250,11 @@
   Close();
 }
 
+void TcpStream::FailLater() {
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()] { self->Fail(self->loss_); });
+}
+
 void TcpStream::EndAfterWrites() {
   if (!open_)
     return;
--- a/unittests/forward/reset_answer_test.cc
+++ b/unittests/forward/reset_answer_test.cc
@@ -28,6 +28,8 @@
 
 /// More than both systems hold of a connection's bytes.
 constexpr std::size_t kRequestBytes = std::size_t{16} << 20;
+/// Less than this host's system takes, and more than a server's does.
+constexpr std::size_t kBufferedBytes = std::size_t{512} << 10;
 constexpr int kSmallBuffer = 4096;
 constexpr char kUnframedHead[] = "HTTP/1.1 200 OK\r\n\r\n";
 
@@ -63,13 +65,14 @@
 /// One large request of a pool to a server whose every byte the test writes.
 class LargeExchange {
  public:
-  LargeExchange() : timers_(io_), pool_(io_, timers_) {
+  explicit LargeExchange(std::size_t request_bytes = kRequestBytes)
+      : timers_(io_), pool_(io_, timers_) {
     connection_ = pool_.Acquire(std::chrono::steady_clock::now(), "s",
                                 listener_.endpoint(), /*fresh=*/false);
     connection_->Exchange(
         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
-            std::to_string(kRequestBytes) + "\r\n\r\n" +
-            std::string(kRequestBytes, 'a'),
+            std::to_string(request_bytes) + "\r\n\r\n" +
+            std::string(request_bytes, 'a'),
         /*bodyless=*/false,
         {.on_head = [](const HttpHead&) { return true; },
          .on_body = [this](std::string_view it) { body_.append(it); },
@@ -98,12 +101,12 @@
 
   tcp::socket& server() { return *server_; }
 
-  void ExpectFailed() {
+  void ExpectFailed(bool by_peer = true) {
     RunToEnd();
     cr_expect_not(complete_, "complete with the body '%s'", body_.c_str());
     cr_assert(failure_);
     cr_expect(failure_->request_sent);
-    cr_expect(failure_->by_peer);
+    cr_expect_eq(failure_->by_peer, by_peer);
   }
 
   void ExpectComplete(const std::string& body) {
@@ -162,6 +165,63 @@
   it.ExpectFailed();
 }
 
+// A server that ends its side and then resets has not taken the request, and
+// has ended as one does whose process is killed.
+Test(reset_answer, is_not_complete_if_an_end_comes_before_the_reset) {
+  LargeExchange it;
+  it.Answer(kUnframedHead + std::string("first part"));
+  it.server().shutdown(tcp::socket::shutdown_send);
+  LetArrive();
+  it.Run();
+  Reset(it.server());
+  it.ExpectFailed();
+}
+
+// The same while the rest of the request is in the hands of the system.
+Test(reset_answer, is_not_complete_if_its_request_is_on_the_way) {
+  LargeExchange it(kBufferedBytes);
+  it.Answer(kUnframedHead + std::string("first part"));
+  it.server().shutdown(tcp::socket::shutdown_send);
+  LetArrive();
+  it.Run();
+  Reset(it.server());
+  it.ExpectFailed();
+}
+
+// The end and the reset are there when the loop turns to the connection.
+Test(reset_answer, is_not_complete_if_end_and_reset_come_together) {
+  LargeExchange it;
+  it.Answer(kUnframedHead + std::string("first part"));
+  it.server().shutdown(tcp::socket::shutdown_send);
+  Reset(it.server());
+  it.ExpectFailed();
+}
+
+// A server may answer early, end its side and read the rest of the request.
+Test(early_answer, is_complete_if_its_request_is_taken_later) {
+  for (const std::size_t request_bytes : {kRequestBytes, kBufferedBytes}) {
+    LargeExchange it(request_bytes);
+    it.Answer(kUnframedHead + std::string("whole"));
+    it.server().shutdown(tcp::socket::shutdown_send);
+    it.Run();
+    std::thread reader([&it, request_bytes] {
+      std::vector<char> bytes(request_bytes);
+      asio::error_code ec;
+      asio::read(it.server(), asio::buffer(bytes), ec);
+    });
+    it.ExpectComplete("whole");
+    reader.join();
+  }
+}
+
+// A server that takes no more of its request is not waited for without end.
+Test(early_answer, is_not_complete_if_its_request_is_never_taken) {
+  LargeExchange it;
+  it.Answer(kUnframedHead + std::string("whole"));
+  it.server().shutdown(tcp::socket::shutdown_send);
+  it.ExpectFailed(/*by_peer=*/false);
+}
+
 // What has arrived whole is delivered, whatever becomes of the connection.
 Test(early_answer, with_a_length_is_complete_before_a_reset) {
   LargeExchange it;
