A reply of another host ends with its stream's end, not with a reset

A host of `mangoport serve` would take a part of another host's reply, or a head alone, for a whole one, if the stream was reset with the code NO_ERROR. Found by asking of each reader what it takes for the end of an answer; not seen between our own hosts.

Cause: ClientConnection took a stream that was closed without an error code for a stream that had ended. HTTP/2 has END_STREAM for the end of a message, and lets a server reset a stream with NO_ERROR (RFC 9113, 8.1).

Change: a reply is whole once END_STREAM has arrived. Otherwise the outcome of the call is unknown, with the reason "the reply is not whole".

--- a/lib/peer/peer_client_connection.cc
+++ b/lib/peer/peer_client_connection.cc
@@ -45,6 +45,7 @@
     return n;
   };
   call->sent = 0;
+  call->reply_whole = false;
   call->connection = Self();
   last_submitted_ = Clock::now();
   call->stream = nghttp2_submit_request(session(), nullptr, fields.data(),
@@ -123,7 +124,10 @@
 
 void ClientConnection::OnEndStream(std::int32_t stream) {
   const auto it = calls_.find(stream);
-  if (it == calls_.end() || it->second->sent_whole)
+  if (it == calls_.end())
+    return;
+  it->second->reply_whole = true;
+  if (it->second->sent_whole)
     return;
   // The peer has answered early: the rest of the request is not wanted.
   const OpenCallPtr call = it->second;
@@ -141,7 +145,8 @@
 
 PeerReply ClientConnection::ReplyOf(const OpenCall& call,
                                     std::uint32_t error) const {
-  const bool whole = error == NGHTTP2_NO_ERROR;
+  // A stream may be reset without an error, also behind a part of a reply.
+  const bool whole = error == NGHTTP2_NO_ERROR && call.reply_whole;
   if (call.status == kStatusOk && whole)
     return {PeerStatus::kOk, call.reply};
   const bool refused =
@@ -149,7 +154,9 @@
       std::find(kRefusingStatuses.begin(), kRefusingStatuses.end(),
                 call.status) != kRefusingStatuses.end();
   std::string reason = call.reply;
-  if (call.status == kStatusOk || reason.empty())
+  if (call.status == kStatusOk && error == NGHTTP2_NO_ERROR)
+    reason = "the reply is not whole";
+  else if (call.status == kStatusOk || reason.empty())
     reason = nghttp2_http2_strerror(error);
   return {refused ? PeerStatus::kRefused : PeerStatus::kUnknown, reason};
 }
--- a/lib/peer/peer_client_connection.h
+++ b/lib/peer/peer_client_connection.h
@@ -41,6 +41,8 @@
   bool sent_whole = false;
   int status = 0;
   std::string reply;
+  /// The peer has ended its side of the stream behind the reply.
+  bool reply_whole = false;
   bool finished = false;
 };
 
--- a/unittests/peer/broken_replies_test.cc
+++ b/unittests/peer/broken_replies_test.cc
@@ -23,6 +23,7 @@
 
 constexpr std::uint8_t kData = 0x0;
 constexpr std::uint8_t kHeaders = 0x1;
+constexpr std::uint8_t kResetStream = 0x3;
 constexpr std::uint8_t kSettings = 0x4;
 constexpr std::uint8_t kEndStream = 0x1;
 constexpr std::uint8_t kEndHeaders = 0x4;
@@ -103,6 +104,26 @@
   }
 }
 
+// A part of a reply looked whole if its stream was reset without an error code.
+Test(broken_replies, a_reset_stream_is_no_whole_reply, .timeout = 60) {
+  const std::string head =
+      Frame(kHeaders, kEndHeaders, kFirstStream, Field(":status", "200"));
+  const std::string part = Frame(kData, 0, kFirstStream, "first part");
+  const std::string no_error(4, '\0');
+  for (const std::string& bytes : {head, head + part}) {
+    const PeerReply reply =
+        ReplyTo(bytes + Frame(kResetStream, 0, kFirstStream, no_error));
+    cr_expect_eq(reply.status, PeerStatus::kUnknown, "%s", reply.body.c_str());
+  }
+}
+
+Test(broken_replies, the_end_of_a_connection_ends_no_reply, .timeout = 60) {
+  const PeerReply reply = ReplyTo(
+      Frame(kHeaders, kEndHeaders, kFirstStream, Field(":status", "200")) +
+      Frame(kData, 0, kFirstStream, "first part"));
+  cr_expect_eq(reply.status, PeerStatus::kUnknown, "%s", reply.body.c_str());
+}
+
 Test(broken_replies, an_interim_head_is_no_reply, .timeout = 60) {
   const PeerReply reply = ReplyTo(
       Frame(kHeaders, kEndHeaders, kFirstStream, Field(":status", "103")) +
