--- a/unittests/adapters/http_backends_test.cc
+++ b/unittests/adapters/http_backends_test.cc
@@ -13,6 +13,7 @@
 namespace mangoport {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 /// Broken answers that end with their connection.
@@ -55,6 +56,24 @@
   }
 }
 
+// An answer without a length ends with its connection; callers got a part of
+// one as a whole answer if the connection was reset or fell silent.
+Test(http_backends, an_answer_without_a_length_that_is_lost_is_none) {
+  const std::string part = "HTTP/1.1 200 OK\r\n\r\nfirst part";
+  const PlainResult whole = CallPlain(part);
+  cr_expect_eq(whole.status, PlainStatus::kAnswered);
+  cr_expect_eq(whole.body, "first part");
+  const PlainResult reset =
+      CallPlain(ScriptedAnswer{.pieces = {part, ""},
+                               .pause = milliseconds(100),
+                               .end = ScriptedAnswer::End::kReset});
+  cr_expect_eq(reset.status, PlainStatus::kUnknown, "'%s'", reset.body.c_str());
+  const PlainResult silent = CallPlain(
+      ScriptedAnswer{.pieces = {part, ""}, .pause = seconds(3)}, seconds(1));
+  cr_expect_eq(silent.status, PlainStatus::kUnknown, "'%s'",
+               silent.body.c_str());
+}
+
 Test(http_backends, a_sound_answer_of_a_plain_service_is_passed_on) {
   const PlainResult result = CallPlain(
       "HTTP/1.1 404 None\r\nContent-Type: text/plain\r\nX-A:\r\n"
--- a/unittests/adapters/one_answer.h
+++ b/unittests/adapters/one_answer.h
@@ -10,14 +10,16 @@
 
 namespace mangoport {
 
-/// A server that answers everything with the same bytes and closes.
+/// A server that gives the same answer to everything.
 class OneAnswer {
  public:
+  explicit OneAnswer(const ScriptedAnswer& answer)
+      : server_("s", [answer](const SeenRequest&, int) { return answer; }) {}
+
+  /// An answer of these bytes, after which the server closes.
   explicit OneAnswer(const std::string& bytes)
-      : server_("s", [bytes](const SeenRequest&, int) {
-          return ScriptedAnswer{.pieces = {bytes},
-                                .end = ScriptedAnswer::End::kClose};
-        }) {}
+      : OneAnswer(ScriptedAnswer{.pieces = {bytes},
+                                 .end = ScriptedAnswer::End::kClose}) {}
 
   Endpoint endpoint() const {
     const std::string address = server_.address();
@@ -30,9 +32,12 @@
   ScriptedBackend server_;
 };
 
-/// What the client of plain services makes of an answer of these bytes.
-inline PlainResult CallPlain(const std::string& bytes) {
-  const OneAnswer server(bytes);
+/// What the client of plain services makes of an answer, which is its bytes or
+/// a `ScriptedAnswer`, if it waits no longer than `timeout` for more of it.
+template <typename Answer>
+PlainResult CallPlain(const Answer& answer,
+                      Duration timeout = std::chrono::seconds(5)) {
+  const OneAnswer server(answer);
   return MakeHttpPlainServiceClient()->Call(
       server.endpoint(), {.request = RequestId("r1"),
                           .method = "POST",
@@ -40,7 +45,7 @@
                           .content_type = "text/plain",
                           .body = "body",
                           .connect_timeout = std::chrono::seconds(1),
-                          .timeout = std::chrono::seconds(5)});
+                          .timeout = timeout});
 }
 
 }  // namespace mangoport
