Tests: broken answers to the host's own calls and to resumed streams

http_caller_test: the store, a server or another host resets the connection while a large call is still being written.

--- a/unittests/forward/http_caller_test.cc
+++ b/unittests/forward/http_caller_test.cc
@@ -21,10 +21,13 @@
 
 constexpr std::size_t kMaxAnswerBytes = 1000;
 
+/// More than both systems hold of a connection's bytes.
+constexpr std::size_t kLargeCallBytes = std::size_t{16} << 20;
+
 /// One call to a server that answers with exact bytes.
 class OneCall {
  public:
-  OneCall()
+  explicit OneCall(const std::string& body = "")
       : timers_(io_),
         pool_(io_, timers_),
         caller_(pool_, timers_),
@@ -36,6 +39,7 @@
          .endpoint = acceptor_.local_endpoint(),
          .method = "POST",
          .target = "/",
+         .body = body,
          .timeout = milliseconds(300),
          .max_answer_bytes = kMaxAnswerBytes,
          .foreign_field = "Request"},
@@ -51,12 +55,21 @@
 
   void Close() { peer_.close(); }
 
+  void Reset() {
+    peer_.set_option(asio::socket_base::linger(true, 0));
+    peer_.close();
+  }
+
+  /// The host's loop takes up what has arrived.
+  void Run() {
+    io_.restart();
+    io_.run_for(kTurn);
+  }
+
   /// How the call ended; throws if it has not.
   const HttpCallResult& Result() {
-    for (int i = 0; i < kMaxTurns && !result_; ++i) {
-      io_.restart();
-      io_.run_for(kTurn);
-    }
+    for (int i = 0; i < kMaxTurns && !result_; ++i)
+      Run();
     return result_.value();
   }
 
@@ -117,6 +130,8 @@
         "HTTP/1.1 200 O\rK\r\n" + body,
         "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n" + body,
         "HTTP/1.1 200 OK\r\nA b: c\r\n" + body,
+        "HTTP/1.1 200 OK\r\nA : c\r\n" + body,
+        "HTTP/1.1 200 OK\r\nA\x01: c\r\n" + body,
         "HTTP/1.1 200 OK\r\n" + chunked + "2\r\nokXX0\r\n\r\n",
         "HTTP/1.1 200 OK\r\n" + chunked + "2\r\nok\r\n0\r\nA b: c\r\n\r\n"}) {
     OneCall call;
@@ -127,6 +142,20 @@
   }
 }
 
+// The store, a server or another host resets the connection while a large call
+// is still being written: the part of its answer was taken for a whole one.
+Test(http_caller, an_answer_without_a_length_that_is_reset_is_none) {
+  for (const char* part : {"", "{}"}) {
+    OneCall call(std::string(kLargeCallBytes, 'a'));
+    call.Answer(std::string("HTTP/1.1 200 OK\r\n\r\n") + part);
+    call.Run();
+    call.Reset();
+    cr_expect_eq(call.Result().status, 0, "status %d", call.Result().status);
+    cr_expect_eq(call.Result().body, "");
+    cr_expect(call.Result().sent);
+  }
+}
+
 // An answer without end was gathered until the process had no memory left.
 Test(http_caller, an_answer_that_is_too_large_is_none) {
   for (const std::size_t size : {kMaxAnswerBytes, kMaxAnswerBytes + 1}) {
--- a/unittests/process/resumed_streams_test.cc
+++ b/unittests/process/resumed_streams_test.cc
@@ -128,6 +128,24 @@
   });
 }
 
+// The rest is broken in its head, its end or its framing.
+Test(resumed_streams, a_rest_that_is_no_http_is_not_passed_on, .timeout = 60) {
+  const std::string good =
+      "Content-Length: " + std::to_string(Events(4, 6).size()) + "\r\n\r\n" +
+      Events(4, 6);
+  const std::string head = std::string(kIds) + kEvents;
+  ExpectBroken({
+      {"000", "HTTP/1.1 000 Odd\r\n" + head + good},
+      {"000-good",
+       "HTTP/1.1 000 Odd\r\n\r\n" + WithLength(200, kEvents, Events(4, 6))},
+      {"blank", "HTTP/1.1 200 OK\r\n" + head + "X Bad: 1\r\n" + good},
+      {"before-colon", "HTTP/1.1 200 OK\r\n" + head + "X-Bad : 1\r\n" + good},
+      {"control", "HTTP/1.1 200 OK\r\n" + head + "X-\x01: 1\r\n" + good},
+      {"length",
+       "HTTP/1.1 200 OK\r\n" + head + "Content-Length : 1\r\n" + good},
+  });
+}
+
 Test(resumed_streams, a_misdirected_rest_is_not_passed_on, .timeout = 60) {
   ExpectBroken({{"421", WithLength(421, "", "elsewhere")}});
 }
