--- a/unittests/adapters/http_backends_test.cc
+++ b/unittests/adapters/http_backends_test.cc
@@ -56,24 +56,40 @@
   }
 }
 
-// An answer without a length ends with its connection; callers got a part of
-// one as a whole answer if the connection was reset or fell silent.
+// A part of an answer without a length, which ends with its connection, must
+// not look whole if the connection is reset or falls silent.
 Test(http_backends, an_answer_without_a_length_that_is_lost_is_none) {
   const std::string part = "HTTP/1.1 200 OK\r\n\r\nfirst part";
   const PlainResult whole = CallPlain(part);
   cr_expect_eq(whole.status, PlainStatus::kAnswered);
   cr_expect_eq(whole.body, "first part");
-  const PlainResult reset =
-      CallPlain(ScriptedAnswer{.pieces = {part, ""},
-                               .pause = milliseconds(100),
-                               .end = ScriptedAnswer::End::kReset});
-  cr_expect_eq(reset.status, PlainStatus::kUnknown, "'%s'", reset.body.c_str());
-  const PlainResult silent = CallPlain(
-      ScriptedAnswer{.pieces = {part, ""}, .pause = seconds(3)}, seconds(1));
+  const ScriptedAnswer reset{.pieces = {part, ""},
+                             .pause = milliseconds(100),
+                             .end = ScriptedAnswer::End::kReset};
+  const PlainResult lost = CallPlain(OneAnswer(reset));
+  cr_expect_eq(lost.status, PlainStatus::kUnknown, "'%s'", lost.body.c_str());
+  const ScriptedAnswer unfinished{.pieces = {part, ""}, .pause = seconds(3)};
+  const PlainResult silent =
+      CallPlain(OneAnswer(unfinished), "body", seconds(1));
   cr_expect_eq(silent.status, PlainStatus::kUnknown, "'%s'",
                silent.body.c_str());
 }
 
+// The same while the request is still being written.
+Test(http_backends, an_early_answer_that_is_reset_is_none) {
+  constexpr std::size_t kUploadBytes = 4'000'000;
+  for (const auto pause :
+       {milliseconds(0), milliseconds(20), milliseconds(200)}) {
+    const ScriptedAnswer reset{
+        .pieces = {"HTTP/1.1 200 OK\r\n\r\nfirst part", ""},
+        .pause = pause,
+        .end = ScriptedAnswer::End::kReset};
+    const PlainResult lost = CallPlain(OneAnswer(reset, /*max_body_bytes=*/0),
+                                       std::string(kUploadBytes, 'a'));
+    cr_expect_eq(lost.status, PlainStatus::kUnknown, "'%s'", lost.body.c_str());
+  }
+}
+
 Test(http_backends, a_sound_answer_of_a_plain_service_is_passed_on) {
   const PlainResult result = CallPlain(
       "HTTP/1.1 404 None\r\nContent-Type: text/plain\r\nX-A:\r\n"
--- a/unittests/adapters/one_answer.h
+++ b/unittests/adapters/one_answer.h
@@ -2,6 +2,7 @@
 #define MANGOPORT_UNITTESTS_ADAPTERS_ONE_ANSWER_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -13,8 +14,13 @@
 /// A server that gives the same answer to everything.
 class OneAnswer {
  public:
-  explicit OneAnswer(const ScriptedAnswer& answer)
-      : server_("s", [answer](const SeenRequest&, int) { return answer; }) {}
+  /// The server reads `max_body_bytes` of a request's body at most.
+  explicit OneAnswer(const ScriptedAnswer& answer,
+                     std::size_t max_body_bytes = ScriptedBackend::kWholeBody)
+      : server_(
+            "s",
+            [answer](const SeenRequest&, int) { return answer; },
+            max_body_bytes) {}
 
   /// An answer of these bytes, after which the server closes.
   explicit OneAnswer(const std::string& bytes)
@@ -32,22 +38,26 @@
   ScriptedBackend server_;
 };
 
-/// What the client of plain services makes of an answer, which is its bytes or
-/// a `ScriptedAnswer`, if it waits no longer than `timeout` for more of it.
-template <typename Answer>
-PlainResult CallPlain(const Answer& answer,
-                      Duration timeout = std::chrono::seconds(5)) {
-  const OneAnswer server(answer);
+/// What the client of plain services makes of the server's answer, if it waits
+/// no longer than `timeout` for more of it.
+inline PlainResult CallPlain(const OneAnswer& server,
+                             const std::string& body = "body",
+                             Duration timeout = std::chrono::seconds(5)) {
   return MakeHttpPlainServiceClient()->Call(
       server.endpoint(), {.request = RequestId("r1"),
                           .method = "POST",
                           .path = "/x",
                           .content_type = "text/plain",
-                          .body = "body",
+                          .body = body,
                           .connect_timeout = std::chrono::seconds(1),
                           .timeout = timeout});
 }
 
+/// The same for an answer of these bytes.
+inline PlainResult CallPlain(const std::string& bytes) {
+  return CallPlain(OneAnswer(bytes));
+}
+
 }  // namespace mangoport
 
 #endif  // MANGOPORT_UNITTESTS_ADAPTERS_ONE_ANSWER_H_
