An end that came after the whole request was taken counts, also before a reset

A caller could get 502 for a whole answer without a length, from a server that ends its side in order and then resets the connection, if the reset had arrived when the host read the end.

Cause: the socket's error was asked first. The system still knows after a reset whether all that was sent had been acknowledged, and then nothing of the answer was lost: the end is behind all of it.

--- a/include/mangoport/forward/tcp_stream.h
+++ b/include/mangoport/forward/tcp_stream.h
@@ -78,8 +78,8 @@
   bool IsQuiet();
 
   /// True if the peer's system has acknowledged all that was sent. Asks the
-  /// system, and tells the owner if that knows of a loss: after the peer's end
-  /// nothing else does.
+  /// system. If some is not acknowledged and the connection is lost, the owner
+  /// is told: after the peer's end nothing else does.
   bool IsAcknowledged();
 
   bool is_open() const { return open_; }
--- a/lib/forward/tcp_stream.cc
+++ b/lib/forward/tcp_stream.cc
@@ -159,19 +159,18 @@
 bool TcpStream::IsAcknowledged() {
   if (!open_)
     return false;
+  int unacknowledged = 0;
+  ::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged);
+  if (!loss_ && out_.empty() && unacknowledged == 0)
+    return true;
   SocketErrorOption error;
   asio::error_code ec;
   socket_.get_option(error, ec);
   if (error.value() != 0)
-    NoteLoss(
-        asio::error_code(error.value(), asio::error::get_system_category()));
-  if (loss_) {
+    NoteLoss({error.value(), asio::error::get_system_category()});
+  if (loss_)
     FailLater();
-    return false;
-  }
-  int unacknowledged = 0;
-  ::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged);
-  return out_.empty() && unacknowledged == 0;
+  return false;
 }
 
 bool TcpStream::Flush(std::string_view& data) {
--- a/unittests/forward/reset_answer_test.cc
+++ b/unittests/forward/reset_answer_test.cc
@@ -214,6 +214,15 @@
   }
 }
 
+// The end has come in order, and nothing was left to be taken.
+Test(early_answer, is_complete_if_its_end_comes_first, .timeout = 60) {
+  LargeExchange it(/*request_bytes=*/10);
+  it.Answer(kUnframedHead + std::string("whole"));
+  it.server().shutdown(tcp::socket::shutdown_send);
+  Reset(it.server());
+  it.ExpectComplete("whole");
+}
+
 // A server that takes no more of its request is not waited for without end.
 Test(early_answer, is_not_complete_if_its_request_is_never_taken) {
   LargeExchange it;
