HttpConnection: one wait at a time for a request to be taken

Reading the change again: a caller that drains its answer while the connection waits would start a second wait (no test shows it; it would have been harmless). Each look cancels the one before it, and the time is an argument as elsewhere.

--- a/include/mangoport/forward/http_connection.h
+++ b/include/mangoport/forward/http_connection.h
@@ -105,7 +105,7 @@
   void OnEnd();
   /// Completes an answer that ended with its connection once the peer has the
   /// whole request. Until then the stream may tell of a reset.
-  void CompleteWhenTaken();
+  void CompleteWhenTaken(MonoTime now);
   /// Makes ready for the next message of the peer.
   void ExpectMessage();
   /// Hands over what has arrived of a message. False if that ended the
--- a/lib/forward/http_connection.cc
+++ b/lib/forward/http_connection.cc
@@ -189,6 +189,7 @@
 
 void HttpConnection::Complete(bool keep) {
   const std::shared_ptr<HttpExchangeHooks> hooks = std::move(hooks_);
+  timers_.Cancel(taken_timer_);
   if (keep) {
     state_ = State::kIdle;
     idle_since_ = Now();
@@ -212,19 +213,19 @@
     Fail(KindOfLoss(), /*by_peer=*/true);
     return;
   }
-  CompleteWhenTaken();
+  CompleteWhenTaken(Now());
 }
 
-void HttpConnection::CompleteWhenTaken() {
+void HttpConnection::CompleteWhenTaken(MonoTime now) {
+  timers_.Cancel(taken_timer_);
   if (stream_->IsAcknowledged()) {
     Complete(/*keep=*/false);
     return;
   }
-  taken_timer_ = timers_.Add(Now() + kTakenCheckInterval,
-                             [weak = weak_from_this()](MonoTime) {
-                               const Ptr self = weak.lock();
-                               if (self && self->state_ == State::kBusy)
-                                 self->CompleteWhenTaken();
+  taken_timer_ = timers_.Add(now + kTakenCheckInterval,
+                             [weak = weak_from_this()](MonoTime due) {
+                               if (const Ptr self = weak.lock())
+                                 self->CompleteWhenTaken(due);
                              });
 }
 
--- a/lib/forward/tcp_stream.cc
+++ b/lib/forward/tcp_stream.cc
@@ -127,9 +127,8 @@
   std::array<char, 1> next{};
   asio::error_code ec;
   socket_.receive(asio::buffer(next), asio::ip::tcp::socket::message_peek, ec);
-  const bool is_open =
-      !ec || ec == asio::error::would_block || ec == asio::error::interrupted;
-  if (!is_open && ec != asio::error::eof)
+  if (ec && ec != asio::error::would_block && ec != asio::error::interrupted &&
+      ec != asio::error::eof)
     NoteLoss(ec);
   return ec;
 }
--- a/unittests/support/scripted_backend.h
+++ b/unittests/support/scripted_backend.h
@@ -42,9 +42,9 @@
   static constexpr std::size_t kWholeBody =
       std::numeric_limits<std::size_t>::max();
 
-  /// Answers once it has read `max_body_bytes` of a request's body; what is
-  /// left of it stays unread, so only an answer that ends its connection may
-  /// follow a larger one. Throws std::runtime_error if no port is free.
+  /// Answers once it has read `max_body_bytes` of a request's body, and leaves
+  /// the rest unread; on a connection that is kept after that, the rest is
+  /// taken for the next request. Throws std::runtime_error if no port is free.
   ScriptedBackend(std::string id,
                   Script script,
                   std::size_t max_body_bytes = kWholeBody);
