TcpStream: the question and the report of a loss are two functions

Reading the change as a newcomer: IsAcknowledged answered a question and also told the owner of a loss; ReportLoss does that now. "Taken" is "acknowledged", the field's word, in names. The poll interval and the upload's size say why they are as they are. No behaviour changes.

--- a/include/mangoport/forward/http_connection.h
+++ b/include/mangoport/forward/http_connection.h
@@ -103,9 +103,9 @@
   void OnConnected(const asio::error_code& ec);
   void OnData(std::string_view data);
   void OnEnd();
-  /// Completes an answer that ended with its connection once the peer has the
-  /// whole request. Until then the stream may tell of a reset.
-  void CompleteWhenTaken(MonoTime now);
+  /// Completes an answer that ended with its connection once the whole request
+  /// has been acknowledged. Until then the stream may tell of a reset.
+  void CompleteWhenAcknowledged(MonoTime now);
   /// Makes ready for the next message of the peer.
   void ExpectMessage();
   /// Hands over what has arrived of a message. False if that ended the
@@ -133,7 +133,7 @@
   std::optional<Duration> idle_limit_;
   MonoTime idle_since_;
   TimerQueue::Ticket connect_timer_ = TimerQueue::kNoTicket;
-  TimerQueue::Ticket taken_timer_ = TimerQueue::kNoTicket;
+  TimerQueue::Ticket acknowledgement_timer_ = TimerQueue::kNoTicket;
   std::uint32_t exchanges_ = 0;
   bool head_taken_ = false;
   bool skipping_ = false;
--- a/include/mangoport/forward/tcp_stream.h
+++ b/include/mangoport/forward/tcp_stream.h
@@ -77,11 +77,14 @@
   /// hear.
   bool IsQuiet();
 
-  /// True if the peer's system has acknowledged all that was sent. Asks the
-  /// system. If some is not acknowledged and the connection is lost, the owner
-  /// is told: after the peer's end nothing else does.
+  /// True if the peer's system has acknowledged all that was sent, and no call
+  /// has met an error. Asks the system, which still knows behind a reset.
   bool IsAcknowledged();
 
+  /// Tells the owner, after the call that is running, if the system knows of a
+  /// loss. After the peer's end no read or wait does.
+  void ReportLoss();
+
   bool is_open() const { return open_; }
   /// The bytes that wait to be written, and what is allocated for them.
   std::size_t unsent() const { return out_.size(); }
--- a/lib/forward/http_connection.cc
+++ b/lib/forward/http_connection.cc
@@ -18,8 +18,9 @@
 /// a request does not cross its close.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(700);
 
-/// Between looks at whether a peer that has ended its side has the request.
-constexpr Duration kTakenCheckInterval = std::chrono::milliseconds(10);
+/// Between the times at which the system is asked whether a request has been
+/// acknowledged. It reports that as no event.
+constexpr Duration kAcknowledgementPollInterval = std::chrono::milliseconds(10);
 
 MonoTime Now() {
   return std::chrono::steady_clock::now();
@@ -189,7 +190,7 @@
 
 void HttpConnection::Complete(bool keep) {
   const std::shared_ptr<HttpExchangeHooks> hooks = std::move(hooks_);
-  timers_.Cancel(taken_timer_);
+  timers_.Cancel(acknowledgement_timer_);
   if (keep) {
     state_ = State::kIdle;
     idle_since_ = Now();
@@ -213,20 +214,21 @@
     Fail(KindOfLoss(), /*by_peer=*/true);
     return;
   }
-  CompleteWhenTaken(Now());
+  CompleteWhenAcknowledged(Now());
 }
 
-void HttpConnection::CompleteWhenTaken(MonoTime now) {
-  timers_.Cancel(taken_timer_);
+void HttpConnection::CompleteWhenAcknowledged(MonoTime now) {
+  timers_.Cancel(acknowledgement_timer_);
   if (stream_->IsAcknowledged()) {
     Complete(/*keep=*/false);
     return;
   }
-  taken_timer_ = timers_.Add(now + kTakenCheckInterval,
-                             [weak = weak_from_this()](MonoTime due) {
-                               if (const Ptr self = weak.lock())
-                                 self->CompleteWhenTaken(due);
-                             });
+  stream_->ReportLoss();
+  acknowledgement_timer_ = timers_.Add(now + kAcknowledgementPollInterval,
+                                       [weak = weak_from_this()](MonoTime due) {
+                                         if (const Ptr self = weak.lock())
+                                           self->CompleteWhenAcknowledged(due);
+                                       });
 }
 
 HttpFailure::Kind HttpConnection::KindOfLoss() const {
@@ -261,7 +263,7 @@
     return;
   state_ = State::kClosed;
   timers_.Cancel(connect_timer_);
-  timers_.Cancel(taken_timer_);
+  timers_.Cancel(acknowledgement_timer_);
   stream_->Close(reset);
   on_state_(shared_from_this(), /*reusable=*/false);
 }
--- a/lib/forward/tcp_stream.cc
+++ b/lib/forward/tcp_stream.cc
@@ -160,8 +160,12 @@
     return false;
   int unacknowledged = 0;
   ::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged);
-  if (!loss_ && out_.empty() && unacknowledged == 0)
-    return true;
+  return !loss_ && out_.empty() && unacknowledged == 0;
+}
+
+void TcpStream::ReportLoss() {
+  if (!open_)
+    return;
   SocketErrorOption error;
   asio::error_code ec;
   socket_.get_option(error, ec);
@@ -169,7 +173,6 @@
     NoteLoss({error.value(), asio::error::get_system_category()});
   if (loss_)
     FailLater();
-  return false;
 }
 
 bool TcpStream::Flush(std::string_view& data) {
--- a/unittests/process/reset_answers_test.cc
+++ b/unittests/process/reset_answers_test.cc
@@ -23,6 +23,8 @@
 using std::chrono::milliseconds;
 
 constexpr char kManyRepeats[] = "repeat_ratio = 1\nrepeat_extra = 100\n";
+/// Within the host's limit of 4 MiB, and more than a server and both systems
+/// take.
 constexpr std::size_t kUploadBytes = 4'000'000;
 /// What a server reads of an upload at the least: more than
 /// `ScriptedFleet::Warm` sends.
@@ -121,6 +123,7 @@
   };
   // What a host gathers before it passes an answer on is larger.
   constexpr std::array<int, 3> kPartBytes = {0, 10, 200'000};
+  // Some of the upload is left unread.
   constexpr int kMostReadBytes = 3'000'000;
   Loss out;
   out.part.assign(kPartBytes[any(0, 2)], 'x');
