HttpConnection: why the acknowledgement is asked for every 10 ms

The comment said why the system is polled, not what the interval costs: an answer that waits ends at most that much late, for one system call an interval.

--- a/lib/forward/http_connection.cc
+++ b/lib/forward/http_connection.cc
@@ -19,7 +19,8 @@
 constexpr Duration kIdleMargin = std::chrono::milliseconds(700);
 
 /// Between the times at which the system is asked whether a request has been
-/// acknowledged. It reports that as no event.
+/// acknowledged. It reports that as no event. An answer that waits for it ends
+/// at most this much late, for one system call an interval.
 constexpr Duration kAcknowledgementPollInterval = std::chrono::milliseconds(10);
 
 MonoTime Now() {
